Add fleet text, instance settings, keys, metrics and the operators' interface

Both texts are checked before use and every error names file, line and field. The operators' interface is one struct of functions that an instance serves over HTTP and the command line calls, so the two cannot drift apart.

--- /dev/null
+++ b/administrator/administrator.go
@@ -0,0 +1,128 @@
+package administrator
+
+import (
+	"context"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// Outcomes of a change.
+const (
+	OutcomeAccepted = "accepted"
+	OutcomeUnknown  = "unknown"
+	OutcomeNotFound = "not_found"
+)
+
+// Administrator holds the operators' calls as function fields. Errors are
+// refuser.Refusal values.
+type Administrator struct {
+	// Apply replaces the configuration text if its revision still equals
+	// ApplyCall.From.
+	Apply func(context.Context, ApplyCall) (Change, error)
+	// Config returns the configuration in force at the instance.
+	Config func(context.Context, Empty) (Config, error)
+	// Outcome tells what became of a change whose outcome was unknown.
+	Outcome func(context.Context, OutcomeCall) (Change, error)
+	// SetDataCentre takes a data centre out of service or back in.
+	SetDataCentre func(context.Context, SetCall) (Change, error)
+	// SetEndpoint takes an endpoint out of service or back in.
+	SetEndpoint func(context.Context, SetCall) (Change, error)
+	// RotateSessionKey adds a new key for session tokens; the oldest is removed.
+	RotateSessionKey func(context.Context, RotateCall) (Change, error)
+	// Status returns what the instance knows of the fleet.
+	Status func(context.Context, Empty) (Status, error)
+}
+
+// Empty is the body of calls without arguments.
+type Empty struct{}
+
+// ApplyCall carries a configuration text and the revision it was edited from.
+type ApplyCall struct {
+	Text     string `json:"text"`
+	From     uint64 `json:"from"`
+	ChangeID string `json:"change_id"`
+}
+
+// SetCall takes a data centre or an endpoint out or in.
+type SetCall struct {
+	Name     string `json:"name"`
+	Out      bool   `json:"out"`
+	ChangeID string `json:"change_id"`
+}
+
+// OutcomeCall names a change.
+type OutcomeCall struct {
+	ChangeID string `json:"change_id"`
+}
+
+// RotateCall names the change that rotates the session key.
+type RotateCall struct {
+	ChangeID string `json:"change_id"`
+}
+
+// Change is the outcome of a change and the revision that it produced.
+type Change struct {
+	ID       string `json:"id"`
+	Outcome  string `json:"outcome"`
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// Config is the configuration in force.
+type Config struct {
+	Revision       uint64   `json:"revision"`
+	Text           string   `json:"text"`
+	DataCentresOut []string `json:"data_centres_out"`
+	EndpointsOut   []string `json:"endpoints_out"`
+}
+
+// Status is one instance's view of the fleet.
+type Status struct {
+	Instance    string             `json:"instance"`
+	Revision    uint64             `json:"revision"`
+	Fresh       bool               `json:"fresh"`
+	FreshReason string             `json:"fresh_reason"`
+	Instances   []InstanceStatus   `json:"instances"`
+	DataCentres []DataCentreStatus `json:"data_centres"`
+	Endpoints   []EndpointStatus   `json:"endpoints"`
+	Versions    []VersionStatus    `json:"versions"`
+}
+
+// InstanceStatus describes one entry instance.
+type InstanceStatus struct {
+	ID          string `json:"id"`
+	DataCentre  string `json:"data_centre"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	Revision    uint64 `json:"revision"`
+}
+
+// DataCentreStatus describes one data centre.
+type DataCentreStatus struct {
+	Name      string `json:"name"`
+	Region    string `json:"region"`
+	Out       bool   `json:"out"`
+	Instances int    `json:"instances"`
+	Endpoints int    `json:"endpoints"`
+}
+
+// EndpointStatus describes one endpoint.
+type EndpointStatus struct {
+	ID         string       `json:"id"`
+	DataCentre string       `json:"data_centre"`
+	Kind       string       `json:"kind"`
+	State      string       `json:"state"` // serving, cold, leaving, out, broken
+	InFlight   int          `json:"in_flight"`
+	Limit      int          `json:"limit"`
+	LoadAge    clock.Millis `json:"load_age_ms"`
+}
+
+// VersionStatus describes one version.
+type VersionStatus struct {
+	Key     string  `json:"key"`
+	State   string  `json:"state"`   // from the text
+	Stopped string  `json:"stopped"` // reason of a stop record, if any
+	Share   float64 `json:"share"`   // present share of new sessions, 0 to 1
+	Ratings int     `json:"ratings"`
+	Quality float64 `json:"quality"` // mean rating, 0 to 1
+	Errors  int     `json:"errors"`
+}
--- /dev/null
+++ b/administrator/http.go
@@ -0,0 +1,125 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+
+	"rosemaryarch.example/rosemaryarch/refuser"
+)
+
+// Paths of the operators' calls. Each is a POST with a JSON body.
+const (
+	pathApply            = "/admin/config/apply"
+	pathConfig           = "/admin/config/show"
+	pathOutcome          = "/admin/config/outcome"
+	pathSetDataCentre    = "/admin/datacentre"
+	pathSetEndpoint      = "/admin/endpoint"
+	pathRotateSessionKey = "/admin/session_key/rotate"
+	pathStatus           = "/admin/status"
+)
+
+// maxCallBytes bounds the body of a call; a text fits into one stored object.
+const maxCallBytes = 1 << 20
+
+// errorBody is the JSON form of a refusal.
+type errorBody struct {
+	Reason  refuser.Reason `json:"reason"`
+	Run     refuser.Run    `json:"run"`
+	Message string         `json:"message"`
+}
+
+// Handler serves a over HTTP. Each call passes through the middleware, which
+// checks the operator's key. Refusals are encoded by encodeError.
+func Handler(a Administrator, wrap endpoint.Middleware, encodeError kithttp.ErrorEncoder) http.Handler {
+	mux := http.NewServeMux()
+	serve(mux, pathApply, a.Apply, wrap, encodeError)
+	serve(mux, pathConfig, a.Config, wrap, encodeError)
+	serve(mux, pathOutcome, a.Outcome, wrap, encodeError)
+	serve(mux, pathSetDataCentre, a.SetDataCentre, wrap, encodeError)
+	serve(mux, pathSetEndpoint, a.SetEndpoint, wrap, encodeError)
+	serve(mux, pathRotateSessionKey, a.RotateSessionKey, wrap, encodeError)
+	serve(mux, pathStatus, a.Status, wrap, encodeError)
+	return mux
+}
+
+func serve[C, R any](
+	mux *http.ServeMux, path string, call func(context.Context, C) (R, error),
+	wrap endpoint.Middleware, encodeError kithttp.ErrorEncoder,
+) {
+	run := func(ctx context.Context, request any) (any, error) { return call(ctx, request.(C)) }
+	decode := func(_ context.Context, r *http.Request) (any, error) {
+		var c C
+		d := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxCallBytes))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&c); err != nil {
+			return nil, refuser.ErrInvalidBody.WithMessage("the body is not valid JSON: %v", err)
+		}
+		return c, nil
+	}
+	mux.Handle("POST "+path, kithttp.NewServer(
+		wrap(run), decode, kithttp.EncodeJSONResponse,
+		kithttp.ServerErrorEncoder(encodeError),
+		kithttp.ServerBefore(kithttp.PopulateRequestContext),
+	))
+}
+
+// NewHTTP returns an administrator that calls the instance at base, such as
+// "http://127.0.0.1:8101", with an operator's key.
+func NewHTTP(base, key string, client *http.Client) (Administrator, error) {
+	u, err := url.Parse(base)
+	if err != nil || u.Host == "" {
+		return Administrator{}, errors.Newf("%q is not a base URL", base)
+	}
+	return Administrator{
+		Apply:            dial[ApplyCall, Change](u, pathApply, key, client),
+		Config:           dial[Empty, Config](u, pathConfig, key, client),
+		Outcome:          dial[OutcomeCall, Change](u, pathOutcome, key, client),
+		SetDataCentre:    dial[SetCall, Change](u, pathSetDataCentre, key, client),
+		SetEndpoint:      dial[SetCall, Change](u, pathSetEndpoint, key, client),
+		RotateSessionKey: dial[RotateCall, Change](u, pathRotateSessionKey, key, client),
+		Status:           dial[Empty, Status](u, pathStatus, key, client),
+	}, nil
+}
+
+func dial[C, R any](base *url.URL, path, key string, client *http.Client) func(context.Context, C) (R, error) {
+	decode := func(_ context.Context, r *http.Response) (any, error) {
+		var reply R
+		if r.StatusCode != http.StatusOK {
+			return reply, decodeError(r)
+		}
+		err := json.NewDecoder(r.Body).Decode(&reply)
+		return reply, errors.Wrap(err, "administrator: decode answer")
+	}
+	call := kithttp.NewClient(
+		http.MethodPost, base.JoinPath(path), kithttp.EncodeJSONRequest, decode,
+		kithttp.SetClient(client),
+		kithttp.ClientBefore(kithttp.SetRequestHeader("Authorization", "Bearer "+key)),
+	).Endpoint()
+	return func(ctx context.Context, c C) (R, error) {
+		reply, err := call(ctx, c)
+		if err != nil {
+			var none R
+			return none, err
+		}
+		return reply.(R), nil
+	}
+}
+
+// decodeError returns the refusal in an error answer.
+func decodeError(r *http.Response) error {
+	var body struct {
+		Error errorBody `json:"error"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Error.Reason == "" {
+		return errors.Newf("the instance answered with status %d", r.StatusCode)
+	}
+	return &refuser.Refusal{
+		Reason: body.Error.Reason, Run: body.Error.Run, Status: r.StatusCode, Message: body.Error.Message,
+	}
+}
--- /dev/null
+++ b/loader/settings.go
@@ -0,0 +1,183 @@
+package loader
+
+import (
+	"net/netip"
+	"net/url"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/decoder"
+)
+
+// Settings are the settings of one instance.
+type Settings struct {
+	Instance   string `yaml:"instance"`
+	DataCentre string `yaml:"data_centre"`
+	Region     string `yaml:"region"`
+	Listen     string `yaml:"listen"`      // IP and port for callers and operators
+	PeerListen string `yaml:"peer_listen"` // IP and port for other instances
+	Store      string `yaml:"store"`       // base URL of the object API
+	List       string `yaml:"instance_list"`
+	Rating     string `yaml:"rating"`
+	Weights    string `yaml:"weight_store"`
+	KeysFile   string `yaml:"keys_file"`
+	Limits     Limits `yaml:"limits"`
+	PeerTLS    TLS    `yaml:"peer_tls"`
+}
+
+// Limits bound what one instance takes on.
+type Limits struct {
+	MaxBodyBytes    int64        `yaml:"max_body_bytes"`
+	MaxInFlight     int          `yaml:"max_in_flight"`
+	MaxQueued       int          `yaml:"max_queued"`
+	EntryLifetimeMS clock.Millis `yaml:"entry_lifetime_ms"`
+	DrainMS         clock.Millis `yaml:"drain_ms"`
+}
+
+// TLS names the PEM files for mutual TLS between instances. Empty: no TLS.
+type TLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
+}
+
+// Defaults of the limits.
+const (
+	DefaultMaxBodyBytes    = 1 << 20
+	DefaultMaxInFlight     = 512
+	DefaultMaxQueued       = 2048
+	DefaultEntryLifetimeMS = 5 * clock.Second
+	DefaultDrainMS         = 60 * clock.Second
+)
+
+// Load reads and checks the settings in file.
+func Load(file string) (Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "read settings")
+	}
+	return Parse(file, text)
+}
+
+// Parse checks the settings in text. Errors name file, line and field.
+func Parse(file string, text []byte) (Settings, error) {
+	var s Settings
+	d, err := decoder.Decode(file, text, &s)
+	if err != nil {
+		return s, err
+	}
+	s.Limits = s.Limits.withDefaults()
+	if err := checkNames(d, s); err != nil {
+		return s, err
+	}
+	if err := checkAddresses(d, s); err != nil {
+		return s, err
+	}
+	if err := checkTLS(d, s.PeerTLS); err != nil {
+		return s, err
+	}
+	return s, checkLimits(d, s.Limits)
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.MaxBodyBytes == 0 {
+		l.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if l.MaxInFlight == 0 {
+		l.MaxInFlight = DefaultMaxInFlight
+	}
+	if l.MaxQueued == 0 {
+		l.MaxQueued = DefaultMaxQueued
+	}
+	if l.EntryLifetimeMS == 0 {
+		l.EntryLifetimeMS = DefaultEntryLifetimeMS
+	}
+	if l.DrainMS == 0 {
+		l.DrainMS = DefaultDrainMS
+	}
+	return l
+}
+
+func checkNames(d decoder.Document, s Settings) error {
+	for _, f := range []struct{ field, value string }{
+		{"instance", s.Instance}, {"data_centre", s.DataCentre}, {"region", s.Region}, {"keys_file", s.KeysFile},
+	} {
+		if f.value == "" {
+			return d.Errorf([]any{f.field}, "is missing")
+		}
+	}
+	return nil
+}
+
+func checkAddresses(d decoder.Document, s Settings) error {
+	for _, a := range []struct{ field, value string }{
+		{"listen", s.Listen}, {"peer_listen", s.PeerListen},
+	} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return d.Errorf([]any{a.field}, "%q is not an IP address with a port", a.value)
+		}
+	}
+	if s.Listen == s.PeerListen {
+		return d.Errorf([]any{"peer_listen"}, "must differ from listen")
+	}
+	for _, a := range []struct{ field, value string }{
+		{"store", s.Store}, {"instance_list", s.List}, {"rating", s.Rating}, {"weight_store", s.Weights},
+	} {
+		if err := checkURL(a.value); err != nil {
+			return d.Errorf([]any{a.field}, "%q: %v", a.value, err)
+		}
+	}
+	return nil
+}
+
+func checkURL(text string) error {
+	u, err := url.Parse(text)
+	if err != nil {
+		return errors.New("not a URL")
+	}
+	if u.Scheme != "http" && u.Scheme != "https" {
+		return errors.New("needs http:// or https://")
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		return errors.New("the host must be an IP address with a port")
+	}
+	return nil
+}
+
+func checkTLS(d decoder.Document, t TLS) error {
+	set := 0
+	for _, f := range []string{t.Certificate, t.Key, t.Authority} {
+		if f != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		return d.Errorf([]any{"peer_tls"}, "needs certificate, key and authority together")
+	}
+	return nil
+}
+
+const (
+	minBodyBytes  = 1 << 10
+	maxBodyBytes  = 64 << 20
+	maxInFlight   = 100_000
+	minLifetimeMS = 500 * clock.Millis(1)
+)
+
+func checkLimits(d decoder.Document, l Limits) error {
+	switch {
+	case l.MaxBodyBytes < minBodyBytes || l.MaxBodyBytes > maxBodyBytes:
+		return d.Errorf([]any{"limits", "max_body_bytes"}, "must be between %d and %d", minBodyBytes, maxBodyBytes)
+	case l.MaxInFlight < 1 || l.MaxInFlight > maxInFlight:
+		return d.Errorf([]any{"limits", "max_in_flight"}, "must be between 1 and %d", maxInFlight)
+	case l.MaxQueued < 1 || l.MaxQueued > maxInFlight:
+		return d.Errorf([]any{"limits", "max_queued"}, "must be between 1 and %d", maxInFlight)
+	case l.EntryLifetimeMS < minLifetimeMS || l.EntryLifetimeMS > clock.Minute:
+		return d.Errorf([]any{"limits", "entry_lifetime_ms"}, "must be between %d and %d", minLifetimeMS, clock.Minute)
+	case l.DrainMS < l.EntryLifetimeMS:
+		return d.Errorf([]any{"limits", "drain_ms"}, "must be at least entry_lifetime_ms (%d)", l.EntryLifetimeMS)
+	}
+	return nil
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,101 @@
+package meter
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/refuser"
+)
+
+// Meter counts what one instance does. All methods are safe for concurrent use.
+type Meter struct {
+	registry   *prometheus.Registry
+	refusals   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	requests   *prometheus.CounterVec
+	tokens     *prometheus.CounterVec
+	firstToken *prometheus.HistogramVec
+	storeCalls *prometheus.CounterVec
+	gauges     *prometheus.GaugeVec
+	events     *prometheus.CounterVec
+}
+
+// firstTokenBuckets are seconds; 0.57 s is the target for 95 in 100.
+var firstTokenBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.4, 0.57, 0.8, 1.2, 2, 5, 10}
+
+// New returns a meter with its own registry. Every refusal and retry reason
+// starts at zero, so that a scrape shows reasons that never occurred.
+func New() *Meter {
+	m := &Meter{
+		registry: prometheus.NewRegistry(),
+		refusals: counter("refusals_total", "Refused requests by reason.", "reason"),
+		retries:  counter("retries_total", "Retries by reason.", "reason"),
+		requests: counter("requests_total", "Answered requests by service and workspace.", "service", "workspace"),
+		tokens:   counter("tokens_total", "Tokens by direction and version.", "direction", "version"),
+		firstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "rosemaryarch", Name: "first_token_seconds",
+			Help: "Time to the first token by service.", Buckets: firstTokenBuckets,
+		}, []string{"service"}),
+		storeCalls: counter("store_calls_total", "Calls to the object API by operation and outcome.", "operation", "outcome"),
+		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "rosemaryarch", Name: "state", Help: "Present values by name.",
+		}, []string{"name"}),
+		events: counter("events_total", "Events that operators may want to see, by name.", "name"),
+	}
+	m.registry.MustRegister(m.refusals, m.retries, m.requests, m.tokens, m.firstToken, m.storeCalls, m.gauges, m.events)
+	for _, r := range refuser.Refusals() {
+		m.refusals.WithLabelValues(string(r.Reason))
+	}
+	for _, r := range refuser.RetryReasons() {
+		m.retries.WithLabelValues(string(r))
+	}
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "rosemaryarch", Name: name, Help: help}, labels)
+}
+
+// Refused counts a refusal.
+func (m *Meter) Refused(r refuser.Reason) { m.refusals.WithLabelValues(string(r)).Inc() }
+
+// Retried counts a retry by the router.
+func (m *Meter) Retried(r refuser.RetryReason) { m.retries.WithLabelValues(string(r)).Inc() }
+
+// Answered counts an answered request.
+func (m *Meter) Answered(service, workspace string) {
+	m.requests.WithLabelValues(service, workspace).Inc()
+}
+
+// Tokens counts tokens that a version read and generated.
+func (m *Meter) Tokens(version string, in, out int) {
+	m.tokens.WithLabelValues("in", version).Add(float64(in))
+	m.tokens.WithLabelValues("out", version).Add(float64(out))
+}
+
+// FirstToken records the time from a request's arrival to its first token.
+func (m *Meter) FirstToken(service string, d clock.Millis) {
+	m.firstToken.WithLabelValues(service).Observe(d.Duration().Seconds())
+}
+
+// StoreCall counts a call to the object API.
+func (m *Meter) StoreCall(operation, outcome string) {
+	m.storeCalls.WithLabelValues(operation, outcome).Inc()
+}
+
+// Set sets a gauge, such as "revision" or "members_alive".
+func (m *Meter) Set(name string, value float64) { m.gauges.WithLabelValues(name).Set(value) }
+
+// Event counts an event, such as "session_moved_by_withdrawal".
+func (m *Meter) Event(name string) { m.events.WithLabelValues(name).Inc() }
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Registry returns the registry, to which an embedding program may add its own.
+func (m *Meter) Registry() *prometheus.Registry { return m.registry }
--- /dev/null
+++ b/parser/parse.go
@@ -0,0 +1,237 @@
+package parser
+
+import (
+	"regexp"
+	"strings"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/decoder"
+)
+
+const (
+	defaultDeadline  = 30 * clock.Second
+	maxDeadline      = clock.Hour
+	defaultRetention = 24 * clock.Hour
+)
+
+// namePattern keeps names usable in store keys, URLs and metric labels.
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+// Parse reads and checks a configuration text. The file name appears in
+// errors only. Errors are marked with decoder.ErrInvalid.
+func Parse(file string, text []byte) (*Fleet, error) {
+	f := &Fleet{}
+	d, err := decoder.Decode(file, text, f)
+	if err != nil {
+		return nil, err
+	}
+	c := checker{document: d, fleet: f}
+	for _, check := range []func() error{
+		c.checkHead, c.checkDataCentres, c.checkModels, c.checkServices, c.checkWorkspaces,
+	} {
+		if err := check(); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+type checker struct {
+	document decoder.Document
+	fleet    *Fleet
+}
+
+func at(path ...any) []any { return path }
+
+func (c checker) name(name string, seen map[string]bool, path []any) error {
+	if !namePattern.MatchString(name) {
+		return c.document.Errorf(path, "%q is not a name (lower-case letters, digits, '.', '_', '-')", name)
+	}
+	if seen[name] {
+		return c.document.Errorf(path, "%q is listed twice", name)
+	}
+	seen[name] = true
+	return nil
+}
+
+func (c checker) checkHead() error {
+	f := c.fleet
+	if !namePattern.MatchString(f.Name) {
+		return c.document.Errorf(at("fleet"), "%q is not a name", f.Name)
+	}
+	if f.Sessions.RetentionMS < 0 {
+		return c.document.Errorf(at("sessions", "retention_ms"), "must not be negative")
+	}
+	if f.Sessions.RetentionMS == 0 {
+		f.Sessions.RetentionMS = defaultRetention
+	}
+	return nil
+}
+
+func (c checker) checkDataCentres() error {
+	if len(c.fleet.DataCentres) == 0 {
+		return c.document.Errorf(at("data_centres"), "at least one data centre is needed")
+	}
+	seen := map[string]bool{}
+	for i, d := range c.fleet.DataCentres {
+		if err := c.name(d.Name, seen, at("data_centres", i, "name")); err != nil {
+			return err
+		}
+		if d.Region == "" {
+			return c.document.Errorf(at("data_centres", i, "region"), "data centre %q needs a region", d.Name)
+		}
+	}
+	return nil
+}
+
+func (c checker) checkModels() error {
+	f := c.fleet
+	f.versions = map[string]Version{}
+	seen := map[string]bool{}
+	for i := range f.Models {
+		m := &f.Models[i]
+		if err := c.name(m.Name, seen, at("models", i, "name")); err != nil {
+			return err
+		}
+		if m.InputCost < 0 || m.OutputCost < 0 || m.InputCost+m.OutputCost == 0 {
+			return c.document.Errorf(at("models", i), "model %q needs costs above zero", m.Name)
+		}
+		if m.FirstTokenMS <= 0 {
+			return c.document.Errorf(at("models", i, "first_token_ms"), "model %q needs a time above zero", m.Name)
+		}
+		if err := c.checkVersions(i, m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c checker) checkVersions(i int, m *Model) error {
+	if len(m.Versions) == 0 {
+		return c.document.Errorf(at("models", i, "versions"), "model %q needs a version", m.Name)
+	}
+	seen := map[string]bool{}
+	for j := range m.Versions {
+		v := &m.Versions[j]
+		path := at("models", i, "versions", j)
+		if err := c.name(v.Name, seen, append(path, "name")); err != nil {
+			return err
+		}
+		switch v.State {
+		case StateServing, StateWithdrawn:
+		case StateCanary:
+			if v.SharePercent <= 0 || v.SharePercent > 100 {
+				return c.document.Errorf(append(path, "share_percent"), "a canary needs a share above 0 and up to 100")
+			}
+		default:
+			return c.document.Errorf(append(path, "state"), "%q is not one of %s, %s, %s",
+				v.State, StateServing, StateCanary, StateWithdrawn)
+		}
+		v.Key, v.Model = m.Name+"@"+v.Name, i
+		c.fleet.versions[v.Key] = *v
+	}
+	return nil
+}
+
+func (c checker) checkServices() error {
+	f := c.fleet
+	f.services = map[string]*Service{}
+	seen := map[string]bool{}
+	for i := range f.Services {
+		s := &f.Services[i]
+		if err := c.name(s.Name, seen, at("services", i, "name")); err != nil {
+			return err
+		}
+		if err := c.checkService(i, s); err != nil {
+			return err
+		}
+		f.services[s.Name] = s
+	}
+	return nil
+}
+
+func (c checker) checkService(i int, s *Service) error {
+	path := at("services", i)
+	switch {
+	case s.Kind != KindModel && s.Kind != KindPlain:
+		return c.document.Errorf(append(path, "kind"), "%q is not one of %s, %s", s.Kind, KindModel, KindPlain)
+	case s.Kind == KindModel && len(s.Models) == 0:
+		return c.document.Errorf(append(path, "models"), "model service %q needs models", s.Name)
+	case s.Kind == KindPlain && len(s.Models) > 0:
+		return c.document.Errorf(append(path, "models"), "plain service %q cannot have models", s.Name)
+	case s.DeadlineMS < 0 || s.DeadlineMS > maxDeadline:
+		return c.document.Errorf(append(path, "deadline_ms"), "must be between 0 and %d", maxDeadline)
+	case s.RatingPercent < 0 || s.RatingPercent > 100:
+		return c.document.Errorf(append(path, "rating_percent"), "must be between 0 and 100")
+	}
+	if s.DeadlineMS == 0 {
+		s.DeadlineMS = defaultDeadline
+	}
+	for j, m := range s.Models {
+		if !c.knownModel(m) {
+			return c.document.Errorf(append(path, "models", j), "model %q is not listed under models", m)
+		}
+	}
+	return nil
+}
+
+func (c checker) knownModel(name string) bool {
+	for _, m := range c.fleet.Models {
+		if m.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c checker) checkWorkspaces() error {
+	f := c.fleet
+	f.workspaces, f.keyOwners = map[string]*Workspace{}, map[string]string{}
+	seen := map[string]bool{}
+	for i := range f.Workspaces {
+		w := &f.Workspaces[i]
+		if err := c.name(w.Name, seen, at("workspaces", i, "name")); err != nil {
+			return err
+		}
+		if err := c.checkWorkspace(i, w); err != nil {
+			return err
+		}
+		f.workspaces[w.Name] = w
+	}
+	return nil
+}
+
+func (c checker) checkWorkspace(i int, w *Workspace) error {
+	path := at("workspaces", i)
+	if w.Quality < 0 || w.Quality >= 1 {
+		return c.document.Errorf(append(path, "quality"), "must be at least 0 and below 1")
+	}
+	if w.Share < 0 {
+		return c.document.Errorf(append(path, "share"), "must not be negative")
+	}
+	if w.Share == 0 {
+		w.Share = 1
+	}
+	for j, s := range w.Services {
+		if _, ok := c.fleet.services[s]; !ok {
+			return c.document.Errorf(append(path, "services", j), "service %q is not listed under services", s)
+		}
+	}
+	for j, m := range w.Models {
+		if _, ok := c.fleet.versions[m]; !ok && (strings.Contains(m, "@") || !c.knownModel(m)) {
+			return c.document.Errorf(append(path, "models", j), "%q is neither a model nor a version", m)
+		}
+	}
+	for j, h := range w.KeySHA256 {
+		if !hashPattern.MatchString(h) {
+			return c.document.Errorf(append(path, "key_sha256", j), "not a SHA-256 in lower-case hexadecimal")
+		}
+		if owner, taken := c.fleet.keyOwners[h]; taken {
+			return c.document.Errorf(append(path, "key_sha256", j), "the key belongs to workspace %q already", owner)
+		}
+		c.fleet.keyOwners[h] = w.Name
+	}
+	return nil
+}
