--- /dev/null
+++ b/cmd/rosemaryarch/operate.go
@@ -0,0 +1,306 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/administrator"
+	"rosemaryarch.example/rosemaryarch/parser"
+	"rosemaryarch.example/rosemaryarch/refuser"
+)
+
+// callTimeout bounds one call of the command line to an instance.
+const callTimeout = 15 * time.Second
+
+// target is where the operators' commands go.
+type target struct {
+	Instance string `arg:"--instance,env:ROSEMARYARCH_INSTANCE" default:"http://127.0.0.1:8101" help:"base URL"`
+	KeyFile  string `arg:"--key-file,env:ROSEMARYARCH_KEY_FILE" help:"file with the operator's key" placeholder:"FILE"`
+	JSON     bool   `arg:"--json" help:"print JSON"`
+}
+
+func (t target) administrator() (administrator.Administrator, error) {
+	if t.KeyFile == "" {
+		return administrator.Administrator{}, errors.New("--key-file (or ROSEMARYARCH_KEY_FILE) is needed")
+	}
+	key, err := os.ReadFile(t.KeyFile)
+	if err != nil {
+		return administrator.Administrator{}, errors.Wrap(err, "read operator key")
+	}
+	return administrator.NewHTTP(t.Instance, strings.TrimSpace(string(key)), &http.Client{Timeout: callTimeout})
+}
+
+// print writes v as JSON, or text if JSON was not asked for.
+func (t target) print(v any, text func(io.Writer)) error {
+	if !t.JSON {
+		text(os.Stdout)
+		return nil
+	}
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+type configCommand struct {
+	Check  *configCheck  `arg:"subcommand:check" help:"check a configuration text without applying it"`
+	Apply  *configApply  `arg:"subcommand:apply" help:"apply a configuration text"`
+	Show   *configShow   `arg:"subcommand:show" help:"show the configuration in force"`
+	Status *configStatus `arg:"subcommand:status" help:"tell what became of a change"`
+}
+
+func (c *configCommand) run(ctx context.Context) error {
+	switch {
+	case c.Check != nil:
+		return c.Check.run(ctx)
+	case c.Apply != nil:
+		return c.Apply.run(ctx)
+	case c.Show != nil:
+		return c.Show.run(ctx)
+	case c.Status != nil:
+		return c.Status.run(ctx)
+	default:
+		return errors.New("config needs check, apply, show or status")
+	}
+}
+
+type configCheck struct {
+	File string `arg:"positional,required" help:"configuration text"`
+}
+
+func (c *configCheck) run(context.Context) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Wrap(err, "read configuration")
+	}
+	f, err := parser.Parse(c.File, text)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: fleet %s: %d data centres, %d versions, %d services, %d workspaces\n", c.File, f.Name,
+		len(f.DataCentres), len(f.VersionKeys()), len(f.Services), len(f.Workspaces))
+	return nil
+}
+
+type configApply struct {
+	target
+	File string `arg:"positional,required" help:"configuration text"`
+	From uint64 `arg:"--from,required" help:"revision from which the text was edited"`
+	ID   string `arg:"--change-id" help:"id of the change, to repeat it safely"`
+}
+
+func (c *configApply) run(ctx context.Context) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return errors.Wrap(err, "read configuration")
+	}
+	if _, err := parser.Parse(c.File, text); err != nil {
+		return err
+	}
+	a, err := c.administrator()
+	if err != nil {
+		return err
+	}
+	id := changeID(c.ID)
+	change, err := a.Apply(ctx, administrator.ApplyCall{Text: string(text), From: c.From, ChangeID: id})
+	return c.report(change, id, err)
+}
+
+// report prints a change, or explains what an error says about it.
+func (t target) report(change administrator.Change, id string, err error) error {
+	if err == nil {
+		return t.print(change, func(w io.Writer) {
+			fmt.Fprintf(w, "change %s: %s, revision %d\n", change.ID, change.Outcome, change.Revision)
+		})
+	}
+	var r *refuser.Refusal
+	if errors.As(err, &r) && r.Run == refuser.RunNo {
+		return errors.Wrapf(err, "change %s was not made", id)
+	}
+	return errors.Wrapf(err, "it is not known whether change %s took effect; ask with: config status %s", id, id)
+}
+
+type configShow struct {
+	target
+	Text bool `arg:"--text" help:"print only the text, for editing"`
+}
+
+func (c *configShow) run(ctx context.Context) error {
+	a, err := c.administrator()
+	if err != nil {
+		return err
+	}
+	config, err := a.Config(ctx, administrator.Empty{})
+	if err != nil {
+		return err
+	}
+	return c.print(config, func(w io.Writer) {
+		if !c.Text {
+			fmt.Fprintf(w, "# revision %d\n# data centres out: %s\n# endpoints out: %s\n", config.Revision,
+				orNone(config.DataCentresOut), orNone(config.EndpointsOut))
+		}
+		fmt.Fprint(w, config.Text)
+	})
+}
+
+func orNone(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
+type configStatus struct {
+	target
+	ID string `arg:"positional,required" help:"id of the change"`
+}
+
+func (c *configStatus) run(ctx context.Context) error {
+	a, err := c.administrator()
+	if err != nil {
+		return err
+	}
+	change, err := a.Outcome(ctx, administrator.OutcomeCall{ChangeID: c.ID})
+	return c.report(change, c.ID, err)
+}
+
+// setArguments name what is taken out or in.
+type setArguments struct {
+	target
+	Name string `arg:"positional,required" help:"name or id"`
+	ID   string `arg:"--change-id" help:"id of the change, to repeat it safely"`
+}
+
+type dataCentreCommand struct {
+	Out *setArguments `arg:"subcommand:out" help:"take a data centre out of service"`
+	In  *setArguments `arg:"subcommand:in" help:"bring a data centre back into service"`
+}
+
+func (c *dataCentreCommand) run(ctx context.Context) error {
+	return set(ctx, c.Out, c.In, func(a administrator.Administrator) setCall { return a.SetDataCentre })
+}
+
+type endpointCommand struct {
+	Out *setArguments `arg:"subcommand:out" help:"take an endpoint out of service"`
+	In  *setArguments `arg:"subcommand:in" help:"bring an endpoint back into service"`
+}
+
+func (c *endpointCommand) run(ctx context.Context) error {
+	return set(ctx, c.Out, c.In, func(a administrator.Administrator) setCall { return a.SetEndpoint })
+}
+
+type setCall = func(context.Context, administrator.SetCall) (administrator.Change, error)
+
+func set(ctx context.Context, out, in *setArguments, call func(administrator.Administrator) setCall) error {
+	chosen := out
+	if chosen == nil {
+		chosen = in
+	}
+	if chosen == nil {
+		return errors.New("out or in is needed")
+	}
+	a, err := chosen.administrator()
+	if err != nil {
+		return err
+	}
+	id := changeID(chosen.ID)
+	change, err := call(a)(ctx, administrator.SetCall{Name: chosen.Name, Out: out != nil, ChangeID: id})
+	return chosen.report(change, id, err)
+}
+
+type keysCommand struct {
+	Hash   *keysHash   `arg:"subcommand:hash" help:"read a key from standard input and print its SHA-256"`
+	Rotate *keysRotate `arg:"subcommand:rotate" help:"add a new key for session tokens"`
+}
+
+func (c *keysCommand) run(ctx context.Context) error {
+	switch {
+	case c.Hash != nil:
+		return c.Hash.run(ctx)
+	case c.Rotate != nil:
+		return c.Rotate.run(ctx)
+	default:
+		return errors.New("keys needs hash or rotate")
+	}
+}
+
+type keysHash struct{}
+
+func (c *keysHash) run(context.Context) error {
+	line, err := bufio.NewReader(os.Stdin).ReadString('\n')
+	if err != nil && !errors.Is(err, io.EOF) {
+		return errors.Wrap(err, "read key")
+	}
+	key := strings.TrimSpace(line)
+	if key == "" {
+		return errors.New("the key is empty")
+	}
+	fmt.Println(parser.HashKey(key))
+	return nil
+}
+
+type keysRotate struct {
+	target
+	ID string `arg:"--change-id" help:"id of the change, to repeat it safely"`
+}
+
+func (c *keysRotate) run(ctx context.Context) error {
+	a, err := c.administrator()
+	if err != nil {
+		return err
+	}
+	id := changeID(c.ID)
+	change, err := a.RotateSessionKey(ctx, administrator.RotateCall{ChangeID: id})
+	return c.report(change, id, err)
+}
+
+type statusCommand struct {
+	target
+}
+
+func (c *statusCommand) run(ctx context.Context) error {
+	a, err := c.administrator()
+	if err != nil {
+		return err
+	}
+	s, err := a.Status(ctx, administrator.Empty{})
+	if err != nil {
+		return err
+	}
+	return c.print(s, func(w io.Writer) { writeStatus(w, s) })
+}
+
+func writeStatus(w io.Writer, s administrator.Status) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "seen by %s, revision %d, fresh: %t (%s)\n\n", s.Instance, s.Revision, s.Fresh, s.FreshReason)
+	fmt.Fprintln(t, "INSTANCE\tDATA CENTRE\tSTATE\tREVISION")
+	for _, i := range s.Instances {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\n", i.ID, i.DataCentre, i.State, i.Revision)
+	}
+	fmt.Fprintln(t, "\nDATA CENTRE\tREGION\tOUT\tINSTANCES\tENDPOINTS")
+	for _, d := range s.DataCentres {
+		fmt.Fprintf(t, "%s\t%s\t%t\t%d\t%d\n", d.Name, d.Region, d.Out, d.Instances, d.Endpoints)
+	}
+	fmt.Fprintln(t, "\nENDPOINT\tDATA CENTRE\tKIND\tSTATE\tIN FLIGHT\tLIMIT")
+	for _, e := range s.Endpoints {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\n", e.ID, e.DataCentre, e.Kind, e.State, e.InFlight, e.Limit)
+	}
+	fmt.Fprintln(t, "\nVERSION\tSTATE\tSTOPPED\tSHARE\tRATINGS\tQUALITY\tERRORS")
+	for _, v := range s.Versions {
+		stopped := v.Stopped
+		if stopped == "" {
+			stopped = "-"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%.2f\t%d\t%.3f\t%d\n", v.Key, v.State, stopped, v.Share, v.Ratings, v.Quality, v.Errors)
+	}
+	_ = t.Flush()
+}
