--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,82 @@
+package limiter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+var options = Options{Share: 0.1, Burst: 5, Initial: 2, Keys: 3, Base: 50, Max: 1000}
+
+// TestBudget guards against retries beyond the share of successful work, and
+// against a workspace that uses up the retries of another service's callers.
+func TestBudget(t *testing.T) {
+	cases := map[string]struct {
+		successes, retries, want int
+	}{
+		"new budget":                 {0, 10, 2},
+		"earned by successes":        {20, 10, 4},
+		"bounded by the burst":       {1000, 10, 5},
+		"less than one retry earned": {9, 10, 2},
+	}
+	for name, c := range cases {
+		l := New(options)
+		for range c.successes {
+			l.Succeeded("s", "w")
+		}
+		var got int
+		for range c.retries {
+			if l.Retry("s", "w") {
+				got++
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: got %d retries, want %d", name, got, c.want)
+		}
+		if c.successes == 1000 && l.Retry("t", "w") {
+			t.Errorf("%s: the workspace retried at another service beyond its own budget", name)
+		}
+	}
+}
+
+// TestTablesAreBounded guards against tables that grow with the number of
+// names, and against a name that regains its initial budget by being forgotten.
+func TestTablesAreBounded(t *testing.T) {
+	l := New(options)
+	var got int
+	for n := range 1000 {
+		if l.Retry("s", fmt.Sprintf("w%d", n%10)) {
+			got++
+		}
+		l.Succeeded("s", "w")
+	}
+	if size, want := len(l.workspaces.byKey), options.Keys; size != want || l.workspaces.order.Len() != want {
+		t.Errorf("got %d remembered workspaces, want %d", size, want)
+	}
+	if want := 2 * options.Keys; got > want {
+		t.Errorf("got %d retries from ten names, want at most %d", got, want)
+	}
+}
+
+// TestBackoff guards against pauses outside the stated range and against
+// callers that all wait equally long.
+func TestBackoff(t *testing.T) {
+	l := New(options)
+	r := rand.New(rand.NewPCG(1, 2))
+	longest := []clock.Millis{50, 100, 200, 400, 800, 1000, 1000}
+	for attempt, want := range longest {
+		seen := map[clock.Millis]bool{}
+		for range 200 {
+			d := l.Backoff(attempt, r)
+			if d < want/2 || d > want {
+				t.Fatalf("attempt %d: got a pause of %d ms, want %d to %d", attempt, d, want/2, want)
+			}
+			seen[d] = true
+		}
+		if len(seen) < 20 {
+			t.Errorf("attempt %d: got %d different pauses of 200, want at least 20", attempt, len(seen))
+		}
+	}
+}
