breaker: add circuit breakers by endpoint

Sliding error rate, openings that grow with jitter, limited probes with a time limit, and tickets so that results from before an opening do not count.

--- /dev/null
+++ b/breaker/breaker_test.go
@@ -0,0 +1,96 @@
+package breaker
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+var options = Options{
+	Window: 1000, MinRequests: 10, ErrorRate: 0.5, OpenFor: 1000, MaxOpen: 4000,
+	Probes: 2, Successes: 3, ProbeTimeout: 500,
+}
+
+func newBreaker() *Breaker { return New(options, rand.New(rand.NewPCG(1, 2))) }
+
+func send(b *Breaker, now clock.Millis, succeeded bool) bool {
+	t, ok := b.Allow(now, "e")
+	if ok {
+		b.Report(now, t, succeeded)
+	}
+	return ok
+}
+
+// TestWindow guards against a circuit that opens on too few results, on results
+// that have left the window, or on a low error rate, and against one that does
+// not open.
+func TestWindow(t *testing.T) {
+	cases := map[string]struct {
+		every  clock.Millis // ms between requests
+		errors int          // of ten requests
+		want   State
+	}{
+		"all fail":                {10, 10, Open},
+		"half fail":               {10, 5, Open},
+		"four of ten fail":        {10, 4, Closed},
+		"too few in the window":   {150, 10, Closed},
+		"none fail":               {10, 0, Closed},
+		"just enough in a window": {90, 10, Open},
+	}
+	for name, c := range cases {
+		b := newBreaker()
+		start := clock.Millis(1_700_000_000_000)
+		now := start
+		for n := range 10 {
+			now = start + clock.Millis(n)*c.every
+			send(b, now, n%10 >= c.errors)
+		}
+		if got := b.State(now, "e"); got != c.want {
+			t.Errorf("%s: got %s, want %s", name, got, c.want)
+		}
+	}
+}
+
+// TestHalfOpen guards against more probes than allowed, probes that are lost
+// and block the circuit for ever, openings that do not grow, and late results
+// of requests from before the opening that close it.
+func TestHalfOpen(t *testing.T) {
+	b := newBreaker()
+	early, _ := b.Allow(0, "e")
+	for range 10 {
+		send(b, 0, false)
+	}
+	if send(b, 499, true) {
+		t.Error("a request was allowed in the first half of the opening")
+	}
+	b.Report(600, early, true)
+	for range options.Probes {
+		if _, ok := b.Allow(1000, "e"); !ok {
+			t.Fatal("a probe was refused")
+		}
+	}
+	if _, ok := b.Allow(1499, "e"); ok {
+		t.Error("more probes were allowed than the option says")
+	}
+	now := clock.Millis(1501)
+	for n := range 4 {
+		if !send(b, now, false) {
+			t.Fatalf("opening %d: no probe was allowed after the lost ones timed out", n)
+		}
+		want := min(2000<<n, 4000)
+		if send(b, now+clock.Millis(want/2)-1, true) {
+			t.Errorf("opening %d: a request was allowed before half of %d ms", n, want)
+		}
+		now += clock.Millis(want)
+	}
+	for n := range options.Successes {
+		if got := b.State(now, "e"); got != HalfOpen {
+			t.Errorf("after %d probes: got %s, want %s", n, got, HalfOpen)
+		}
+		send(b, now, true)
+	}
+	if got := b.State(now, "e"); got != Closed {
+		t.Errorf("after the last probe: got %s, want %s", got, Closed)
+	}
+}
--- /dev/null
+++ b/breaker/doc.go
@@ -0,0 +1,8 @@
+// Package breaker is a table of circuit breakers, one for each endpoint. An
+// endpoint whose error rate in a sliding window is too high gets no requests
+// for a while, then a few probes, and after enough probes have succeeded full
+// traffic. Repeated openings last longer, with jitter, so that the instances
+// do not probe an endpoint at the same moment.
+//
+// A Breaker does no I/O, reads no clock and is not safe for concurrent use.
+package breaker
