--- /dev/null
+++ b/permitter/assignment.go
@@ -0,0 +1,85 @@
+package permitter
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Assignment says which members grant permits. A member is an instance with its
+// incarnation, so that a restarted instance is another member.
+type Assignment struct {
+	Epoch   uint64   `json:"epoch"`
+	Writer  string   `json:"writer"` // member that wrote this epoch
+	Members []string `json:"members"`
+	// Awaiting lists the members of the earlier epochs that may still be in use.
+	// The assignment is settled when it is empty.
+	Awaiting [][]string `json:"awaiting,omitempty"`
+	// Departed lists the former members whose requests may still be running.
+	Departed []string `json:"departed,omitempty"`
+}
+
+// Granter returns the member that grants permits for the endpoint (rendezvous
+// hashing, Thaler and Ravishankar 1998), or "" if there are no members.
+func (a Assignment) Granter(endpoint string) string {
+	var best string
+	var highest uint64
+	var d xxhash.Digest
+	for _, m := range a.Members {
+		d.Reset()
+		_, _ = d.WriteString(m)
+		_, _ = d.WriteString("\x00")
+		_, _ = d.WriteString(endpoint)
+		if h := d.Sum64(); best == "" || h > highest || h == highest && m < best {
+			best, highest = m, h
+		}
+	}
+	return best
+}
+
+// Settled reports whether no granter of an earlier epoch can be confirmed.
+func (a Assignment) Settled() bool { return a.Epoch > 0 && len(a.Awaiting) == 0 }
+
+// Next returns the assignment that follows a. Members that are missing from
+// members depart; those in drained have no running requests.
+func (a Assignment) Next(writer string, members, drained []string) Assignment {
+	n := Assignment{Epoch: a.Epoch + 1, Writer: writer, Members: slices.Clone(members)}
+	slices.Sort(n.Members)
+	if a.Epoch > 0 {
+		n.Awaiting = append(slices.Clone(a.Awaiting), a.Members)
+	}
+	for _, m := range append(slices.Clone(a.Departed), a.Members...) {
+		if !slices.Contains(members, m) && !slices.Contains(drained, m) {
+			n.Departed = append(n.Departed, m)
+		}
+	}
+	return n
+}
+
+// Settle returns the settled assignment if votes holds half of the members of
+// each awaited epoch. A vote says that the member has adopted a.Epoch.
+func (a Assignment) Settle(votes []string) (Assignment, bool) {
+	for _, generation := range a.Awaiting {
+		if 2*count(generation, votes) < len(generation) {
+			return a, false
+		}
+	}
+	a.Awaiting = nil
+	return a, true
+}
+
+// count returns how many of the members are in votes.
+func count(members, votes []string) int {
+	var n int
+	for _, m := range members {
+		if slices.Contains(votes, m) {
+			n++
+		}
+	}
+	return n
+}
+
+// newer reports whether a replaces b.
+func (a Assignment) newer(b Assignment) bool {
+	return a.Epoch > b.Epoch || a.Epoch == b.Epoch && a.Settled() && !b.Settled()
+}
--- /dev/null
+++ b/permitter/granter.go
@@ -0,0 +1,199 @@
+package permitter
+
+import (
+	"slices"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// Granter gives out the permits for the endpoints that are assigned to one
+// member. It is not safe for concurrent use.
+type Granter struct {
+	member  string
+	options Options
+	history []adoption // the newest last, epochs without a gap
+	until   clock.Millis
+	votes   map[string]clock.Millis // when each member was asked for its newest vote
+	ledgers map[Process]*ledger
+}
+
+// adoption is an assignment with the instant at which it was adopted.
+type adoption struct {
+	Assignment
+	at clock.Millis
+}
+
+// keptAdoptions bounds the history in which a granter looks for the start of
+// its uninterrupted duty. A shorter history only makes it wait longer.
+const keptAdoptions = 32
+
+// NewGranter returns a granter without an assignment.
+func NewGranter(member string, o Options) *Granter {
+	return &Granter{
+		member: member, options: o,
+		votes: map[string]clock.Millis{}, ledgers: map[Process]*ledger{},
+	}
+}
+
+// Adopt takes over a newer assignment. Confirmations of the former one end.
+func (g *Granter) Adopt(now clock.Millis, a Assignment) {
+	last := g.assignment()
+	if !a.newer(last) {
+		return
+	}
+	g.until = 0
+	clear(g.votes)
+	switch a.Epoch {
+	case last.Epoch:
+		g.history[len(g.history)-1] = adoption{Assignment: a, at: now}
+	case last.Epoch + 1:
+		g.history = append(g.history, adoption{Assignment: a, at: now})
+	default:
+		g.history = []adoption{{Assignment: a, at: now}}
+	}
+	if len(g.history) > keptAdoptions {
+		g.history = slices.Clone(g.history[1:])
+	}
+	for _, l := range g.ledgers {
+		clear(l.reported)
+	}
+}
+
+// Confirm records that a conditional write left the assignment's object as it
+// was. Asked is the instant before the write began; for a confirmation that a
+// peer passes on, the instant before the peer was asked less the age it names.
+func (g *Granter) Confirm(asked clock.Millis, epoch uint64) {
+	if a := g.assignment(); a.Epoch == epoch && a.Settled() {
+		g.until = max(g.until, asked+g.options.Confirm)
+	}
+}
+
+// Vote records that a member voted for the epoch. Asked is the instant before
+// the member was asked. A majority confirms the assignment.
+func (g *Granter) Vote(asked clock.Millis, epoch uint64, member string) {
+	a := g.assignment()
+	if a.Epoch != epoch || !slices.Contains(a.Members, member) {
+		return
+	}
+	g.votes[member] = max(g.votes[member], asked)
+	if len(g.votes) <= len(a.Members)/2 {
+		return
+	}
+	times := make([]clock.Millis, 0, len(g.votes))
+	for _, t := range g.votes {
+		times = append(times, t)
+	}
+	slices.Sort(times)
+	g.Confirm(times[len(times)-len(a.Members)/2-1], epoch)
+}
+
+// Confirmed reports whether the granter may act on its assignment.
+func (g *Granter) Confirmed(now clock.Millis) bool { return now < g.until }
+
+// Grant answers an ask. It reports false if the granter may give no answer, in
+// which case the holder keeps the permit that it has. The holder's report
+// counts even then.
+func (g *Granter) Grant(now clock.Millis, q Ask) (Permit, bool) {
+	a := g.assignment()
+	if q.Epoch != a.Epoch || !a.Settled() || a.Granter(q.Endpoint) != g.member {
+		return Permit{}, false
+	}
+	if !slices.Contains(a.Members, q.Holder) {
+		return Permit{}, false
+	}
+	l := g.ledger(q.Process)
+	if !l.report(now, q, g.options) {
+		return Permit{}, false
+	}
+	if !g.Confirmed(now) {
+		return Permit{}, false
+	}
+	if !l.warm && q.Want > 0 && !g.mayStart(now, q.Endpoint, l) {
+		return Permit{}, false
+	}
+	units := l.grant(now, q, g.options)
+	return Permit{
+		Process: q.Process, Holder: q.Holder, Epoch: q.Epoch, Sequence: q.Sequence,
+		Units: units, Lifetime: g.options.lifetime(units),
+	}, true
+}
+
+// Cold records that a process is cold.
+func (g *Granter) Cold(p Process) { g.ledger(p).cool(g.options) }
+
+// Limit returns the present limit of a process, or Unlimited if it is warm.
+func (g *Granter) Limit(p Process) int {
+	l, ok := g.ledgers[p]
+	if !ok {
+		return g.options.ColdLimit
+	}
+	return l.bound()
+}
+
+// Out returns the concurrent requests that the granter counts at a process.
+func (g *Granter) Out(now clock.Millis, p Process) int {
+	l, ok := g.ledgers[p]
+	if !ok {
+		return 0
+	}
+	return l.others(now, "")
+}
+
+// Tick forgets the processes for which nothing is out and nobody asks.
+func (g *Granter) Tick(now clock.Millis) {
+	for p, l := range g.ledgers {
+		if l.others(now, "") == 0 && now >= l.used+g.options.Quiet() {
+			delete(g.ledgers, p)
+		}
+	}
+}
+
+// mayStart reports whether all work of earlier granters is known or has ended.
+func (g *Granter) mayStart(now clock.Millis, endpoint string, l *ledger) bool {
+	if now >= g.since(endpoint)+g.options.Quiet() {
+		return true
+	}
+	a := g.assignment()
+	if len(a.Departed) > 0 {
+		return false
+	}
+	for _, m := range a.Members {
+		if !l.reported[m] {
+			return false
+		}
+	}
+	return true
+}
+
+// since returns from when on the member has been the endpoint's granter
+// without interruption. An assignment that was not settled does not start the
+// duty: the granter before it may still have been confirmed.
+func (g *Granter) since(endpoint string) clock.Millis {
+	at := g.history[len(g.history)-1].at
+	for k := len(g.history) - 1; k >= 0; k-- {
+		h := g.history[k]
+		if h.Granter(endpoint) != g.member {
+			break
+		}
+		if h.Settled() {
+			at = h.at
+		}
+	}
+	return at
+}
+
+func (g *Granter) assignment() Assignment {
+	if len(g.history) == 0 {
+		return Assignment{}
+	}
+	return g.history[len(g.history)-1].Assignment
+}
+
+func (g *Granter) ledger(p Process) *ledger {
+	l, ok := g.ledgers[p]
+	if !ok {
+		l = newLedger(g.options)
+		g.ledgers[p] = l
+	}
+	return l
+}
--- /dev/null
+++ b/permitter/registry.go
@@ -0,0 +1,81 @@
+package permitter
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/storer"
+)
+
+// Registry keeps the assignment in the object API. It is not safe for
+// concurrent use.
+type Registry struct {
+	Get func(ctx context.Context, key string) (storer.Object, error)
+	Put func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error)
+	Key string
+
+	version uint64
+	value   []byte
+}
+
+// Load reads the assignment. A missing object is the assignment of epoch 0.
+func (r *Registry) Load(ctx context.Context) (Assignment, error) {
+	o, err := r.Get(ctx, r.Key)
+	if errors.Is(err, storer.ErrNotFound) {
+		r.version, r.value = 0, nil
+		return Assignment{}, nil
+	}
+	if err != nil {
+		return Assignment{}, errors.Wrap(err, "permitter: read assignment")
+	}
+	var a Assignment
+	if err := json.Unmarshal(o.Value, &a); err != nil {
+		return Assignment{}, errors.Wrap(err, "permitter: decode assignment")
+	}
+	r.version, r.value = o.Version, o.Value
+	return a, nil
+}
+
+// Save replaces the assignment that was loaded last. If the store's answer was
+// lost, the object is read again; its epoch and writer decide. It returns
+// storer.ErrConflict if another writer was first and storer.ErrUnknown if the
+// outcome is not known. Members may be told of the assignment only after Save
+// has returned nil or Load has returned it.
+func (r *Registry) Save(ctx context.Context, a Assignment) error {
+	value, err := json.Marshal(a)
+	if err != nil {
+		return errors.Wrap(err, "permitter: encode assignment")
+	}
+	expect := r.version
+	v, err := r.Put(ctx, r.Key, value, expect)
+	if err == nil {
+		r.version, r.value = v, value
+		return nil
+	}
+	if !errors.Is(err, storer.ErrUnknown) {
+		return errors.Wrap(err, "permitter: write assignment")
+	}
+	stored, loadErr := r.Load(ctx)
+	if loadErr != nil || r.version <= expect {
+		// A read that shows no change may be stale.
+		return errors.Wrap(storer.ErrUnknown, "permitter: write assignment")
+	}
+	if stored.Epoch == a.Epoch && stored.Writer == a.Writer && stored.Settled() == a.Settled() {
+		return nil
+	}
+	return errors.Wrap(storer.ErrConflict, "permitter: write assignment")
+}
+
+// Confirm writes the loaded assignment again without a change. Success shows
+// that no other one was in force when Confirm was called. After an error, the
+// assignment must be loaded again.
+func (r *Registry) Confirm(ctx context.Context) error {
+	v, err := r.Put(ctx, r.Key, r.value, r.version)
+	if err != nil {
+		return errors.Wrap(err, "permitter: confirm assignment")
+	}
+	r.version = v
+	return nil
+}
