--- a/parser/fleet.go
+++ b/parser/fleet.go
@@ -50,7 +50,9 @@
 	OutputCost int64 `yaml:"output_cost"`
 	// FirstTokenMS is the usual time to the first token on a warm endpoint.
 	FirstTokenMS clock.Millis `yaml:"first_token_ms"`
-	Versions     []Version    `yaml:"versions"`
+	// MaxConcurrent is how many requests one warm endpoint runs at once.
+	MaxConcurrent int       `yaml:"max_concurrent"`
+	Versions      []Version `yaml:"versions"`
 }
 
 // Version is one version of a model. Key and Model are set by Parse.
@@ -72,6 +74,8 @@
 	Repeatable bool         `yaml:"repeatable"`
 	LookUp     bool         `yaml:"look_up"`
 	DeadlineMS clock.Millis `yaml:"deadline_ms"`
+	// MaxConcurrent is how many calls one endpoint of a plain service runs at once.
+	MaxConcurrent int `yaml:"max_concurrent"`
 	// RatingPercent is the share of answers sent to the rating service.
 	RatingPercent float64 `yaml:"rating_percent"`
 }
--- a/parser/parse.go
+++ b/parser/parse.go
@@ -12,6 +12,9 @@
 	defaultDeadline  = 30 * clock.Second
 	maxDeadline      = clock.Hour
 	defaultRetention = 24 * clock.Hour
+
+	defaultConcurrent = 32
+	maxConcurrent     = 10_000
 )
 
 // namePattern keeps names usable in store keys, URLs and metric labels.
@@ -101,6 +104,9 @@
 		if m.FirstTokenMS <= 0 {
 			return c.document.Errorf(at("models", i, "first_token_ms"), "model %q needs a time above zero", m.Name)
 		}
+		if err := c.checkConcurrent(&m.MaxConcurrent, at("models", i, "max_concurrent")); err != nil {
+			return err
+		}
 		if err := c.checkVersions(i, m); err != nil {
 			return err
 		}
@@ -108,6 +114,16 @@
 	return nil
 }
 
+func (c checker) checkConcurrent(n *int, path []any) error {
+	if *n < 0 || *n > maxConcurrent {
+		return c.document.Errorf(path, "must be between 1 and %d, or left out", maxConcurrent)
+	}
+	if *n == 0 {
+		*n = defaultConcurrent
+	}
+	return nil
+}
+
 func (c checker) checkVersions(i int, m *Model) error {
 	if len(m.Versions) == 0 {
 		return c.document.Errorf(at("models", i, "versions"), "model %q needs a version", m.Name)
@@ -169,6 +185,9 @@
 	if s.DeadlineMS == 0 {
 		s.DeadlineMS = defaultDeadline
 	}
+	if err := c.checkConcurrent(&s.MaxConcurrent, append(path, "max_concurrent")); err != nil {
+		return err
+	}
 	for j, m := range s.Models {
 		if !c.knownModel(m) {
 			return c.document.Errorf(append(path, "models", j), "model %q is not listed under models", m)
