Add rater: mergeable quality counts and confidence bounds

Ratings arrive late, cover a sample and come in at different instances. Each instance counts in cells of its own incarnation and time bucket; a merge keeps the larger count, so gossip may be lost, repeated and reordered.

--- /dev/null
+++ b/rater/bounds.go
@@ -0,0 +1,102 @@
+package rater
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Estimate is the weighted sum of the counts behind one decision. A count of an
+// old bucket has a weight under 1. The weighted sums are used as sample sizes;
+// that is conservative, since Kish's effective size is at least as large for
+// weights of at most 1.
+type Estimate struct {
+	Served  float64 // answers
+	Errors  float64 // answers that failed
+	Asked   float64 // answers sent to the rating service
+	Rated   float64 // ratings received
+	Sum     float64 // sum of the rated qualities, each in [0, 1]
+	Squares float64 // sum of their squares
+	Passed  float64 // checks passed
+	Failed  float64 // checks failed
+}
+
+// Plus returns the sum of both estimates.
+func (e Estimate) Plus(o Estimate) Estimate {
+	return Estimate{
+		Served: e.Served + o.Served, Errors: e.Errors + o.Errors,
+		Asked: e.Asked + o.Asked, Rated: e.Rated + o.Rated,
+		Sum: e.Sum + o.Sum, Squares: e.Squares + o.Squares,
+		Passed: e.Passed + o.Passed, Failed: e.Failed + o.Failed,
+	}
+}
+
+// Mean returns the mean rated quality, or 0 without ratings.
+func (e Estimate) Mean() float64 {
+	if e.Rated <= 0 {
+		return 0
+	}
+	return e.Sum / e.Rated
+}
+
+// Missing returns the share of asked ratings that have not arrived, in [0, 1].
+// Missing ratings count neither for nor against a version.
+func (e Estimate) Missing() float64 {
+	if e.Asked <= 0 {
+		return 0
+	}
+	return max(0, 1-e.Rated/e.Asked)
+}
+
+// PassRate returns the share of passed checks, or 0 without checks.
+func (e Estimate) PassRate() float64 {
+	n := e.Passed + e.Failed
+	if n <= 0 {
+		return 0
+	}
+	return e.Passed / n
+}
+
+// Quality returns bounds of the mean quality, each of which fails with
+// probability at most delta. It takes the tighter of Hoeffding's bound (1963)
+// and the empirical Bernstein bound (Maurer and Pontil: Empirical Bernstein
+// Bounds and Sample-Variance Penalization, COLT 2009, theorem 4), each at half
+// of delta. Without enough ratings the bounds are 0 and 1.
+func (e Estimate) Quality(delta float64) (lower, upper float64) {
+	n := e.Rated
+	if n < 2 {
+		return 0, 1
+	}
+	mean := e.Mean()
+	variance := max(0, (e.Squares-n*mean*mean)/(n-1))
+	hoeffding := math.Sqrt(math.Log(2/delta) / (2 * n))
+	tail := math.Log(4 / delta)
+	bernstein := math.Sqrt(2*variance*tail/n) + 7*tail/(3*(n-1))
+	width := min(hoeffding, bernstein)
+	return max(0, mean-width), min(1, mean+width)
+}
+
+// Pass returns bounds of the pass rate of the check; see Wilson.
+func (e Estimate) Pass(delta float64) (lower, upper float64) {
+	return Wilson(e.Passed, e.Passed+e.Failed, delta)
+}
+
+// ErrorRate returns bounds of the error rate; see Wilson.
+func (e Estimate) ErrorRate(delta float64) (lower, upper float64) {
+	return Wilson(e.Errors, e.Served, delta)
+}
+
+// Wilson returns the one-sided score bounds of a proportion, each at level delta
+// (Wilson: Probable Inference, the Law of Succession, and Statistical Inference,
+// JASA 22, 1927). Without trials they are 0 and 1.
+func Wilson(successes, trials, delta float64) (lower, upper float64) {
+	if trials <= 0 {
+		return 0, 1
+	}
+	z := distuv.UnitNormal.Quantile(1 - delta)
+	p := successes / trials
+	z2 := z * z / trials
+	centre := p + z2/2
+	width := z * math.Sqrt(p*(1-p)/trials+z2/(4*trials))
+	return max(0, (centre-width)/(1+z2)), min(1, (centre+width)/(1+z2))
+}
--- /dev/null
+++ b/rater/gossip.go
@@ -0,0 +1,193 @@
+package rater
+
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// ErrInvalidSnapshot tells that received bytes are not a valid snapshot.
+var ErrInvalidSnapshot = errors.New("rater: invalid snapshot")
+
+const (
+	maxNameBytes     = 256
+	maxWireCells     = 65536
+	snapshotOverhead = 32 // bytes of the map, its keys and the array heads
+	nameOverhead     = 3  // bytes of a string head
+)
+
+// snapshot is the encoded form. Cells refer to names by index.
+type snapshot struct {
+	Names []string          `cbor:"names"`
+	Cells []cbor.RawMessage `cbor:"cells"`
+}
+
+type wireCell struct {
+	_           struct{} `cbor:",toarray"`
+	Workspace   int
+	Kind        int
+	Version     int
+	From        int
+	Step        uint8
+	Instance    int
+	Incarnation uint64
+	Bucket      int64
+	Counts      []uint64
+}
+
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: maxWireCells, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// Snapshot encodes the cells that changed after the change number since, oldest
+// change first, in at most maxBytes. It returns the number to continue from; a
+// call with since 0 starts over. Without changes the bytes are nil.
+func (r *Rater) Snapshot(since uint64, maxBytes int) (body []byte, next uint64, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changed []*cell
+	for _, c := range r.order {
+		if c.seq > since {
+			changed = append(changed, c)
+		}
+	}
+	sort.Slice(changed, func(i, j int) bool { return changed[i].seq < changed[j].seq })
+	w := writer{index: map[string]int{}, left: maxBytes - snapshotOverhead, at: since}
+	for _, c := range changed {
+		ok, err := w.add(c)
+		if err != nil {
+			return nil, since, errors.Wrap(err, "rater: encode cell")
+		}
+		if !ok {
+			break
+		}
+	}
+	if len(w.snapshot.Cells) == 0 {
+		return nil, since, nil
+	}
+	body, err = cbor.Marshal(w.snapshot)
+	return body, w.at, errors.Wrap(err, "rater: encode snapshot")
+}
+
+type writer struct {
+	snapshot snapshot
+	index    map[string]int
+	left     int
+	at       uint64
+}
+
+// add appends c and reports false if it does not fit.
+func (w *writer) add(c *cell) (bool, error) {
+	names, cost := len(w.snapshot.Names), 0
+	refs := make([]int, 0, 5)
+	for _, s := range c.names() {
+		i, ok := w.index[s]
+		if !ok {
+			i = len(w.snapshot.Names)
+			w.index[s] = i
+			w.snapshot.Names = append(w.snapshot.Names, s)
+			cost += len(s) + nameOverhead
+		}
+		refs = append(refs, i)
+	}
+	b, err := cbor.Marshal(wireCell{
+		Workspace: refs[0], Kind: refs[1], Version: refs[2], From: refs[3], Instance: refs[4],
+		Step: c.key.Step, Incarnation: c.origin.incarnation, Bucket: c.origin.bucket, Counts: c.counts[:],
+	})
+	if cost += len(b); err != nil || cost > w.left {
+		for _, s := range w.snapshot.Names[names:] {
+			delete(w.index, s)
+		}
+		w.snapshot.Names = w.snapshot.Names[:names]
+		return false, err
+	}
+	w.left -= cost
+	w.at = c.seq
+	w.snapshot.Cells = append(w.snapshot.Cells, b)
+	return true, nil
+}
+
+// Merge adopts the larger counts of a snapshot and reports whether anything
+// changed. Cells older than the kept buckets, or more than one bucket ahead of
+// now, are left out. Of an invalid snapshot nothing is adopted.
+func (r *Rater) Merge(body []byte, now clock.Millis) (changed bool, err error) {
+	var s snapshot
+	if err := decoder.Unmarshal(body, &s); err != nil {
+		return false, errors.Mark(errors.Wrap(err, "rater: decode snapshot"), ErrInvalidSnapshot)
+	}
+	cells := make([]cell, 0, len(s.Cells))
+	for i, b := range s.Cells {
+		c, err := s.cell(b)
+		if err != nil {
+			return false, errors.Wrapf(err, "cell %d", i)
+		}
+		cells = append(cells, c)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	floor, top := r.floor(now), r.bucket(now)+1
+	for i := range cells {
+		c := &cells[i]
+		if c.origin.bucket < floor || c.origin.bucket > top {
+			continue
+		}
+		if own := r.cell(c.key, c.origin); own.counts.merge(c.counts) {
+			r.touch(own)
+			changed = true
+		}
+	}
+	r.trim(now)
+	return changed, nil
+}
+
+func (s *snapshot) cell(b cbor.RawMessage) (cell, error) {
+	var w wireCell
+	if err := decoder.Unmarshal(b, &w); err != nil {
+		return cell{}, errors.Mark(err, ErrInvalidSnapshot)
+	}
+	var names [5]string
+	for i, n := range []int{w.Workspace, w.Kind, w.Version, w.From, w.Instance} {
+		if n < 0 || n >= len(s.Names) || len(s.Names[n]) > maxNameBytes {
+			return cell{}, errors.Wrapf(ErrInvalidSnapshot, "name %d of %d", n, len(s.Names))
+		}
+		names[i] = s.Names[n]
+	}
+	c := cell{
+		key:    Key{Workspace: names[0], Kind: names[1], Version: names[2], From: names[3], Step: w.Step},
+		origin: origin{instance: names[4], incarnation: w.Incarnation, bucket: w.Bucket},
+	}
+	if w.Step >= steps || len(w.Counts) != counters {
+		return cell{}, errors.Wrapf(ErrInvalidSnapshot, "step %d, %d counters", w.Step, len(w.Counts))
+	}
+	copy(c.counts[:], w.Counts)
+	if !c.counts.valid() {
+		return cell{}, errors.Wrapf(ErrInvalidSnapshot, "counts %v", w.Counts)
+	}
+	return c, nil
+}
+
+// Digest returns a hash of all cells that does not depend on their order. Two
+// raters with the same cells have the same digest.
+func (r *Rater) Digest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var d uint64
+	var b [8 * (counters + 1)]byte
+	for _, c := range r.order {
+		binary.LittleEndian.PutUint64(b[:], c.rank)
+		for i, v := range c.counts {
+			binary.LittleEndian.PutUint64(b[8*(i+1):], v)
+		}
+		d ^= xxhash.Sum64(b[:])
+	}
+	return d
+}
