--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,135 @@
+package planner
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"rosemaryarch.example/rosemaryarch/rater"
+)
+
+// rated returns an estimate of n ratings of quality q and check results.
+func rated(n, q, passed, failed float64) rater.Estimate {
+	return rater.Estimate{Served: n, Asked: n, Rated: n, Sum: n * q, Squares: n * q * q, Passed: passed, Failed: failed}
+}
+
+func drawEstimate(t *rapid.T) rater.Estimate {
+	n := float64(rapid.IntRange(0, 2000).Draw(t, "rated"))
+	passed := float64(rapid.IntRange(0, 2000).Draw(t, "passed"))
+	failed := float64(rapid.IntRange(0, 2000).Draw(t, "failed"))
+	return rated(n, rapid.Float64Range(0, 1).Draw(t, "quality"), passed, failed)
+}
+
+// Guards against a plan with a version that is not permitted or is withdrawn,
+// a dearer plan than a proven one, and exploration without room.
+func TestPlanOnlyPermitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 4).Draw(t, "versions")
+		table := Table{HasCheck: rapid.Bool().Draw(t, "check"), Target: rapid.Float64Range(0, 1).Draw(t, "target"),
+			Met: drawEstimate(t)}
+		for range n {
+			table.Version = append(table.Version, "m@1")
+			table.Permitted = append(table.Permitted, rapid.Bool().Draw(t, "permitted"))
+			table.Cost = append(table.Cost, rapid.Float64Range(0.1, 10).Draw(t, "cost"))
+			table.Prior = append(table.Prior, rapid.Float64Range(0, 1).Draw(t, "prior"))
+			table.Only = append(table.Only, drawEstimate(t))
+			table.First = append(table.First, drawEstimate(t))
+		}
+		for range n * n {
+			table.Escalated = append(table.Escalated, drawEstimate(t))
+		}
+		p := Default()
+		plan := p.Plan(&table, rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))))
+		permitted := 0
+		for _, ok := range table.Permitted {
+			if ok {
+				permitted++
+			}
+		}
+		if (plan.First < 0) != (permitted == 0) {
+			t.Fatalf("got plan %+v with %d permitted versions", plan, permitted)
+		}
+		for _, v := range []int{plan.First, plan.Second} {
+			if v >= 0 && !table.Permitted[v] {
+				t.Fatalf("got forbidden version %d in %+v", v, plan)
+			}
+		}
+		if plan.Reason == ReasonBound && plan.Lower < table.Target {
+			t.Fatalf("got lower bound %v under the target %v", plan.Lower, table.Target)
+		}
+		if lower, _ := table.Met.Quality(p.Delta); plan.Reason == ReasonExplore && lower <= table.Target {
+			t.Fatalf("got exploration at met quality %v, target %v", lower, table.Target)
+		}
+	})
+}
+
+// Guards against a cascade that pays twice, trust in unknown versions, and a
+// choice that keeps a version whose quality fell.
+func TestPlanReasons(t *testing.T) {
+	unknown := rater.Estimate{}
+	good, poor := rated(2000, 0.9, 0, 0), rated(2000, 0.6, 0, 0)
+	tests := map[string]struct {
+		only, first, escalated []rater.Estimate // escalated holds the cell from 0 to 1
+		forbidden              int
+		want                   Plan
+	}{
+		"nothing known": {
+			only: []rater.Estimate{unknown, unknown}, first: []rater.Estimate{unknown, unknown}, forbidden: -1,
+			escalated: []rater.Estimate{unknown}, want: Plan{First: 1, Second: -1, Reason: ReasonBest},
+		},
+		"cheap is enough": {
+			only: []rater.Estimate{good, good}, first: []rater.Estimate{unknown, unknown}, forbidden: -1,
+			escalated: []rater.Estimate{unknown}, want: Plan{First: 0, Second: -1, Reason: ReasonBound},
+		},
+		"cheap with escalation": {
+			only: []rater.Estimate{poor, good}, first: []rater.Estimate{rated(2000, 0.9, 1600, 400), unknown},
+			escalated: []rater.Estimate{good}, forbidden: -1, want: Plan{First: 0, Second: 1, Reason: ReasonBound},
+		},
+		"cheap mostly fails": {
+			only: []rater.Estimate{poor, good}, first: []rater.Estimate{rated(2000, 0.9, 100, 1900), unknown},
+			escalated: []rater.Estimate{good}, forbidden: -1, want: Plan{First: 1, Second: -1, Reason: ReasonBound},
+		},
+		"best is withdrawn": {
+			only: []rater.Estimate{poor, good}, first: []rater.Estimate{unknown, unknown}, forbidden: 1,
+			escalated: []rater.Estimate{unknown}, want: Plan{First: 0, Second: -1, Reason: ReasonBest},
+		},
+		"no version meets the target": {
+			only: []rater.Estimate{poor, poor}, first: []rater.Estimate{unknown, unknown}, forbidden: -1,
+			escalated: []rater.Estimate{unknown}, want: Plan{First: 1, Second: -1, Reason: ReasonBest},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := Table{
+				Version: []string{"cheap@1", "best@1"}, Permitted: []bool{test.forbidden != 0, test.forbidden != 1},
+				Cost: []float64{1, 10}, Prior: []float64{0.5, 0.9}, Only: test.only, First: test.first,
+				Escalated: []rater.Estimate{unknown, test.escalated[0], unknown, unknown},
+				HasCheck:  true, CheckCost: 0.1, Target: 0.8,
+			}
+			got := Default().Plan(&table, rand.New(rand.NewPCG(1, 2)))
+			got.Lower, got.Cost = 0, 0
+			if got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a table that mixes workspaces, kinds or steps.
+func TestTableWith(t *testing.T) {
+	r := rater.New("a", 1, 1000, 100)
+	add := func(workspace, kind, version, from string, step uint8) {
+		r.Rate(rater.Key{Workspace: workspace, Kind: kind, Version: version, From: from, Step: step}, 0, 0, 0.5)
+	}
+	add("w", "k", "a", "", rater.StepOnly)
+	add("w", "k", "a", "", rater.StepFirst)
+	add("w", "k", "b", "a", rater.StepEscalated)
+	add("w", "other", "a", "", rater.StepOnly)
+	add("v", "k", "a", "", rater.StepOnly)
+	got := Table{Version: []string{"a", "b"}}.With(r, "w", "k", []string{"k", "other"}, 0)
+	if got.Only[0].Rated != 1 || got.First[0].Rated != 1 || got.Escalated[1].Rated != 1 || got.Met.Rated != 4 {
+		t.Errorf("got only %v, first %v, escalated %v, met %v, want 1, 1, 1, 4",
+			got.Only[0].Rated, got.First[0].Rated, got.Escalated[1].Rated, got.Met.Rated)
+	}
+}
