--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -148,7 +148,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "engineclient: encode request"), ErrNotSent)
 	}
-	resp, err := h.send(ctx, http.MethodPost, path, data)
+	resp, err := h.send(ctx, http.MethodPost, path, data) //nolint:bodyclose // the sequence closes it
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/engineemulator/emulator_test.go
@@ -0,0 +1,403 @@
+package engineemulator
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"iter"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/engineclient"
+	"rosemaryarch.example/rosemaryarch/framer"
+	"rosemaryarch.example/rosemaryarch/streamer"
+)
+
+const version = "assess@1"
+
+// engine is an emulator behind HTTP whose sleeps advance a manual clock.
+type engine struct {
+	*Emulator
+	client engineclient.Client
+	clock  *clock.Manual
+}
+
+func start(t *testing.T, o Options) engine {
+	t.Helper()
+	manual := clock.NewManual(1000)
+	o.Now = manual.Now
+	o.Versions = append(o.Versions, version)
+	if o.Sleep == nil {
+		o.Sleep = func(ctx context.Context, d clock.Millis) error {
+			manual.Advance(d)
+			return ctx.Err()
+		}
+	}
+	e := New(o)
+	srv := httptest.NewServer(e)
+	t.Cleanup(srv.Close)
+	t.Cleanup(func() { e.SetFaults(Faults{Down: true}) })
+	return engine{e, engineclient.NewHTTP(srv.URL, "key", srv.Client()), manual}
+}
+
+func request(id string, tokens int) streamer.Request {
+	return streamer.Request{
+		RequestID: id, AttemptID: "i/1/" + id, Version: version, Prompt: "roof of " + id, MaxTokens: tokens,
+	}
+}
+
+// consume passes pieces to s and returns what the stream's end means.
+func consume(s *streamer.Streamer, pieces iter.Seq2[framer.Piece, error]) error {
+	for p, err := range pieces {
+		if err != nil {
+			return s.Close(err)
+		}
+		if _, err := s.Accept(p); err != nil {
+			return err
+		}
+	}
+	return s.Close(nil)
+}
+
+// TestFaultsAndRecovery guards against a fault in a stream that the streamer
+// does not see or names wrongly, and against a recovery, on the same endpoint or
+// on another one, whose text differs from that of an undisturbed answer.
+func TestFaultsAndRecovery(t *testing.T) {
+	cases := map[string]struct {
+		faults   Faults
+		noResume bool
+		want     error
+		wantStep streamer.Step
+	}{
+		"none":                  {Faults{}, false, nil, streamer.StepDone},
+		"repeated":              {Faults{Repeat: true}, false, nil, streamer.StepDone},
+		"cut, resume":           {Faults{CutAt: 7}, false, streamer.ErrCut, streamer.StepResume},
+		"cut, continue":         {Faults{CutAt: 7}, true, streamer.ErrCut, streamer.StepContinue},
+		"cut, nothing sent":     {Faults{CutAt: 1}, true, streamer.ErrCut, streamer.StepRestart},
+		"cut that looks whole":  {Faults{CutAt: 7, CutQuietly: true}, true, streamer.ErrCut, streamer.StepContinue},
+		"cut before end marker": {Faults{CutAt: 21, CutQuietly: true}, true, streamer.ErrCut, streamer.StepContinue},
+		"crossed":               {Faults{CrossAt: 4}, true, streamer.ErrCrossed, streamer.StepContinue},
+		"crossed end":           {Faults{CrossAt: 21}, false, streamer.ErrCrossed, streamer.StepResume},
+		"missing piece":         {Faults{SkipAt: 3}, true, streamer.ErrGap, streamer.StepContinue},
+		"missing last piece":    {Faults{SkipAt: 20}, false, streamer.ErrGap, streamer.StepResume},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			first, second := start(t, Options{NoResume: c.noResume}), start(t, Options{})
+			first.SetFaults(c.faults)
+			q := request("a", 20)
+			want := Answer(version, q.Prompt, 20)
+			s := streamer.New(q)
+			pieces, err := first.client.Generate(t.Context(), q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			err = consume(s, pieces)
+			if !errors.Is(err, c.want) || !strings.HasPrefix(want, s.Text()) {
+				t.Fatalf("got %q, %v, want a prefix of %q and %v", s.Text(), err, want, c.want)
+			}
+			step, _ := streamer.Plan(err, s.Tokens(), !c.noResume, true)
+			if step != c.wantStep {
+				t.Fatalf("got step %q, want %q", step, c.wantStep)
+			}
+			first.SetFaults(Faults{})
+			switch step {
+			case streamer.StepResume:
+				pieces, err = first.client.Resume(t.Context(), q.RequestID, q.AttemptID, s.NextIndex())
+			case streamer.StepContinue, streamer.StepRestart:
+				pieces, err = second.client.Generate(t.Context(), s.Next("i/1/b"))
+			}
+			if err == nil && step != streamer.StepDone {
+				err = consume(s, pieces)
+			}
+			if err != nil || !s.Whole() || s.Text() != want || s.Tokens() != 20 {
+				t.Errorf("after %s: got %q, whole %t, %v, want %q", step, s.Text(), s.Whole(), err, want)
+			}
+		})
+	}
+}
+
+// TestHangAndDeath guards against a hung or dead engine that holds its caller
+// past the deadline, and against a death in mid-stream that keeps its work.
+func TestHangAndDeath(t *testing.T) {
+	e := start(t, Options{})
+	e.SetFaults(Faults{HangAt: 3})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := streamer.New(request("a", 20))
+	pieces, err := e.client.Generate(ctx, request("a", 20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for p, err := range pieces {
+		if err != nil {
+			if !errors.Is(err, engineclient.ErrUnknown) {
+				t.Errorf("got %v, want ErrUnknown", err)
+			}
+			break
+		}
+		if s.Accept(p); s.Tokens() == 2 {
+			cancel()
+		}
+	}
+	e.SetFaults(Faults{Down: true})
+	if _, err := e.client.Generate(t.Context(), request("b", 20)); !errors.Is(err, engineclient.ErrUnknown) {
+		t.Errorf("dead engine that took the request: got %v, want ErrUnknown", err)
+	}
+	dead := httptest.NewServer(e)
+	dead.Close()
+	client := engineclient.NewHTTP(dead.URL, "", http.DefaultClient)
+	if _, err := client.Generate(t.Context(), request("b", 20)); !errors.Is(err, engineclient.ErrNotSent) {
+		t.Errorf("closed port: got %v, want ErrNotSent", err)
+	}
+}
+
+// gate holds every sleep until it is opened.
+func gate() (func(context.Context, clock.Millis) error, func()) {
+	open := make(chan struct{})
+	return func(ctx context.Context, _ clock.Millis) error {
+		select {
+		case <-open:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}, func() { close(open) }
+}
+
+// TestColdStart guards against a cold engine that runs more than its limit
+// without a sign, that never warms, or that counts its work wrongly.
+func TestColdStart(t *testing.T) {
+	for name, failOverfull := range map[string]bool{"refuses": false, "fails": true} {
+		t.Run(name, func(t *testing.T) {
+			hold, open := gate()
+			e := start(t, Options{ColdLimit: 2, WarmAfter: 2, FailOverfull: failOverfull, Sleep: hold})
+			streams := make([]iter.Seq2[framer.Piece, error], 2)
+			for i, id := range []string{"a", "b"} {
+				var err error
+				if streams[i], err = e.client.Generate(t.Context(), request(id, 5)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want := engineclient.ErrCold
+			if failOverfull {
+				want = engineclient.ErrUnknown
+			}
+			if _, err := e.client.Generate(t.Context(), request("c", 5)); !errors.Is(err, want) {
+				t.Errorf("above the limit: got %v, want %v", err, want)
+			}
+			open()
+			for i, id := range []string{"a", "b"} {
+				err := consume(streamer.New(request(id, 5)), streams[i])
+				if got := err != nil; got != failOverfull {
+					t.Errorf("stream %s: got %v, want a failure: %t", id, err, failOverfull)
+				}
+			}
+			if got, want := e.MaxCold(), 3; got != want {
+				t.Errorf("most work while cold: got %d, want %d", got, want)
+			}
+			l, err := e.client.Load(t.Context())
+			if err != nil || l.Warm == failOverfull {
+				t.Errorf("warm after two answers: got %t, %v, want %t", l.Warm, err, !failOverfull)
+			}
+			e.Restart()
+			after, _ := e.client.Load(t.Context())
+			if after.Warm || after.RestartID == l.RestartID {
+				t.Errorf("after a restart: got %+v, want cold with another id than %q", after, l.RestartID)
+			}
+		})
+	}
+}
+
+// TestBatchAndPriority guards against a batch above its size, and against a
+// waiting urgent attempt behind an earlier ordinary one.
+func TestBatchAndPriority(t *testing.T) {
+	hold, open := gate()
+	e := start(t, Options{Warm: true, MaxBatch: 1, MaxQueue: 2, Sleep: hold})
+	var done sync.WaitGroup
+	for i, id := range []string{"first", "ordinary", "urgent"} {
+		q := request(id, 3)
+		q.Priority = i // the urgent one comes last
+		done.Go(func() {
+			pieces, err := e.client.Generate(t.Context(), q)
+			if err == nil {
+				err = consume(streamer.New(q), pieces)
+			}
+			if err != nil {
+				t.Error(err)
+			}
+		})
+		for l := (engineclient.Load{}); l.Running+l.Queued <= i; l, _ = e.client.Load(t.Context()) {
+			continue
+		}
+	}
+	e.mu.Lock()
+	got := []string{e.queue[0].request.RequestID, e.queue[1].request.RequestID}
+	e.mu.Unlock()
+	if g, w := strings.Join(got, " "), "urgent ordinary"; g != w {
+		t.Errorf("queue: got %q, want %q", g, w)
+	}
+	if _, err := e.client.Generate(t.Context(), request("more", 3)); !errors.Is(err, engineclient.ErrFull) {
+		t.Errorf("full queue: got %v, want ErrFull", err)
+	}
+	open()
+	done.Wait()
+	if got, want := e.MaxRunning(), 1; got != want {
+		t.Errorf("most running: got %d, want %d", got, want)
+	}
+}
+
+// TestCommands guards against an engine that checks numbers and runs an old
+// command, and against a load, a report or a count that shows too early.
+func TestCommands(t *testing.T) {
+	cases := map[string]struct {
+		options   Options
+		wantStale error
+		wantCount int
+	}{
+		"checks numbers":  {Options{}, engineclient.ErrFenced, 0},
+		"ignores numbers": {Options{IgnoreFencing: true}, nil, 1},
+		"wrong key":       {Options{CommandKey: "other"}, engineclient.ErrForbidden, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			c.options.LoadTime, c.options.LoadLag = 500, 200
+			e, ctx := start(t, c.options), t.Context()
+			err := e.client.Command(ctx, 7, engineclient.ActionLoad, "assess@2")
+			if c.options.CommandKey == "" && err != nil {
+				t.Fatal(err)
+			}
+			if err := e.client.Command(ctx, 6, engineclient.ActionUnload, "x@1"); !errors.Is(err, c.wantStale) {
+				t.Errorf("old number: got %v, want %v", err, c.wantStale)
+			}
+			if got := e.StaleCommands(); got != c.wantCount {
+				t.Errorf("stale commands: got %d, want %d", got, c.wantCount)
+			}
+			for _, wait := range []clock.Millis{0, 499, 200, 1} {
+				now := e.clock.Advance(wait)
+				l, err := e.client.Load(ctx)
+				shown := strings.Contains(strings.Join(l.Versions, " "), "assess@2")
+				if want := c.options.CommandKey == "" && now >= 1700; err != nil || shown != want {
+					t.Errorf("at %d: got versions %v, %v, want shown: %t", now, l.Versions, err, want)
+				}
+			}
+			q := request("a", 3)
+			q.Version = "assess@3"
+			if _, err := e.client.Generate(ctx, q); !errors.Is(err, engineclient.ErrNotLoaded) {
+				t.Errorf("version that is not loaded: got %v, want ErrNotLoaded", err)
+			}
+			if got := [2]int{e.Received("", 1699), e.Received("assess@3", 1700)}; got != [2]int{1, 0} {
+				t.Errorf("received after 1699 and 1700: got %v, want [1 0]", got)
+			}
+		})
+	}
+}
+
+// TestPrefixCache guards against a cache that does not shorten the first token,
+// an unbounded cache, and events that come early or without their gap.
+func TestPrefixCache(t *testing.T) {
+	e, other := start(t, Options{CacheEntries: 2, CacheEventLag: 5000, Warm: true}), start(t, Options{})
+	first := func(id string) clock.Millis {
+		q := request(id, 0)
+		q.Prompt += strings.Repeat(" long", 400)
+		from := e.clock.Now()
+		pieces, err := e.client.Generate(t.Context(), q)
+		if err == nil {
+			err = consume(streamer.New(q), pieces)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		return e.clock.Now() - from
+	}
+	fresh, cached := first("a"), first("a")
+	if cached >= fresh {
+		t.Errorf("first token with a cached prefix: got %d ms, want under %d ms", cached, fresh)
+	}
+	key := engineclient.PrefixKey("roof of a" + strings.Repeat(" long", 400))
+	state, err := e.client.ExportCache(t.Context(), key)
+	if err == nil {
+		err = other.client.ImportCache(t.Context(), key, state)
+	}
+	copied, err2 := other.client.ExportCache(t.Context(), key)
+	if err != nil || err2 != nil || !bytes.Equal(copied, state) {
+		t.Errorf("export and import: got %d bytes, %v, %v, want %d", len(copied), err, err2, len(state))
+	}
+	first("b")
+	first("c") // evicts a
+	if events, err := e.client.CacheEvents(t.Context(), 0); err != nil || len(events) != 0 {
+		t.Errorf("events at once: got %v, %v, want none", events, err)
+	}
+	e.SetFaults(Faults{DropEvents: 3})
+	e.clock.Advance(5000)
+	events, err := e.client.CacheEvents(t.Context(), 1)
+	if err != nil || len(events) != 2 || events[1].Sequence != 4 || !events[1].Evicted || events[1].Prefix != key {
+		t.Errorf("events after 1: got %+v, %v, want 2 and the eviction 4 of %s", events, err, key)
+	}
+	if got := first("a"); got != fresh {
+		t.Errorf("first token after the eviction: got %d ms, want %d ms", got, fresh)
+	}
+}
+
+// TestBadVersionAndScore guards against a bad version that the rating stand-in
+// cannot tell, and against scores that miss their mean.
+func TestBadVersionAndScore(t *testing.T) {
+	e := start(t, Options{Warm: true})
+	sums := map[bool]float64{}
+	for _, bad := range []bool{false, true} {
+		faults := Faults{}
+		if bad {
+			faults.BadVersion = version
+		}
+		e.SetFaults(faults)
+		const rounds = 200
+		for i := range rounds {
+			q := request(strings.Repeat("x", i+1), 4)
+			s := streamer.New(q)
+			pieces, err := e.client.Generate(t.Context(), q)
+			if err == nil {
+				err = consume(s, pieces)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			sums[bad] += Score(1, 0.9, q.RequestID, s.Text()) / rounds
+		}
+	}
+	if got := sums[false]; got < 0.88 || got > 0.92 {
+		t.Errorf("mean score: got %.3f, want 0.9", got)
+	}
+	if got := sums[true]; got < 0.16 || got > 0.24 {
+		t.Errorf("mean score of the bad version: got %.3f, want 0.2", got)
+	}
+}
+
+// TestBadInput guards against input that makes the engine panic or run.
+func TestBadInput(t *testing.T) {
+	e := start(t, Options{})
+	for name, c := range map[string]struct{ path, body string }{
+		"not json":       {"/v1/generate", "{"},
+		"no ids":         {"/v1/generate", `{"version":"assess@1"}`},
+		"foreign prior":  {"/v1/generate", `{"request_id":"a","attempt_id":"b","version":"assess@1","prior_text":"x "}`},
+		"unknown resume": {"/v1/resume", `{"request_id":"a","attempt_id":"b"}`},
+		"unknown action": {"/v1/commands", `{"action":"explode"}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rec := httptest.NewRecorder()
+			e.ServeHTTP(rec, httptest.NewRequest(http.MethodPost, c.path, strings.NewReader(c.body)))
+			body, _ := io.ReadAll(rec.Body)
+			if rec.Code < 400 || rec.Code >= 500 || !strings.Contains(string(body), `"run":"no"`) {
+				t.Errorf("got %d %s, want a refusal that says not run", rec.Code, body)
+			}
+		})
+	}
+	if got := e.Received("", 0); got != 0 {
+		t.Errorf("received: got %d, want 0", got)
+	}
+}
--- /dev/null
+++ b/framer/framer_test.go
@@ -0,0 +1,118 @@
+package framer
+
+import (
+	"bytes"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/refuser"
+)
+
+// FuzzReader guards against input that makes the parser panic, exceed its
+// bound, or depend on how the bytes arrive.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("data: a\n\nevent: x\ndata: b\ndata: c\r\n\r\n: note\n\n"), 32)
+	f.Fuzz(func(t *testing.T, input []byte, limit int) {
+		limit = 1 + int(uint(limit)%4096)
+		at := NewReader(bytes.NewReader(input), limit)
+		byByte := NewReader(iotest.OneByteReader(bytes.NewReader(input)), limit)
+		for {
+			name, data, err := at.Next()
+			name2, data2, err2 := byByte.Next()
+			if name != name2 || !bytes.Equal(data, data2) || !errors.Is(err2, err) {
+				t.Fatalf("got %q %q %v, byte by byte %q %q %v", name, data, err, name2, data2, err2)
+			}
+			if err != nil {
+				return
+			}
+			if len(name)+len(data) > limit {
+				t.Fatalf("got an event of %d bytes, want at most %d", len(name)+len(data), limit)
+			}
+		}
+	})
+}
+
+// TestReader guards against a cut event being taken for a whole one, and
+// against departures from the event-stream format.
+func TestReader(t *testing.T) {
+	cases := map[string]struct {
+		input string
+		want  []string // name=data of each event
+		err   error
+	}{
+		"line ends":       {"data: a\r\rdata: b\r\n\r\ndata: c\n\n", []string{"=a", "=b", "=c"}, io.EOF},
+		"fields":          {"\xef\xbb\xbfevent: e\ndata:x\ndata\nid: 4\n\n", []string{"e=x\n"}, io.EOF},
+		"no data":         {"event: e\n\n: note\n\ndata: a\n\n", []string{"=a"}, io.EOF},
+		"cut in a line":   {"data: a\n\ndata: b", []string{"=a"}, io.ErrUnexpectedEOF},
+		"cut after data":  {"data: a\n\ndata: b\n", []string{"=a"}, io.ErrUnexpectedEOF},
+		"too large":       {"data: " + strings.Repeat("x", 100) + "\n\n", nil, ErrTooLarge},
+		"too many lines":  {strings.Repeat(": note\n", 20), nil, ErrTooLarge},
+		"many keep-alive": {strings.Repeat(": note\n\n", 20) + "data: a\n\n", []string{"=a"}, io.EOF},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := NewReader(strings.NewReader(c.input), 64)
+			var got []string
+			for {
+				name, data, err := r.Next()
+				if err != nil {
+					if !errors.Is(err, c.err) {
+						t.Errorf("got error %v, want %v", err, c.err)
+					}
+					break
+				}
+				got = append(got, name+"="+string(data))
+			}
+			if g, w := strings.Join(got, "|"), strings.Join(c.want, "|"); g != w {
+				t.Errorf("got %q, want %q", g, w)
+			}
+		})
+	}
+}
+
+// TestWriter guards against a broken answer that ends like a whole one, and
+// against an event after the end.
+func TestWriter(t *testing.T) {
+	cases := map[string]struct {
+		end  func(*Writer) error
+		want []string
+		lack string
+	}{
+		"whole": {
+			func(w *Writer) error { return w.End(FinishStop) },
+			[]string{"id: 14\n", `"finish_reason":"stop"`, "data: [DONE]\n\n"}, "event: error",
+		},
+		"broken": {
+			func(w *Writer) error { return w.Error(refuser.ErrStreamBroken) },
+			[]string{"event: error\n", `"reason":"stream_broken"`, `"run":"yes"`}, "[DONE]",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			rec := httptest.NewRecorder()
+			w := NewWriter(rec, "r", "m", 7000, 10)
+			if err := errors.Join(w.Text("a\n\nb"), c.end(w)); err != nil {
+				t.Fatal(err)
+			}
+			for _, err := range []error{w.Text("late"), w.End(FinishStop), w.Error(refuser.ErrInternal)} {
+				if !errors.Is(err, ErrEnded) {
+					t.Errorf("after the end: got %v, want ErrEnded", err)
+				}
+			}
+			got := rec.Body.String()
+			for _, part := range append(c.want, `"content":"a\n\nb"`, `"created":7,`) {
+				if !strings.Contains(got, part) {
+					t.Errorf("got %q, want it to contain %q", got, part)
+				}
+			}
+			if strings.Contains(got, c.lack) || strings.Contains(got, "late") {
+				t.Errorf("got %q, want no %q", got, c.lack)
+			}
+		})
+	}
+}
