--- a/parser/fleet.go
+++ b/parser/fleet.go
@@ -50,6 +50,8 @@
 	OutputCost int64 `yaml:"output_cost"`
 	// FirstTokenMS is the usual time to the first token on a warm endpoint.
 	FirstTokenMS clock.Millis `yaml:"first_token_ms"`
+	// PriorQuality orders models that have no ratings yet, 0 to 1.
+	PriorQuality float64 `yaml:"prior_quality"`
 	// MaxConcurrent is how many requests one warm endpoint runs at once.
 	MaxConcurrent int       `yaml:"max_concurrent"`
 	Versions      []Version `yaml:"versions"`
@@ -76,6 +78,8 @@
 	DeadlineMS clock.Millis `yaml:"deadline_ms"`
 	// MaxConcurrent is how many calls one endpoint of a plain service runs at once.
 	MaxConcurrent int `yaml:"max_concurrent"`
+	// CallCost is the price of one call of a plain service, in micro-units.
+	CallCost int64 `yaml:"call_cost"`
 	// RatingPercent is the share of answers sent to the rating service.
 	RatingPercent float64 `yaml:"rating_percent"`
 }
@@ -85,11 +89,14 @@
 	Name     string   `yaml:"name"`
 	Services []string `yaml:"services"`
 	// Models lists permitted models ("small") and single versions ("small@v1").
-	Models    []string `yaml:"models"`
-	Quality   float64  `yaml:"quality"` // target mean rating, 0 to 1
-	Share     float64  `yaml:"share"`   // weight in the fair queue
-	Priority  int      `yaml:"priority"`
-	KeySHA256 []string `yaml:"key_sha256"`
+	Models   []string `yaml:"models"`
+	Quality  float64  `yaml:"quality"` // target mean rating, 0 to 1
+	Share    float64  `yaml:"share"`   // weight in the fair queue
+	Priority int      `yaml:"priority"`
+	// FirstTokenMS is the longest time to the first token of a streamed answer
+	// that the workspace accepts for a lower price; 0 for any.
+	FirstTokenMS clock.Millis `yaml:"first_token_ms"`
+	KeySHA256    []string     `yaml:"key_sha256"`
 }
 
 // Sessions says how long a session keeps its version.
--- a/parser/parse.go
+++ b/parser/parse.go
@@ -104,6 +104,9 @@
 		if m.FirstTokenMS <= 0 {
 			return c.document.Errorf(at("models", i, "first_token_ms"), "model %q needs a time above zero", m.Name)
 		}
+		if m.PriorQuality < 0 || m.PriorQuality > 1 {
+			return c.document.Errorf(at("models", i, "prior_quality"), "must be between 0 and 1")
+		}
 		if err := c.checkConcurrent(&m.MaxConcurrent, at("models", i, "max_concurrent")); err != nil {
 			return err
 		}
@@ -179,6 +182,8 @@
 		return c.document.Errorf(append(path, "models"), "plain service %q cannot have models", s.Name)
 	case s.DeadlineMS < 0 || s.DeadlineMS > maxDeadline:
 		return c.document.Errorf(append(path, "deadline_ms"), "must be between 0 and %d", maxDeadline)
+	case s.CallCost < 0:
+		return c.document.Errorf(append(path, "call_cost"), "must not be negative")
 	case s.RatingPercent < 0 || s.RatingPercent > 100:
 		return c.document.Errorf(append(path, "rating_percent"), "must be between 0 and 100")
 	}
@@ -227,6 +232,9 @@
 	if w.Quality < 0 || w.Quality >= 1 {
 		return c.document.Errorf(append(path, "quality"), "must be at least 0 and below 1")
 	}
+	if w.FirstTokenMS < 0 {
+		return c.document.Errorf(append(path, "first_token_ms"), "must not be negative")
+	}
 	if w.Share < 0 {
 		return c.document.Errorf(append(path, "share"), "must not be negative")
 	}
--- /dev/null
+++ b/router/attempt.go
@@ -0,0 +1,268 @@
+package router
+
+import (
+	"context"
+	"iter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/engineclient"
+	"rosemaryarch.example/rosemaryarch/exchanger"
+	"rosemaryarch.example/rosemaryarch/framer"
+	"rosemaryarch.example/rosemaryarch/parser"
+	"rosemaryarch.example/rosemaryarch/permitter"
+	"rosemaryarch.example/rosemaryarch/refuser"
+	"rosemaryarch.example/rosemaryarch/streamer"
+	"rosemaryarch.example/rosemaryarch/tracker"
+)
+
+// errLate tells that an endpoint sent no token in time.
+var errLate = errors.New("router: no token in time")
+
+// run is one version's answer to one request, over all attempts.
+type run struct {
+	r        *Router
+	q        Request
+	model    parser.Model
+	version  string
+	service  string
+	deliver  func(text string) error
+	stream   *streamer.Streamer
+	attempt  streamer.Request
+	exclude  []string
+	last     tracker.Slot // endpoint of the last attempt
+	attempts int
+	mayRun   bool         // an endpoint may have run an attempt
+	patience clock.Millis // longest wait for the first endpoint; 0: until the deadline
+}
+
+// answer generates the whole answer, retrying as the streamer plans.
+func (u *run) answer(ctx context.Context) error {
+	u.attempt = streamer.Request{
+		RequestID: u.q.ID, AttemptID: u.r.o.AttemptID(), Version: u.version, Prompt: u.q.Prompt,
+		PriorText: u.q.Partial, MaxTokens: u.q.MaxTokens,
+	}
+	u.stream = streamer.New(u.attempt)
+	resume := false
+	for {
+		cause := u.try(ctx, resume)
+		if cause == nil {
+			return nil
+		}
+		step, err := u.plan(ctx, cause)
+		if err != nil {
+			return err
+		}
+		resume = step == streamer.StepResume
+		if !resume {
+			u.attempt = u.stream.Next(u.r.o.AttemptID())
+		}
+	}
+}
+
+// plan returns what to do after a failed attempt, or the refusal that ends the
+// request.
+func (u *run) plan(ctx context.Context, cause error) (streamer.Step, error) {
+	var refusal *refuser.Refusal
+	if errors.As(cause, &refusal) {
+		return "", u.refusal(refusal)
+	}
+	u.mayRun = u.mayRun || !errors.IsAny(cause, exchanger.ErrNotSent, exchanger.ErrRefused)
+	now := u.r.o.Now()
+	step, err := streamer.Plan(cause, u.stream.Tokens(), u.canResume(cause), now < u.q.Deadline)
+	if err != nil {
+		return "", err
+	}
+	if step != streamer.StepResume {
+		u.exclude = append(u.exclude, u.last.Endpoint)
+	}
+	if !u.r.retryAllowed(u.service, u.q.Workspace, retryReason(cause)) {
+		return "", u.refusal(refuser.ErrRetryBudget.WithMessage("after %v", cause))
+	}
+	u.attempts++
+	return step, u.r.sleep(ctx, u.r.backoff(u.attempts))
+}
+
+// refusal gives a refusal the run state that is true for this request.
+func (u *run) refusal(f *refuser.Refusal) error {
+	switch {
+	case u.stream.Tokens() > 0:
+		return refuser.ErrStreamBroken.WithMessage("%s", f.Error())
+	case !u.mayRun:
+		return f.WithRun(refuser.RunNo)
+	case f.Run == refuser.RunNo:
+		return f.WithRun(refuser.RunUnknown)
+	default:
+		return f
+	}
+}
+
+// canResume reports whether the endpoint may still hold the attempt.
+func (u *run) canResume(cause error) bool {
+	return errors.Is(cause, streamer.ErrCut) && !errors.Is(cause, errLate) && u.attempt.AttemptID != "" &&
+		!errors.Is(cause, engineclient.ErrNoAttempt) && !errors.Is(cause, exchanger.ErrNotSent)
+}
+
+func retryReason(cause error) refuser.RetryReason {
+	switch {
+	case errors.Is(cause, exchanger.ErrNotSent):
+		return refuser.RetryConnect
+	case errors.Is(cause, streamer.ErrCrossed), errors.Is(cause, streamer.ErrGap):
+		return refuser.RetryWrongAnswer
+	case errors.Is(cause, errLate):
+		return refuser.RetryFirstToken
+	case errors.Is(cause, exchanger.ErrRefused):
+		return refuser.RetryRefused
+	default:
+		return refuser.RetryStreamCut
+	}
+}
+
+// try makes one attempt. It returns nil if the answer is whole.
+func (u *run) try(ctx context.Context, resume bool) error {
+	slot := u.last
+	if !resume {
+		var err error
+		if slot, err = u.r.acquire(ctx, u.want(), u.waitUntil()); err != nil {
+			return err
+		}
+		u.last = slot
+	} else if again, err := u.r.o.Tracker.AcquireAt(slot.Endpoint, u.q.Deadline, u.r.o.Now()); err == nil {
+		slot = again
+	} else {
+		return errors.Mark(err, engineclient.ErrNoAttempt)
+	}
+	result := tracker.Result{}
+	cause := u.exchange(ctx, slot, resume, &result)
+	result.Failed = cause != nil && !errors.Is(cause, context.Canceled) && !errors.Is(cause, exchanger.ErrRefused)
+	result.Cold = result.Cold || errors.Is(cause, engineclient.ErrCold)
+	u.r.o.Tracker.Release(slot, result, u.r.o.Now())
+	return cause
+}
+
+func (u *run) want() tracker.Want {
+	return tracker.Want{Class: u.version, Prompt: u.q.Prompt, Exclude: u.exclude, Deadline: u.q.Deadline}
+}
+
+// waitUntil returns the instant at which the wait for an endpoint ends.
+func (u *run) waitUntil() clock.Millis {
+	if u.patience > 0 && u.attempts == 0 {
+		return min(u.q.Deadline, u.r.o.Now()+u.patience)
+	}
+	return u.q.Deadline
+}
+
+// exchange streams one attempt and delivers its pieces.
+func (u *run) exchange(ctx context.Context, slot tracker.Slot, resume bool, result *tracker.Result) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	engine := u.r.o.Engine(slot.Address)
+	sent := u.r.o.Now()
+	watch := time.AfterFunc(u.firstTokenLimit().Duration(), func() { cancel(errLate) })
+	defer watch.Stop()
+	seq, err := u.open(ctx, engine, resume)
+	if err != nil {
+		return u.cause(ctx, err)
+	}
+	first := true
+	for p, err := range seq {
+		if err != nil {
+			u.abandon(engine)
+			return u.stream.Close(u.cause(ctx, err))
+		}
+		text, err := u.stream.Accept(p)
+		if err != nil {
+			u.abandon(engine)
+			return err
+		}
+		if first && text != "" {
+			first = false
+			u.noteFirst(u.r.o.Now()-sent, result)
+		}
+		watch.Reset(u.r.o.Timing.Stall.Duration())
+		if err := u.pass(text); err != nil {
+			u.abandon(engine)
+			return errors.Mark(err, context.Canceled)
+		}
+	}
+	return u.stream.Close(u.cause(ctx, nil))
+}
+
+// open starts or resumes the attempt at the endpoint.
+func (u *run) open(
+	ctx context.Context, engine engineclient.Client, resume bool,
+) (iter.Seq2[framer.Piece, error], error) {
+	if resume {
+		return engine.Resume(ctx, u.attempt.RequestID, u.attempt.AttemptID, u.stream.NextIndex())
+	}
+	return engine.Generate(ctx, u.attempt)
+}
+
+func (u *run) pass(text string) error {
+	if text == "" {
+		return nil
+	}
+	return u.deliver(text)
+}
+
+func (u *run) firstTokenLimit() clock.Millis {
+	return max(u.r.o.Timing.FirstToken, clock.Millis(u.r.o.Timing.LateFactor)*u.model.FirstTokenMS)
+}
+
+// noteFirst looks at the first token for signs of a cold endpoint.
+func (u *run) noteFirst(took clock.Millis, result *tracker.Result) {
+	result.Cold = permitter.Late(took, u.model.FirstTokenMS, u.r.o.Timing.LateFactor)
+	result.Unusual = result.Cold
+}
+
+// cause returns why an exchange ended: the watch, the caller, or err.
+func (u *run) cause(ctx context.Context, err error) error {
+	if why := context.Cause(ctx); why != nil {
+		return why
+	}
+	return err
+}
+
+// abandonTimeout bounds the call that cancels an attempt.
+const abandonTimeout = time.Second
+
+// abandon asks the endpoint to stop an attempt whose answer is of no use, so
+// that it does not take up room.
+func (u *run) abandon(engine engineclient.Client) {
+	request, attempt := u.attempt.RequestID, u.attempt.AttemptID
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
+		defer cancel()
+		_ = engine.Cancel(ctx, request, attempt) // the endpoint may be gone
+	}()
+}
+
+// acquire waits until an endpoint has room, at most until the given instant.
+func (r *Router) acquire(ctx context.Context, w tracker.Want, until clock.Millis) (tracker.Slot, error) {
+	for {
+		slot, err := r.o.Tracker.Acquire(w, r.o.Now())
+		if err == nil {
+			return slot, nil
+		}
+		if r.o.Now()+r.o.Timing.Poll >= until {
+			return slot, err
+		}
+		if err := r.sleep(ctx, r.o.Timing.Poll); err != nil {
+			return slot, err
+		}
+	}
+}
+
+// sleep waits, or returns refuser.ErrDeadline when the caller has gone.
+func (r *Router) sleep(ctx context.Context, d clock.Millis) error {
+	t := time.NewTimer(d.Duration())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return refuser.ErrDeadline.WithMessage("the caller gave up")
+	}
+}
--- a/server/chat.go
+++ b/server/chat.go
@@ -59,7 +59,7 @@
 // as they come.
 type chatReply struct {
 	call *chatCall
-	run  func(Sink) (router.Answer, error)
+	run  func(router.Sink) (router.Answer, error)
 }
 
 type chatCompletion struct {
@@ -145,7 +145,7 @@
 		if call.request.MaxTokens == 0 {
 			call.request.MaxTokens = defaultTokens
 		}
-		run := func(k Sink) (router.Answer, error) { return s.Chat(ctx, call.request, k) }
+		run := func(k router.Sink) (router.Answer, error) { return s.Chat(ctx, call.request, k) }
 		return chatReply{call: call, run: run}, nil
 	}
 }
@@ -156,7 +156,7 @@
 	if r.call.stream {
 		return s.encodeStream(w, r)
 	}
-	answer, err := r.run(Sink{
+	answer, err := r.run(router.Sink{
 		Begin: func(h router.Head) error { setHead(w, h); return nil },
 		Text:  func(string) error { return nil },
 	})
@@ -186,7 +186,7 @@
 // error event.
 func (s *Server) encodeStream(w http.ResponseWriter, r chatReply) error {
 	var out *framer.Writer
-	sink := Sink{
+	sink := router.Sink{
 		Begin: func(h router.Head) error {
 			setHead(w, h)
 			out = framer.NewWriter(w, r.call.request.ID, h.Version, r.call.request.Arrived, len(r.call.request.Partial))
--- a/server/server.go
+++ b/server/server.go
@@ -34,7 +34,7 @@
 // be set.
 type Server struct {
 	Now          func() clock.Millis
-	Chat         func(context.Context, router.Request, Sink) (router.Answer, error)
+	Chat         func(context.Context, router.Request, router.Sink) (router.Answer, error)
 	Call         func(context.Context, router.Call) (router.Reply, error)
 	Entries      func() Entries
 	Ready        func() error
@@ -47,19 +47,12 @@
 	MaxBodyBytes int64
 }
 
-// Sink receives the pieces of an answer. Begin is called once, before the first
-// piece.
-type Sink struct {
-	Begin func(router.Head) error
-	Text  func(string) error
-}
-
 // Handler returns the HTTP handler of the instance.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	options := []kithttp.ServerOption{
 		kithttp.ServerErrorEncoder(s.encodeError),
-			}
+	}
 	mux.Handle("POST /v1/chat/completions",
 		kithttp.NewServer(s.chatEndpoint(), s.decodeChat, s.encodeChat, options...))
 	mux.Handle("/v1/services/{service}/{path...}",
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -271,6 +271,25 @@
 	return Slot{}, refuser.ErrNoEndpoint.WithMessage("no endpoint for %s has room", w.Class)
 }
 
+// AcquireAt counts a request at one endpoint, to go on with an attempt there.
+func (t *Tracker) AcquireAt(id string, deadline, now clock.Millis) (Slot, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i, ok := t.index[id]
+	if !ok {
+		return Slot{}, refuser.ErrNoEndpoint.WithMessage("endpoint %s has left", id)
+	}
+	t.refresh(i, now)
+	if t.table.State[i]&^picker.StateCold != 0 {
+		return Slot{}, refuser.ErrNoEndpoint.WithMessage("endpoint %s is %s", id, stateName(t.table.State[i]))
+	}
+	s, taken := t.take(i, now, deadline)
+	if !taken {
+		return Slot{}, refuser.ErrNoEndpoint.WithMessage("endpoint %s has no room", id)
+	}
+	return s, nil
+}
+
 func (t *Tracker) excluded(w Want, i int) bool {
 	for _, id := range w.Exclude {
 		if t.rows[i].ID == id {
