storer: read an object's version without its value

The watchers of the fleet object confirm its version about once a second. Get transfers the whole object, up to 1 MB, for each confirmation. Version is a HEAD request whose ETag carries the version; the emulator serves and counts it as a read.

--- a/storeemulator/emulator.go
+++ b/storeemulator/emulator.go
@@ -83,7 +83,9 @@
 
 // Store returns a store that calls the emulator without a network.
 func (e *Emulator) Store() storer.Store {
-	return storer.Store{Get: e.get, Put: e.put, Delete: e.remove, List: e.list, Watch: e.watch}
+	return storer.Store{
+		Get: e.get, Version: e.version, Put: e.put, Delete: e.remove, List: e.list, Watch: e.watch,
+	}
 }
 
 // enter applies delay and outage and counts the call. It returns with the
@@ -123,6 +125,11 @@
 	return clone(o), nil
 }
 
+func (e *Emulator) version(ctx context.Context, key string) (uint64, error) {
+	o, err := e.get(ctx, key)
+	return o.Version, err
+}
+
 func (e *Emulator) put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
 	if len(value) > storer.MaxValueBytes {
 		return 0, storer.ErrTooLarge
--- a/storeemulator/emulator_test.go
+++ b/storeemulator/emulator_test.go
@@ -52,6 +52,12 @@
 	if got, want := string(o.Value), "two"; err != nil || got != want {
 		t.Errorf("after a lost answer: got %q, %v, want %q", got, err, want)
 	}
+	if got, err := s.Version(ctx, key); err != nil || got != o.Version {
+		t.Errorf("version: got %d, %v, want %d", got, err, o.Version)
+	}
+	if _, err := s.Version(ctx, "missing"); !errors.Is(err, storer.ErrNotFound) {
+		t.Errorf("version of a missing key: got %v, want ErrNotFound", err)
+	}
 	found, next, err := s.Watch(ctx, "a/", v1)
 	if err != nil || len(found) != 1 || next != o.Version {
 		t.Errorf("watch: got %d objects, next %d, %v, want 1, %d", len(found), next, err, o.Version)
--- a/storeemulator/http.go
+++ b/storeemulator/http.go
@@ -13,7 +13,7 @@
 	"rosemaryarch.example/rosemaryarch/storer"
 )
 
-// ServeHTTP serves the object API: GET, PUT and DELETE of /objects/{key} with
+// ServeHTTP serves the object API: GET, HEAD, PUT and DELETE of /objects/{key} with
 // the expected version in If-Match, GET /objects?prefix= and GET /watch. A lost
 // answer closes the connection without a reply.
 func (e *Emulator) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -36,6 +36,14 @@
 		http.Error(w, "bad key", http.StatusBadRequest)
 		return
 	}
+	if r.Method == http.MethodHead {
+		v, err := e.version(r.Context(), key)
+		if err == nil {
+			w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(v, 10)))
+		}
+		reply(w, nil, err)
+		return
+	}
 	if r.Method == http.MethodGet {
 		o, err := e.get(r.Context(), key)
 		reply(w, o, err)
--- a/storer/http.go
+++ b/storer/http.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -28,7 +29,7 @@
 // as "http://127.0.0.1:7001". Timeouts come from each call's context.
 func NewHTTP(base string, client *http.Client) Store {
 	h := &httpStore{base: base, client: client}
-	return Store{Get: h.get, Put: h.put, Delete: h.delete, List: h.list, Watch: h.watch}
+	return Store{Get: h.get, Version: h.version, Put: h.put, Delete: h.delete, List: h.list, Watch: h.watch}
 }
 
 func (h *httpStore) objectURL(key string) string {
@@ -59,7 +60,7 @@
 
 // lost marks a failed exchange: a write may have taken effect, a read has not.
 func lost(method string, err error) error {
-	if method == http.MethodGet {
+	if method == http.MethodGet || method == http.MethodHead {
 		return errors.Mark(err, ErrUnavailable)
 	}
 	return errors.Mark(err, ErrUnknown)
@@ -95,6 +96,27 @@
 	return o, nil
 }
 
+// version reads the ETag of a HEAD request.
+func (h *httpStore) version(ctx context.Context, key string) (uint64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodHead, h.objectURL(key), nil)
+	if err != nil {
+		return 0, errors.Wrap(err, "storer: build request")
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return 0, lost(http.MethodHead, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return 0, statusError(resp.StatusCode, nil)
+	}
+	v, err := strconv.ParseUint(strings.Trim(resp.Header.Get("ETag"), `"`), 10, 64)
+	if err != nil {
+		return 0, errors.Mark(err, ErrUnavailable)
+	}
+	return v, nil
+}
+
 func (h *httpStore) put(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
 	if len(value) > MaxValueBytes {
 		return 0, ErrTooLarge
--- a/storer/store.go
+++ b/storer/store.go
@@ -37,6 +37,9 @@
 type Store struct {
 	// Get returns the object, or ErrNotFound.
 	Get func(ctx context.Context, key string) (Object, error)
+	// Version returns the object's version without its value, or ErrNotFound. It
+	// counts as a read.
+	Version func(ctx context.Context, key string) (uint64, error)
 	// Put writes value if the object's version equals expect (0: it does not
 	// exist) and returns the new version, or ErrConflict, ErrUnknown,
 	// ErrUnavailable or ErrTooLarge.
