linker: WebSocket links with CBOR envelopes between instances

One link per pair of peers is dialled when first needed and used both ways. Both sides prove a shared secret by HMAC over both nonces and identities. Queues are bounded, and answers are matched by call id and by the peer's incarnation.

Tests cover both directions over one connection, rotation of secrets, crossed and late answers, full queues, a replaced peer, simultaneous dialling and hostile input.

--- /dev/null
+++ b/linker/envelope.go
@@ -0,0 +1,72 @@
+package linker
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxMessageBytes bounds one encoded envelope. It holds the largest object of
+// the object API.
+const MaxMessageBytes = 1<<20 + 64<<10
+
+const maxKindBytes = 64
+
+// Kinds that the linker itself uses.
+const (
+	kindAnswer  = "answer"
+	kindRefusal = "refusal"
+)
+
+// Envelope is one message between instances.
+type Envelope struct {
+	Kind        string `cbor:"kind"`
+	From        string `cbor:"from"`
+	Incarnation uint64 `cbor:"incarnation"`
+	// ID matches an answer to its call; it is 0 for one-way messages.
+	ID   uint64 `cbor:"id,omitempty"`
+	Body []byte `cbor:"body,omitempty"`
+}
+
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  4,
+		MaxArrayElements: 16,
+		MaxMapPairs:      16,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Encode returns the envelope as CBOR, or ErrTooLarge.
+func (e Envelope) Encode() ([]byte, error) {
+	b, err := cbor.Marshal(e)
+	if err != nil {
+		return nil, errors.Wrap(err, "linker: encode envelope")
+	}
+	if len(b) > MaxMessageBytes {
+		return nil, ErrTooLarge
+	}
+	return b, nil
+}
+
+// Decode reads an envelope. It is safe against any input.
+func Decode(b []byte) (Envelope, error) {
+	if len(b) > MaxMessageBytes {
+		return Envelope{}, ErrTooLarge
+	}
+	var e Envelope
+	if err := decoder.Unmarshal(b, &e); err != nil {
+		return Envelope{}, errors.Wrap(err, "linker: decode envelope")
+	}
+	if e.Kind == "" || len(e.Kind) > maxKindBytes || e.From == "" {
+		return Envelope{}, errors.New("linker: incomplete envelope")
+	}
+	return e, nil
+}
--- /dev/null
+++ b/linker/linker_test.go
@@ -0,0 +1,364 @@
+package linker
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+)
+
+var testSecret = []byte("0123456789abcdef")
+
+type peer struct {
+	*Linker
+	server  *httptest.Server
+	address string
+	accepts atomic.Int32
+	mu      sync.Mutex
+	dropped map[string]int
+	sent    chan Envelope
+}
+
+func (p *peer) drops(reason string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dropped[reason]
+}
+
+func startAt(t *testing.T, listener net.Listener, id string, incarnation uint64, secrets ...[]byte) *peer {
+	t.Helper()
+	p := &peer{address: listener.Addr().String(), dropped: map[string]int{}, sent: make(chan Envelope, 100)}
+	p.Linker = New(Options{
+		ID: id, Incarnation: incarnation, Address: p.address,
+		Secrets: func() [][]byte { return secrets },
+		Dropped: func(reason string) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.dropped[reason]++
+		},
+	}, nil)
+	p.Handle("echo", func(_ context.Context, e Envelope) ([]byte, error) { return e.Body, nil })
+	p.Handle("fail", func(context.Context, Envelope) ([]byte, error) { return nil, errors.New("no luck") })
+	p.Handle("hang", func(ctx context.Context, _ Envelope) ([]byte, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	p.Handle("note", func(_ context.Context, e Envelope) ([]byte, error) {
+		p.sent <- e
+		return nil, nil
+	})
+	p.server = &httptest.Server{Listener: listener, Config: &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			p.accepts.Add(1)
+			p.ServeHTTP(w, r)
+		}),
+	}}
+	p.server.Start()
+	t.Cleanup(p.stop)
+	return p
+}
+
+func start(t *testing.T, id string, incarnation uint64, secrets ...[]byte) *peer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startAt(t, listener, id, incarnation, secrets...)
+}
+
+func (p *peer) stop() {
+	p.Close()
+	p.server.Close()
+}
+
+func within(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// TestOneLinkBothWays guards against a second connection between two peers,
+// against lost answers, and against errors that claim too much or too little.
+func TestOneLinkBothWays(t *testing.T) {
+	a, b := start(t, "a", 1, testSecret), start(t, "b", 1, testSecret)
+	ctx := within(t)
+	if got, err := a.Call(ctx, b.address, "echo", []byte("x")); err != nil || string(got) != "x" {
+		t.Fatalf("call: got %q, %v, want %q", got, err, "x")
+	}
+	if got, err := b.Call(ctx, a.address, "echo", []byte("y")); err != nil || string(got) != "y" {
+		t.Fatalf("call back: got %q, %v, want %q", got, err, "y")
+	}
+	if err := b.Send(a.address, "note", []byte("z")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-a.sent; got.From != "b" || got.Incarnation != 1 || string(got.Body) != "z" {
+		t.Errorf("one-way message: got %+v", got)
+	}
+	if got, want := a.accepts.Load()+b.accepts.Load(), int32(1); got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+	large := bytes.Repeat([]byte("l"), 1<<20)
+	if got, err := a.Call(ctx, b.address, "echo", large); err != nil || !bytes.Equal(got, large) {
+		t.Errorf("call with 1 MB: got %d bytes, %v", len(got), err)
+	}
+	faults := map[string]struct {
+		address, kind string
+		body          []byte
+		want          error
+	}{
+		"handler fails":  {b.address, "fail", nil, ErrRefused},
+		"unknown kind":   {b.address, "nothing", nil, ErrRefused},
+		"too large":      {b.address, "echo", make([]byte, MaxMessageBytes), ErrTooLarge},
+		"nobody listens": {"127.0.0.1:1", "echo", nil, ErrUnreachable},
+		"own address":    {a.address, "echo", nil, ErrUnreachable},
+	}
+	for name, f := range faults {
+		if _, err := a.Call(ctx, f.address, f.kind, f.body); !errors.Is(err, f.want) {
+			t.Errorf("%s: got %v, want %v", name, err, f.want)
+		}
+	}
+}
+
+// TestHandshake guards against links without the shared secret and against a
+// rotation that interrupts links between old and new settings.
+func TestHandshake(t *testing.T) {
+	old, fresh := []byte("old secret of peers"), []byte("new secret of peers")
+	cases := map[string]struct {
+		dialler, acceptor [][]byte
+		want              error
+	}{
+		"same secret":            {[][]byte{old}, [][]byte{old}, nil},
+		"other secret":           {[][]byte{old}, [][]byte{fresh}, ErrUnreachable},
+		"no secret":              {nil, nil, ErrUnreachable},
+		"empty secret":           {[][]byte{{}}, [][]byte{{}}, ErrUnreachable},
+		"acceptor learned first": {[][]byte{old}, [][]byte{old, fresh}, nil},
+		"dialler rotated":        {[][]byte{fresh, old}, [][]byte{old, fresh}, nil},
+		"acceptor rotated":       {[][]byte{old, fresh}, [][]byte{fresh, old}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, b := start(t, "a", 1, c.dialler...), start(t, "b", 1, c.acceptor...)
+			_, err := a.Call(within(t), b.address, "echo", nil)
+			if !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// TestProofBinds guards against a proof that can be replayed or reflected: it
+// must depend on the role, both nonces and both identities.
+func TestProofBinds(t *testing.T) {
+	d := hello{ID: "a", Incarnation: 1, Address: "x:1", Nonce: []byte("n1")}
+	c := hello{ID: "b", Incarnation: 2, Address: "x:2", Nonce: []byte("n2")}
+	variants := map[string][]byte{
+		"base":             mac(testSecret, roleDialler, d, c),
+		"role":             mac(testSecret, roleAcceptor, d, c),
+		"swapped":          mac(testSecret, roleDialler, c, d),
+		"secret":           mac([]byte("other"), roleDialler, d, c),
+		"dialler's nonce":  mac(testSecret, roleDialler, hello{"a", 1, "x:1", []byte("n3")}, c),
+		"acceptor's nonce": mac(testSecret, roleDialler, d, hello{"b", 2, "x:2", []byte("n3")}),
+		"id":               mac(testSecret, roleDialler, hello{"c", 1, "x:1", []byte("n1")}, c),
+		"shifted field":    mac(testSecret, roleDialler, hello{"a", 1, "x:1n", []byte("1")}, c),
+		"incarnation":      mac(testSecret, roleDialler, hello{"a", 9, "x:1", []byte("n1")}, c),
+	}
+	seen := map[string]string{}
+	for name, m := range variants {
+		if other, ok := seen[string(m)]; ok {
+			t.Errorf("%s and %s have the same proof", name, other)
+		}
+		seen[string(m)] = name
+	}
+}
+
+// TestAnswersMatch guards against an answer that reaches another call, or that
+// comes from another process than the called one.
+func TestAnswersMatch(t *testing.T) {
+	cases := map[string]struct {
+		answer Envelope
+		want   string // reason of the drop
+	}{
+		"right":              {Envelope{Kind: kindAnswer, From: "b", Incarnation: 7, ID: 1}, ""},
+		"late":               {Envelope{Kind: kindAnswer, From: "b", Incarnation: 7, ID: 2}, "late_answer"},
+		"of another process": {Envelope{Kind: kindAnswer, From: "b", Incarnation: 8, ID: 1}, "crossed_answer"},
+		"of another peer":    {Envelope{Kind: kindAnswer, From: "c", Incarnation: 7, ID: 1}, "crossed_answer"},
+	}
+	for name, c := range cases {
+		var dropped string
+		l := New(Options{ID: "a", Dropped: func(reason string) { dropped = reason }}, nil)
+		waiting := &call{peer: "b", incarnation: 7, answer: make(chan Envelope, 1)}
+		l.calls[1] = waiting
+		l.answered(c.answer)
+		if got := len(waiting.answer) == 1; got != (c.want == "") || dropped != c.want {
+			t.Errorf("%s: delivered %v, dropped %q, want dropped %q", name, got, dropped, c.want)
+		}
+		l.Close()
+	}
+}
+
+// TestQueueIsBounded guards against a slow peer that makes messages pile up.
+func TestQueueIsBounded(t *testing.T) {
+	l := New(Options{ID: "a"}, nil)
+	defer l.Close()
+	cases := map[string]struct{ size, want int }{
+		"by messages": {1, maxQueued},
+		"by bytes":    {1 << 20, maxQueueBytes >> 20},
+	}
+	for name, c := range cases {
+		k := newLink(l, "x:1", true)
+		var got int
+		for ; got <= maxQueued; got++ {
+			if err := k.push(Envelope{Body: make([]byte, c.size)}); err != nil {
+				if !errors.Is(err, ErrQueueFull) {
+					t.Errorf("%s: got %v, want ErrQueueFull", name, err)
+				}
+				break
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: got %d queued, want %d", name, got, c.want)
+		}
+	}
+}
+
+// TestReplacedPeer guards against a call that waits for a process that is gone
+// and against answers of the old process being taken for the new one's.
+func TestReplacedPeer(t *testing.T) {
+	a, old := start(t, "a", 1, testSecret), start(t, "b", 1, testSecret)
+	ctx := within(t)
+	failed := make(chan error)
+	go func() {
+		_, err := a.Call(ctx, old.address, "hang", nil)
+		failed <- err
+	}()
+	for len(a.Peers()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	old.stop()
+	if err := <-failed; !errors.Is(err, ErrLost) && !errors.Is(err, ErrRefused) && !errors.Is(err, ErrUnreachable) {
+		t.Errorf("call to a stopped peer: got %v, want ErrLost, ErrRefused or ErrUnreachable", err)
+	}
+	listener, err := net.Listen("tcp", old.address)
+	if err != nil {
+		t.Fatalf("the port was taken meanwhile: %v", err)
+	}
+	startAt(t, listener, "b", 2, testSecret)
+	for {
+		if _, err = a.Call(ctx, old.address, "echo", nil); err == nil || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got, want := a.Peers()["b"], uint64(2); err != nil || got != want {
+		t.Errorf("after the replacement: got incarnation %d, %v, want %d", got, err, want)
+	}
+}
+
+// TestBothDial guards against calls that are lost when both sides dial at the
+// same moment.
+func TestBothDial(t *testing.T) {
+	for i := range 20 {
+		a, b := start(t, "a", 1, testSecret), start(t, "b", 1, testSecret)
+		ctx := within(t)
+		results := make(chan error, 20)
+		call := func(from, to *peer, n int) {
+			body := fmt.Appendf(nil, "%s %d", from.opts.ID, n)
+			got, err := from.Call(ctx, to.address, "echo", body)
+			if err == nil && !bytes.Equal(got, body) {
+				err = errors.Newf("got %q, want %q", got, body)
+			}
+			results <- err
+		}
+		for n := range 10 {
+			go call(a, b, n)
+			go call(b, a, n)
+		}
+		for range 20 {
+			if err := <-results; err != nil {
+				t.Fatalf("round %d: %v", i, err)
+			}
+		}
+		a.stop()
+		b.stop()
+	}
+}
+
+// TestHostilePeer guards against a crash or a forged sender: a peer without the
+// secret gets nothing, and one with it may not speak for others.
+func TestHostilePeer(t *testing.T) {
+	b := start(t, "b", 1, testSecret)
+	ctx := within(t)
+	stranger, _, err := websocket.Dial(ctx, "ws://"+b.address+"/peer", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = stranger.Write(ctx, websocket.MessageBinary, []byte{0xff, 0x00})
+	if _, _, err := stranger.Read(ctx); err == nil {
+		t.Error("a stranger got an answer")
+	}
+	forger := New(Options{ID: "f", Incarnation: 1, Address: "f:1", Secrets: func() [][]byte {
+		return [][]byte{testSecret}
+	}}, nil)
+	defer forger.Close()
+	c, _, err := websocket.Dial(ctx, "ws://"+b.address+"/peer", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := forger.greet(ctx, c); err != nil {
+		t.Fatal(err)
+	}
+	good, _ := Envelope{Kind: "note", From: "f", Incarnation: 1}.Encode()
+	forged, _ := Envelope{Kind: "note", From: "a", Incarnation: 1}.Encode()
+	for _, m := range [][]byte{{0x01}, forged, good} {
+		_ = c.Write(ctx, websocket.MessageBinary, m)
+	}
+	if got := <-b.sent; got.From != "f" {
+		t.Errorf("got a message from %q, want %q", got.From, "f")
+	}
+	if b.drops("bad_message") != 1 || b.drops("crossed_message") != 1 {
+		t.Errorf("drops: got %v, want one bad_message and one crossed_message", b.dropped)
+	}
+}
+
+// FuzzDecode guards against input that crashes the decoder or that decodes to
+// an envelope without a kind or sender.
+func FuzzDecode(f *testing.F) {
+	for _, e := range []Envelope{
+		{Kind: "ping", From: "a", Incarnation: 1, Body: []byte{1}},
+		{Kind: kindAnswer, From: "b", Incarnation: 1 << 60, ID: 9},
+	} {
+		b, _ := e.Encode()
+		f.Add(b)
+		f.Add(b[:len(b)/2])
+	}
+	f.Add([]byte{0xbf, 0xff})
+	f.Add([]byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0xa1, 0x64, 'k', 'i', 'n', 'd', 0x7b, 0, 0, 0, 1, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if e.Kind == "" || e.From == "" {
+			t.Errorf("incomplete envelope %+v from %x", e, b)
+		}
+		again, err := e.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d, err := Decode(again); err != nil || d.Kind != e.Kind || d.ID != e.ID || !bytes.Equal(d.Body, e.Body) {
+			t.Errorf("round trip: got %+v, %v, want %+v", d, err, e)
+		}
+	})
+}
