--- /dev/null
+++ b/follower/driver.go
@@ -0,0 +1,115 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/linker"
+	"rosemaryarch.example/rosemaryarch/reviser"
+	"rosemaryarch.example/rosemaryarch/storer"
+)
+
+// Kinds of messages between followers.
+const (
+	KindHint = "revision"
+	KindAsk  = "revision_get"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	pollTimeout  = 8 * time.Second // a slow store still answers within it
+	watchTimeout = 30 * time.Second
+	watchPause   = time.Second // after an error, and between checks of the election
+)
+
+// Connect sets the function fields except Members and Adopted, so that the
+// follower speaks through l and reads s, and registers its message handlers.
+func (f *Follower) Connect(l *linker.Linker, s storer.Store, c clock.Clock) {
+	f.Hint = func(address string, body []byte) { _ = l.Send(address, KindHint, body) } // the linker counts drops
+	f.Ask = func(address string, body []byte, done func(clock.Millis, []byte, error)) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askTimeout.Duration())
+			defer cancel()
+			answer, err := l.Call(ctx, address, KindAsk, body)
+			done(c.Now(), answer, err)
+		}()
+	}
+	f.Version = func(done func(clock.Millis, uint64, error)) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+			defer cancel()
+			v, err := s.Version(ctx, reviser.Key)
+			done(c.Now(), v, err)
+		}()
+	}
+	f.Get = func(done func(clock.Millis, storer.Object, error)) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+			defer cancel()
+			o, err := s.Get(ctx, reviser.Key)
+			done(c.Now(), o, err)
+		}()
+	}
+	l.Handle(KindHint, func(_ context.Context, e linker.Envelope) ([]byte, error) {
+		return nil, f.Hinted(c.Now(), e.From, e.Body)
+	})
+	l.Handle(KindAsk, func(_ context.Context, e linker.Envelope) ([]byte, error) {
+		return f.Answer(c.Now(), e.Body)
+	})
+}
+
+// Run ticks and, while this instance is a watcher, holds the watch, until done
+// is closed. Connect must have been called.
+func (f *Follower) Run(s storer.Store, c clock.Clock, done <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.watch(ctx, s, c)
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			f.Tick(c.Now())
+		case <-done:
+			return
+		}
+	}
+}
+
+// watch delivers changes of the fleet object. The sequence starts again when
+// the instance becomes a watcher anew.
+func (f *Follower) watch(ctx context.Context, s storer.Store, c clock.Clock) {
+	var from uint64
+	for ctx.Err() == nil {
+		if !f.Watcher() {
+			pause(ctx, watchPause)
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, watchTimeout)
+		objects, next, err := s.Watch(call, reviser.Key, from)
+		cancel()
+		if err != nil {
+			klog.V(2).Infof("follower: watch of the fleet object failed: %v", err)
+			pause(ctx, watchPause)
+			continue
+		}
+		from = next
+		for _, o := range objects {
+			if o.Key == reviser.Key && !o.Deleted {
+				f.Watched(c.Now(), o)
+			}
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/follower/relay.go
@@ -0,0 +1,248 @@
+package follower
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/gossiper"
+)
+
+// noAge stands for "never confirmed" in messages.
+const noAge = -1
+
+type outageAge struct {
+	DataCentre string       `cbor:"data_centre"`
+	Age        clock.Millis `cbor:"age"`
+}
+
+// news is the body of a hint and, with the object, of an answer.
+type news struct {
+	Address  string       `cbor:"address,omitempty"` // where to ask
+	Revision uint64       `cbor:"revision"`
+	Age      clock.Millis `cbor:"age"` // of the confirmation, or noAge
+	Outages  []outageAge  `cbor:"outages,omitempty"`
+	Version  uint64       `cbor:"version,omitempty"`
+	Value    []byte       `cbor:"value,omitempty"`
+}
+
+type question struct {
+	Have uint64 `cbor:"have"`
+}
+
+// news composes what this instance knows. Evidence that no longer permits work
+// is left out.
+func (f *Follower) news(now clock.Millis) news {
+	n := news{Revision: f.held.Revision, Age: noAge}
+	if f.confirmed != 0 && now-f.confirmed < FreshFor {
+		n.Age = now - f.confirmed
+	}
+	if n.Age != noAge && n.Age < lateAge {
+		return n // a young confirmation makes outage observations useless
+	}
+	for dc, at := range f.outages {
+		if now-at < FreshFor {
+			n.Outages = append(n.Outages, outageAge{dc, now - at})
+		}
+	}
+	slices.SortFunc(n.Outages, func(a, b outageAge) int { return compare(a.DataCentre, b.DataCentre) })
+	return n
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// fresher reports whether a hint of the present evidence is due.
+func (f *Follower) fresher(now clock.Millis) bool {
+	if now-f.hinted < hintInterval || f.held.Revision == 0 {
+		return false
+	}
+	if f.confirmed-f.told >= hintInterval {
+		return true
+	}
+	if now-f.confirmed < lateAge {
+		return false
+	}
+	for dc, at := range f.outages {
+		if at-f.toldDown[dc] >= hintInterval && now-at < FreshFor {
+			return true
+		}
+	}
+	return false
+}
+
+// hint tells random members of the data centre and, if wide, one member of
+// each other data centre.
+func (f *Follower) hint(now clock.Millis, wide bool) {
+	n := f.news(now)
+	f.hinted, f.told = now, f.confirmed
+	for dc, at := range f.outages {
+		f.toldDown[dc] = at
+	}
+	var to []string
+	for _, dc := range f.view.reachable {
+		live := f.view.live[dc]
+		if dc == f.dataCentre {
+			to = append(to, f.sample(live, hintFanOut)...)
+		} else if wide {
+			to = append(to, f.contact(live))
+		}
+	}
+	self, _ := f.address()
+	n.Address = self
+	body, err := cbor.Marshal(n)
+	if err != nil {
+		return
+	}
+	f.effects = append(f.effects, func() {
+		for _, address := range to {
+			f.Hint(address, body)
+		}
+	})
+}
+
+// contact returns a watcher of another data centre, or now and then any other
+// member, so that two dead watchers do not cut it off.
+func (f *Follower) contact(live []gossiper.Member) string {
+	i := f.rand.IntN(watchersEach + 1)
+	if i == watchersEach || i >= len(live) {
+		i = f.rand.IntN(len(live))
+	}
+	return live[i].Address
+}
+
+// sample returns the addresses of up to n random members other than this one.
+func (f *Follower) sample(live []gossiper.Member, n int) []string {
+	var picked []string
+	for _, i := range f.rand.Perm(len(live)) {
+		if live[i].ID != f.self && len(picked) < n {
+			picked = append(picked, live[i].Address)
+		}
+	}
+	return picked
+}
+
+func (f *Follower) address() (string, bool) {
+	for _, m := range f.view.live[f.dataCentre] {
+		if m.ID == f.self {
+			return m.Address, true
+		}
+	}
+	return "", false
+}
+
+// Hinted handles a message of kind "revision" and asks the sender if it has
+// something newer. A hint by itself proves nothing, because it may be late.
+func (f *Follower) Hinted(now clock.Millis, from string, body []byte) error {
+	var n news
+	if err := cbor.Unmarshal(body, &n); err != nil {
+		return errors.Wrap(err, "follower: decode hint")
+	}
+	f.mu.Lock()
+	defer f.unlock()
+	f.highest = max(f.highest, n.Revision)
+	if f.wants(now, n) {
+		f.ask(now, from, n.Address, n.Revision)
+	}
+	return nil
+}
+
+func (f *Follower) wants(now clock.Millis, n news) bool {
+	if n.Revision > f.held.Revision {
+		return true
+	}
+	if n.Age != noAge && now-n.Age >= f.confirmed+hintInterval/2 {
+		return true
+	}
+	if now-f.confirmed < lateAge {
+		return false
+	}
+	for _, o := range n.Outages {
+		if now-o.Age >= f.outages[o.DataCentre]+hintInterval/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// ask puts a question to a peer, unless enough are open.
+func (f *Follower) ask(now clock.Millis, id, address string, revision uint64) {
+	if len(f.asks) >= maxAsks || address == "" {
+		return
+	}
+	for _, a := range f.asks {
+		recent := now-a.at < bodyRetry
+		if a.to == id || recent && revision > f.held.Revision && a.revision >= revision {
+			return
+		}
+	}
+	f.question(now, id, address, revision)
+}
+
+func (f *Follower) question(now clock.Millis, id, address string, revision uint64) {
+	body, err := cbor.Marshal(question{Have: f.held.Revision})
+	if err != nil {
+		return
+	}
+	f.asks = append(f.asks, ask{to: id, at: now, revision: revision})
+	f.effects = append(f.effects, func() {
+		f.Ask(address, body, func(at clock.Millis, answer []byte, err error) { f.answered(at, now, id, answer, err) })
+	})
+}
+
+// Answer handles a call of kind "revision_get".
+func (f *Follower) Answer(now clock.Millis, body []byte) ([]byte, error) {
+	var q question
+	if err := cbor.Unmarshal(body, &q); err != nil {
+		return nil, errors.Wrap(err, "follower: decode question")
+	}
+	f.mu.Lock()
+	n := f.news(now)
+	if f.held.Revision > q.Have {
+		n.Value, n.Version = f.value, f.version
+	}
+	f.mu.Unlock()
+	b, err := cbor.Marshal(n)
+	return b, errors.Wrap(err, "follower: encode answer")
+}
+
+// answered takes over what a peer knows. The question left at asked, so that
+// everything in the answer is at most as old as its age before asked.
+func (f *Follower) answered(now, asked clock.Millis, id string, body []byte, err error) {
+	f.mu.Lock()
+	defer f.unlock()
+	f.asks = slices.DeleteFunc(f.asks, func(a ask) bool { return a.to == id && a.at == asked })
+	var n news
+	if err != nil || cbor.Unmarshal(body, &n) != nil {
+		return
+	}
+	adopted := len(n.Value) > 0 && f.adopt(now, n.Value, n.Version)
+	f.highest = max(f.highest, n.Revision)
+	if n.Revision <= f.held.Revision {
+		f.census[id] = answered{at: asked, revision: n.Revision}
+		f.takeEvidence(asked, n)
+	}
+	if adopted || f.fresher(now) {
+		f.hint(now, f.view.watcher)
+	}
+}
+
+func (f *Follower) takeEvidence(asked clock.Millis, n news) {
+	if n.Age >= 0 && n.Revision > 0 {
+		f.confirm(asked - n.Age)
+	}
+	for _, o := range n.Outages {
+		if o.Age >= 0 && slices.Contains(f.view.reachable, o.DataCentre) {
+			f.outage(o.DataCentre, asked-o.Age)
+		}
+	}
+}
