--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -36,6 +36,8 @@
 	ErrNoAttempt = errors.New("engineclient: attempt cannot be resumed")
 	// ErrFenced tells that a newer commander has given commands.
 	ErrFenced = errors.New("engineclient: fencing number is old")
+	// ErrNoWeights tells that the endpoint could not get the version's weights.
+	ErrNoWeights = errors.New("engineclient: weights are not available")
 	// ErrForbidden tells that the command key is wrong.
 	ErrForbidden = errors.New("engineclient: command key is wrong")
 )
@@ -47,6 +49,7 @@
 	ReasonNotLoaded = "not_loaded"
 	ReasonNoAttempt = "no_attempt"
 	ReasonFenced    = "fenced"
+	ReasonNoWeights = "no_weights"
 	ReasonForbidden = "forbidden"
 )
 
@@ -190,6 +193,7 @@
 	sentinels := map[string]error{
 		ReasonCold: ErrCold, ReasonFull: ErrFull, ReasonNotLoaded: ErrNotLoaded,
 		ReasonNoAttempt: ErrNoAttempt, ReasonFenced: ErrFenced, ReasonForbidden: ErrForbidden,
+		ReasonNoWeights: ErrNoWeights,
 	}
 	if mark, ok := sentinels[s.Reason]; ok {
 		return errors.Mark(err, mark)
--- a/engineemulator/http.go
+++ b/engineemulator/http.go
@@ -1,6 +1,7 @@
 package engineemulator
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -180,6 +181,10 @@
 		fail(w, refusal(http.StatusForbidden, engineclient.ReasonForbidden))
 		return
 	}
+	if err := e.fetch(r.Context(), b); err != nil {
+		fail(w, err)
+		return
+	}
 	if err := e.command(b); err != nil {
 		fail(w, err)
 		return
@@ -187,18 +192,41 @@
 	answer(w, struct{}{})
 }
 
+// fetch gets the weights that a load command needs.
+func (e *Emulator) fetch(ctx context.Context, b commandBody) error {
+	e.mu.Lock()
+	err := e.fenced(b)
+	_, known := e.versions[b.Version]
+	e.mu.Unlock()
+	if err != nil || known || b.Action != engineclient.ActionLoad || e.o.Fetch == nil {
+		return err
+	}
+	if e.o.Fetch(ctx, b.Version) != nil {
+		return refusal(http.StatusServiceUnavailable, engineclient.ReasonNoWeights)
+	}
+	return nil
+}
+
+// fenced refuses a command with an old number. The mutex is held.
+func (e *Emulator) fenced(b commandBody) error {
+	if b.FencingNumber < e.fencing && !e.o.IgnoreFencing {
+		return refusal(http.StatusConflict, engineclient.ReasonFenced)
+	}
+	return nil
+}
+
 func (e *Emulator) command(b commandBody) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if err := e.fenced(b); err != nil {
+		return err
+	}
 	if b.FencingNumber < e.fencing {
-		if !e.o.IgnoreFencing {
-			return refusal(http.StatusConflict, engineclient.ReasonFenced)
-		}
 		e.staleCommands++
 	}
 	switch b.Action {
 	case engineclient.ActionLoad:
-		if !e.isLoaded(b.Version) {
+		if _, known := e.versions[b.Version]; !known {
 			e.versions[b.Version] = e.o.Now() + e.o.LoadTime
 		}
 	case engineclient.ActionUnload:
--- a/engineemulator/options.go
+++ b/engineemulator/options.go
@@ -33,6 +33,10 @@
 	LoadLag       clock.Millis // age of the load report [0]
 	LoadTime      clock.Millis // from a load command until the version is ready [0]
 
+	// Fetch, if set, gets a version's weights on a load command. Its error
+	// refuses the command.
+	Fetch func(ctx context.Context, version string) error
+
 	NoResume      bool   // attempts cannot be resumed
 	IgnoreFencing bool   // commands run whatever their number
 	CommandKey    string // required of commands, unless empty
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -38,6 +38,9 @@
 	Reason     string       `json:"reason"`
 	Run        refuser.Run  `json:"run"`
 	RetryAfter clock.Millis `json:"-"` // 0 if the answer gives none
+
+	ContentType string `json:"-"` // of the body
+	Body        []byte `json:"-"` // the answer as received
 }
 
 // Error returns the status, the reason and the run state.
@@ -92,9 +95,9 @@
 	if e.Run == "" {
 		e.Run = refuser.RunUnknown
 	}
-	e.Status = resp.StatusCode
-	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 {
-		e.RetryAfter = clock.Millis(s * float64(clock.Second))
+	e.Status, e.Body, e.ContentType = resp.StatusCode, body, resp.Header.Get("Content-Type")
+	if s, err := strconv.ParseUint(resp.Header.Get("Retry-After"), 10, 31); err == nil {
+		e.RetryAfter = clock.Millis(s) * clock.Second
 	}
 	return e
 }
@@ -139,8 +142,8 @@
 func Refuse(w http.ResponseWriter, e StatusError) {
 	w.Header().Set("Content-Type", "application/json")
 	if e.RetryAfter > 0 {
-		seconds := float64(e.RetryAfter) / float64(clock.Second)
-		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+		seconds := (e.RetryAfter + clock.Second - 1) / clock.Second
+		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
 	w.WriteHeader(e.Status)
 	_ = json.NewEncoder(w).Encode(e)
--- /dev/null
+++ b/weightclient/doc.go
@@ -0,0 +1,2 @@
+// Package weightclient is the client of the rate-limited weight store.
+package weightclient
