--- a/parser/fleet.go
+++ b/parser/fleet.go
@@ -63,6 +63,8 @@
 	State string `yaml:"state"`
 	// SharePercent is the largest share of new sessions that a canary gets.
 	SharePercent float64 `yaml:"share_percent"`
+	// Attempt is raised to try a stopped version again.
+	Attempt int `yaml:"attempt"`
 
 	Key   string `yaml:"-"` // model@version
 	Model int    `yaml:"-"` // index into Fleet.Models
--- /dev/null
+++ b/supervisor/supervisor.go
@@ -0,0 +1,175 @@
+package supervisor
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/parser"
+	"rosemaryarch.example/rosemaryarch/rater"
+	"rosemaryarch.example/rosemaryarch/roller"
+	"rosemaryarch.example/rosemaryarch/storer"
+)
+
+// Supervisor decides on the roll-outs of one instance. It is safe for
+// concurrent use.
+type Supervisor struct {
+	// Get and Put access the object API; see storer.Store.
+	Get func(ctx context.Context, key string) (storer.Object, error)
+	Put func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error)
+	// Total returns the fleet's counts of a version; see rater.Rater.Total.
+	Total func(match func(rater.Key) bool, since clock.Millis) rater.Estimate
+	// Roller holds the parameters of the test.
+	Roller roller.Roller
+
+	mu      sync.Mutex
+	records records
+	shares  map[string]float64
+	reasons map[string]string
+}
+
+// New returns a supervisor without records.
+func New(s storer.Store, r *rater.Rater, o roller.Roller) *Supervisor {
+	return &Supervisor{
+		Get: s.Get, Put: s.Put, Total: r.Total, Roller: o,
+		records: records{}, shares: map[string]float64{}, reasons: map[string]string{},
+	}
+}
+
+// Records returns the known records, to be sent to peers.
+func (s *Supervisor) Records() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records.list()
+}
+
+// Merge adopts the records of a peer and reports whether anything was new.
+func (s *Supervisor) Merge(b []Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records.merge(b)
+}
+
+// Stopped returns the versions of the fleet that a stop record in force names,
+// with the reason.
+func (s *Supervisor) Stopped(f *parser.Fleet) map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stopped := map[string]string{}
+	for _, m := range f.Models {
+		for _, v := range m.Versions {
+			if r := s.records[Entry(v)]; r.Stop != nil {
+				stopped[v.Key] = r.Stop.Reason
+			}
+		}
+	}
+	return stopped
+}
+
+// Shares returns the present share of new sessions of each canary, 0 to 1, and
+// the reason for it.
+func (s *Supervisor) Shares() (shares map[string]float64, reasons map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	shares, reasons = map[string]float64{}, map[string]string{}
+	for k, v := range s.shares {
+		shares[k], reasons[k] = v, s.reasons[k]
+	}
+	return shares, reasons
+}
+
+// Tick decides on every roll-out of the fleet and reports whether a record is
+// new, so that it should be spread at once.
+func (s *Supervisor) Tick(f *parser.Fleet, now clock.Millis) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := false
+	s.shares, s.reasons = map[string]float64{}, map[string]string{}
+	for _, m := range f.Models {
+		for _, v := range m.Versions {
+			if v.State == parser.StateCanary {
+				changed = s.decide(f, m, v, now) || changed
+			}
+		}
+	}
+	return changed
+}
+
+func (s *Supervisor) decide(f *parser.Fleet, m parser.Model, v parser.Version, now clock.Millis) bool {
+	entry := Entry(v)
+	record, known := s.records[entry]
+	if !known {
+		record = Record{Entry: entry, Since: now}
+		s.records[entry] = record
+		klog.Infof("supervisor: roll-out of %s started", v.Key)
+	}
+	rollout := roller.Rollout{
+		Version: v.Key, Current: serving(m), Since: record.Since, Ceiling: v.SharePercent / 100,
+		Candidate: s.count(f, m, v.Key, record.Since), Baseline: s.count(f, m, serving(m), record.Since),
+	}
+	if record.Stop != nil {
+		rollout.Stops = []roller.StopRecord{*record.Stop}
+	}
+	share, reason, stop := s.Roller.Decide(&rollout, now)
+	s.shares[v.Key], s.reasons[v.Key] = share, reason
+	if stop != nil {
+		record.Stop = stop
+		s.records[entry] = record
+		klog.Warningf("supervisor: stopped %s: %s, bound %.3f against %.3f of %s",
+			v.Key, stop.Reason, stop.Candidate, stop.Baseline, stop.Current)
+	}
+	return !known || stop != nil
+}
+
+// serving returns the key of the model's newest serving version, or "".
+func serving(m parser.Model) string {
+	found := ""
+	for _, v := range m.Versions {
+		if v.State == parser.StateServing {
+			found = v.Key
+		}
+	}
+	return found
+}
+
+// count returns the counts of a version over the workspaces that may use every
+// version of the model, so that both sides of the test see the same requests.
+func (s *Supervisor) count(f *parser.Fleet, m parser.Model, version string, since clock.Millis) rater.Estimate {
+	return s.Total(func(k rater.Key) bool {
+		if k.Version != version || k.Step == rater.StepEscalated {
+			return false
+		}
+		w, ok := f.Workspace(k.Workspace)
+		return ok && slices.Contains(w.Models, m.Name)
+	}, since)
+}
+
+// Sync merges the stored records with the known ones and writes what the store
+// lacks. A lost answer needs no care: the next call reads the object again.
+func (s *Supervisor) Sync(ctx context.Context) error {
+	o, err := s.Get(ctx, Key)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return err
+	}
+	if err == nil {
+		stored, err := decode(o.Value)
+		if err != nil {
+			return err
+		}
+		s.Merge(stored)
+	}
+	value, err := json.Marshal(s.Records())
+	if err != nil {
+		return errors.Wrap(err, "supervisor: encode records")
+	}
+	if string(value) == string(o.Value) || len(s.Records()) == 0 {
+		return nil
+	}
+	_, err = s.Put(ctx, Key, value, o.Version)
+	return err
+}
