Credit every candidate with the prefix that it probably holds

Only the four latest holders of a prefix were known, so a template that all endpoints hold counted as uncached at random candidates and drew load to a few.

--- a/picker/hints.go
+++ b/picker/hints.go
@@ -14,13 +14,14 @@
 	endpoint []int32
 	at       []clock.Millis
 	sets     uint64
+	pairs    []uint64 // hashes of a prefix and its holder, each at the index that it gives
 }
 
 func newHints(count int) hints {
 	sets := max(1, (count+hintWays-1)/hintWays)
 	h := hints{
 		prefix: make([]uint64, sets*hintWays), endpoint: make([]int32, sets*hintWays),
-		at: make([]clock.Millis, sets*hintWays), sets: uint64(sets),
+		at: make([]clock.Millis, sets*hintWays), sets: uint64(sets), pairs: make([]uint64, sets*hintWays),
 	}
 	for i := range h.endpoint {
 		h.endpoint[i] = noEndpoint
@@ -55,3 +56,32 @@
 		}
 	}
 }
+
+// hold notes that the endpoint with the given hash holds the prefix.
+func (h *hints) hold(prefix, endpoint uint64) {
+	pair := mix(prefix ^ endpoint)
+	h.pairs[pair%uint64(len(h.pairs))] = pair
+}
+
+// drop notes that it does not.
+func (h *hints) drop(prefix, endpoint uint64) {
+	if h.holds(prefix, endpoint) {
+		h.pairs[mix(prefix^endpoint)%uint64(len(h.pairs))] = 0
+	}
+}
+
+// holds reports whether the endpoint probably holds the prefix. Unlike the
+// entries by prefix it also answers for a prefix that many endpoints hold.
+func (h *hints) holds(prefix, endpoint uint64) bool {
+	pair := mix(prefix ^ endpoint)
+	return h.pairs[pair%uint64(len(h.pairs))] == pair
+}
+
+// mix is the finalizer of MurmurHash3, a bijection of 64-bit words.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -180,9 +180,23 @@
 	}
 }
 
+// cached returns the length in tokens of the longest prefix that e probably holds.
+func (t *Table) cached(q *Query, e int32) float32 {
+	for i := len(q.Prefix) - 1; i >= 0; i-- {
+		if t.hints.holds(q.Prefix[i], t.hash[e]) {
+			return float32(q.Tokens[i])
+		}
+	}
+	return 0
+}
+
 // offer replaces the best choice if e is expected to give the first token
-// sooner. Cached is the number of prompt tokens that e need not prefill.
-func (p *Picker) offer(t *Table, q *Query, e int32, cached float32, reason string, best *choice) {
+// sooner. Guess is the least number of prompt tokens that e holds.
+func (p *Picker) offer(t *Table, q *Query, e int32, guess float32, reason string, best *choice) {
+	cached := t.cached(q, e)
+	if cached < guess {
+		cached = guess
+	}
 	used := t.load[e] / float32(t.Limit[e])
 	if t.State[e]&StateCold != 0 {
 		used = float32(t.InFlight[e]) / float32(t.Permit[e])
@@ -194,12 +208,3 @@
 		*best = choice{endpoint: e, cost: cost, reason: reason}
 	}
 }
-
-// mix is the finalizer of MurmurHash3, a bijection of 64-bit words.
-func mix(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
--- a/picker/table.go
+++ b/picker/table.go
@@ -153,10 +153,16 @@
 }
 
 // Cached notes that e probably holds the prompt prefix with the given hash.
-func (t *Table) Cached(prefix uint64, e int, now clock.Millis) { t.hints.put(prefix, int32(e), now) }
+func (t *Table) Cached(prefix uint64, e int, now clock.Millis) {
+	t.hints.put(prefix, int32(e), now)
+	t.hints.hold(prefix, t.hash[e])
+}
 
 // Evicted notes that e no longer holds the prefix.
-func (t *Table) Evicted(prefix uint64, e int) { t.hints.remove(prefix, int32(e)) }
+func (t *Table) Evicted(prefix uint64, e int) {
+	t.hints.remove(prefix, int32(e))
+	t.hints.drop(prefix, t.hash[e])
+}
 
 // estimate returns the load of e at the instant now. The report counts less
 // with its age, down to nothing after 1/perMilli, in favour of the mean of the
