--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -118,11 +118,12 @@
 
 // VersionStatus describes one version.
 type VersionStatus struct {
-	Key     string  `json:"key"`
-	State   string  `json:"state"`   // from the text
-	Stopped string  `json:"stopped"` // reason of a stop record, if any
-	Share   float64 `json:"share"`   // present share of new sessions, 0 to 1
-	Ratings int     `json:"ratings"`
-	Quality float64 `json:"quality"` // mean rating, 0 to 1
-	Errors  int     `json:"errors"`
+	Key         string  `json:"key"`
+	State       string  `json:"state"`        // from the text
+	Stopped     string  `json:"stopped"`      // reason of a stop record, if any
+	Share       float64 `json:"share"`        // present share of new sessions, 0 to 1
+	ShareReason string  `json:"share_reason"` // see package roller
+	Ratings     int     `json:"ratings"`
+	Quality     float64 `json:"quality"` // mean rating, 0 to 1
+	Errors      int     `json:"errors"`
 }
--- /dev/null
+++ b/assembler/instance.go
@@ -0,0 +1,340 @@
+package assembler
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"rosemaryarch.example/rosemaryarch/allocator"
+	"rosemaryarch.example/rosemaryarch/biller"
+	"rosemaryarch.example/rosemaryarch/breaker"
+	"rosemaryarch.example/rosemaryarch/claimer"
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/committer"
+	"rosemaryarch.example/rosemaryarch/engineclient"
+	"rosemaryarch.example/rosemaryarch/follower"
+	"rosemaryarch.example/rosemaryarch/gossiper"
+	"rosemaryarch.example/rosemaryarch/limiter"
+	"rosemaryarch.example/rosemaryarch/linker"
+	"rosemaryarch.example/rosemaryarch/listclient"
+	"rosemaryarch.example/rosemaryarch/loader"
+	"rosemaryarch.example/rosemaryarch/meter"
+	"rosemaryarch.example/rosemaryarch/permitter"
+	"rosemaryarch.example/rosemaryarch/pinner"
+	"rosemaryarch.example/rosemaryarch/planner"
+	"rosemaryarch.example/rosemaryarch/prober"
+	"rosemaryarch.example/rosemaryarch/rater"
+	"rosemaryarch.example/rosemaryarch/reviser"
+	"rosemaryarch.example/rosemaryarch/roller"
+	"rosemaryarch.example/rosemaryarch/router"
+	"rosemaryarch.example/rosemaryarch/scheduler"
+	"rosemaryarch.example/rosemaryarch/spreader"
+	"rosemaryarch.example/rosemaryarch/storer"
+	"rosemaryarch.example/rosemaryarch/supervisor"
+	"rosemaryarch.example/rosemaryarch/tracker"
+)
+
+// Options vary an instance for embedding and for demonstrations. Zero fields
+// take the daemon's defaults.
+type Options struct {
+	Clock   clock.Clock
+	Roller  func(instance string) roller.Roller
+	Permits permitter.Options
+	Timing  router.Timing
+	// HalfLife is that of the quality counts.
+	HalfLife clock.Millis
+}
+
+const (
+	defaultHalfLife = 6 * clock.Hour
+	maxCells        = 50_000
+	tickInterval    = 50 * time.Millisecond
+	initialService  = 500 * clock.Millis(1)
+)
+
+// Instance is one entry instance. Start runs it, and Shutdown or Kill ends it.
+type Instance struct {
+	settings    loader.Settings
+	options     Options
+	keys        *loader.KeyRing
+	clock       clock.Clock
+	incarnation uint64
+	attempts    atomic.Uint64
+	done        chan struct{}
+	closeOnce   sync.Once
+	running     sync.WaitGroup
+
+	meter      *meter.Meter
+	store      storer.Store
+	links      *linker.Linker
+	gossip     *gossiper.Gossiper
+	follower   *follower.Follower
+	reviser    *reviser.Reviser
+	allocator  *allocator.Allocator
+	tracker    *tracker.Tracker
+	prober     *prober.Prober
+	rater      *rater.Rater
+	supervisor *supervisor.Supervisor
+	spreader   *spreader.Spreader
+	committer  *committer.Committer
+	claimer    *claimer.Claimer
+	biller     *biller.Biller
+	pinner     *pinner.Pinner
+	gate       *router.Gate
+	router     *router.Router
+	list       listclient.Client
+
+	plain  *http.Client // towards endpoints and the platform; no timeout of its own
+	policy policy
+	fleet  fleetTables
+	drain  drainState
+
+	callers *http.Server
+	peers   *http.Server
+}
+
+// New builds an instance. Nothing runs before Start.
+func New(s loader.Settings, o Options) (*Instance, error) {
+	keys, err := loader.OpenKeys(s.KeysFile)
+	if err != nil {
+		return nil, err
+	}
+	i := &Instance{
+		settings: s, options: o.withDefaults(), keys: keys, done: make(chan struct{}),
+		meter: meter.New(), plain: newHTTPClient(),
+	}
+	i.clock = i.options.Clock
+	i.incarnation = uint64(i.clock.Now())
+	i.store = i.counted(storer.NewHTTP(s.Store, i.plain))
+	i.list = listclient.NewHTTP(s.List, i.plain)
+	i.buildPolicy()
+	if err := i.buildPeers(); err != nil {
+		return nil, err
+	}
+	i.buildEndpoints()
+	i.buildState()
+	i.buildRouter()
+	return i, nil
+}
+
+func (o Options) withDefaults() Options {
+	if o.Clock.Now == nil {
+		o.Clock = clock.System()
+	}
+	if o.Roller == nil {
+		o.Roller = roller.Default
+	}
+	if o.Permits == (permitter.Options{}) {
+		o.Permits = permitter.DefaultOptions()
+	}
+	if o.Timing == (router.Timing{}) {
+		o.Timing = router.DefaultTiming()
+	}
+	if o.HalfLife == 0 {
+		o.HalfLife = defaultHalfLife
+	}
+	return o
+}
+
+// newHTTPClient returns a client with enough idle connections for the endpoints
+// of one instance.
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second,
+	}}
+}
+
+// seeded returns a generator whose sequence differs between instances and runs.
+func (i *Instance) seeded(stream uint64) *mathrand.Rand {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	seed := uint64(0)
+	for _, x := range b {
+		seed = seed<<8 | uint64(x)
+	}
+	return mathrand.New(mathrand.NewPCG(seed, stream))
+}
+
+func (i *Instance) buildPolicy() {
+	i.rater = rater.New(i.settings.Instance, i.incarnation, i.options.HalfLife, maxCells)
+	i.supervisor = supervisor.New(i.store, i.rater, i.options.Roller(i.settings.Instance))
+	i.gate = router.NewGate(scheduler.New(scheduler.Options{
+		Slots: i.settings.Limits.MaxInFlight, InitialService: initialService,
+	}), i.settings.Limits.MaxQueued, i.clock.Now)
+}
+
+func (i *Instance) buildEndpoints() {
+	i.tracker = tracker.New(tracker.Options{
+		DataCentre: i.settings.DataCentre, Distance: i.distance, Random: i.seeded(1),
+		Permits: tracker.Permits{
+			Units: i.allocator.Units, Start: i.allocator.Start, Finish: i.allocator.Finish,
+			Cold: i.allocator.Cold, Wanted: i.allocator.Wanted,
+		},
+		Breaker: breaker.Options{
+			Window: 10 * clock.Second, MinRequests: 5, ErrorRate: 0.5, OpenFor: clock.Second,
+			MaxOpen: 10 * clock.Second, Probes: 1, Successes: 2, ProbeTimeout: 10 * clock.Second,
+		},
+	})
+	i.prober = prober.New(prober.Options{
+		Engine: i.engine, Report: i.tracker.Report, Cached: i.tracker.Cached, Now: i.clock.Now,
+		Every: probeInterval, Timeout: probeTimeout,
+	})
+}
+
+func (i *Instance) buildRouter() {
+	i.router = router.New(router.Options{
+		Now: i.clock.Now, View: i.view, Ready: i.ready, Engine: i.engine, Rate: i.rate,
+		Pinned: i.pinned, Pin: i.pin, Bill: i.bill, Once: i.once, Send: i.send, AttemptID: i.attemptID,
+		Gate: i.gate, Tracker: i.tracker, Rater: i.rater, Planner: planner.Default(),
+		Limiter: limiter.New(limiter.Options{
+			Share: 0.08, Burst: 20, Initial: 10, Keys: 512, Base: 20, Max: clock.Second,
+		}),
+		Meter: i.meter, Random: i.seeded(2), Timing: i.options.Timing,
+	}, i.done)
+}
+
+func (i *Instance) engine(address string) engineclient.Client {
+	return engineclient.NewHTTP(address, i.keys.Keys().EndpointKey, i.plain)
+}
+
+// attemptID returns an id that no attempt of any instance has or will have.
+func (i *Instance) attemptID() string {
+	return fmt.Sprintf("%s/%d/%d", i.settings.Instance, i.incarnation, i.attempts.Add(1))
+}
+
+// newID returns a random request id.
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
+
+// Start opens the listeners and runs the systems. It returns once the instance
+// accepts connections; it may not be ready for new work yet.
+func (i *Instance) Start() error {
+	// Keep-alive probes would use a part of the control traffic's budget, and
+	// gossip detects dead peers.
+	quiet := net.ListenConfig{KeepAlive: -1}
+	peers, err := quiet.Listen(context.Background(), "tcp", i.settings.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	callers, err := net.Listen("tcp", i.settings.Listen)
+	if err != nil {
+		_ = peers.Close()
+		return errors.Wrap(err, "listen for callers")
+	}
+	i.peers = &http.Server{Handler: i.links, ReadHeaderTimeout: 5 * time.Second, TLSConfig: i.peerServerTLS()}
+	i.callers = &http.Server{Handler: i.newServer().Handler(), ReadHeaderTimeout: 5 * time.Second}
+	i.spawn(func() { i.servePeers(peers) })
+	i.spawn(func() { reportServe("callers", i.callers.Serve(callers)) })
+	i.spawn(func() { i.follower.Run(i.store, i.clock, i.done) })
+	i.spawn(func() { i.allocator.Run(i.done) })
+	i.spawn(i.runSystems)
+	klog.Infof("assembler: instance %s listens on %s, peers on %s",
+		i.settings.Instance, i.settings.Listen, i.settings.PeerListen)
+	return nil
+}
+
+func (i *Instance) servePeers(l net.Listener) {
+	if i.peers.TLSConfig != nil {
+		reportServe("peers", i.peers.ServeTLS(l, "", ""))
+		return
+	}
+	reportServe("peers", i.peers.Serve(l))
+}
+
+func reportServe(who string, err error) {
+	if !errors.Is(err, http.ErrServerClosed) {
+		klog.Errorf("assembler: serving %s ended: %v", who, err)
+	}
+}
+
+func (i *Instance) spawn(run func()) {
+	i.running.Add(1)
+	go func() {
+		defer i.running.Done()
+		run()
+	}()
+}
+
+// runSystems ticks every system until the instance stops.
+func (i *Instance) runSystems() {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	systems := i.systems()
+	for {
+		select {
+		case <-t.C:
+			now := i.clock.Now()
+			for k := range systems {
+				systems[k].tick(now)
+			}
+		case <-i.done:
+			return
+		}
+	}
+}
+
+// system is a step that runs every so often.
+type system struct {
+	every clock.Millis
+	next  clock.Millis
+	run   func(now clock.Millis)
+}
+
+func (s *system) tick(now clock.Millis) {
+	if now < s.next {
+		return
+	}
+	s.next = now + s.every
+	s.run(now)
+}
+
+// systems returns what runs on the tick, in order.
+func (i *Instance) systems() []system {
+	return []system{
+		{every: 50, run: i.tickGossip},
+		{every: 50, run: i.tickPolicy},
+		{every: 50, run: func(now clock.Millis) { i.tracker.Tick(now) }},
+		{every: 50, run: func(clock.Millis) { i.gate.Tick() }},
+		{every: 100, run: i.tickProbes},
+		{every: 250, run: i.tickSlots},
+		{every: spreader.Interval, run: func(clock.Millis) { i.tickSpread(false) }},
+		{every: listInterval, run: i.tickList},
+		{every: clock.Second, run: i.tickRecords},
+		{every: clock.Second, run: i.tickPeers},
+		{every: clock.Second, run: i.tickMeter},
+		{every: loader.KeysReloadInterval, run: i.tickKeys},
+	}
+}
+
+func (i *Instance) tickKeys(clock.Millis) {
+	if err := i.keys.Reload(); err != nil {
+		klog.Warningf("assembler: keys file: %v", err)
+	}
+}
+
+// Kill ends the instance at once, as a crash would: streams are cut and nothing
+// is announced.
+func (i *Instance) Kill() {
+	i.closeOnce.Do(func() { close(i.done) })
+	if i.callers != nil {
+		_ = i.callers.Close()
+		_ = i.peers.Close()
+	}
+	i.links.Close()
+	i.claimer.Close()
+	i.running.Wait()
+}
--- /dev/null
+++ b/assembler/peers.go
@@ -0,0 +1,222 @@
+package assembler
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+
+	"rosemaryarch.example/rosemaryarch/allocator"
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/follower"
+	"rosemaryarch.example/rosemaryarch/gossiper"
+	"rosemaryarch.example/rosemaryarch/linker"
+	"rosemaryarch.example/rosemaryarch/loader"
+	"rosemaryarch.example/rosemaryarch/permitter"
+	"rosemaryarch.example/rosemaryarch/reviser"
+	"rosemaryarch.example/rosemaryarch/server"
+	"rosemaryarch.example/rosemaryarch/spreader"
+)
+
+// kindEntry asks a peer for the address that callers use.
+const kindEntry = "entry"
+
+// entryReply describes an instance towards callers.
+type entryReply struct {
+	Address string `cbor:"address"`
+}
+
+// entries are the addresses of the live peers, by instance and incarnation.
+type entries struct {
+	mu    sync.Mutex
+	known map[string]entryReply
+}
+
+func (i *Instance) buildPeers() error {
+	serverTLS, clientTLS, err := peerTLS(i.settings.PeerTLS)
+	if err != nil {
+		return err
+	}
+	i.fleet.serverTLS = serverTLS
+	self := gossiper.Member{
+		ID: i.settings.Instance, Address: i.settings.PeerListen, DataCentre: i.settings.DataCentre,
+		Region: i.settings.Region, Incarnation: i.incarnation,
+	}
+	i.links = linker.New(linker.Options{
+		ID: self.ID, Incarnation: self.Incarnation, Address: self.Address, Secrets: i.peerSecrets, TLS: clientTLS,
+		Path: "/", Dropped: func(reason string) { i.meter.Event("peer_message_dropped_" + reason) },
+	}, i.done)
+	i.gossip = gossiper.New(self, i.seeded(3))
+	i.follower = follower.New(self, i.seeded(4))
+	i.follower.Members = i.gossip.Members
+	i.follower.Connect(i.links, i.store, i.clock)
+	i.follower.Adopted = i.adopted
+	i.gossip.Digest = func() [gossiper.DigestBytes]byte {
+		return i.follower.Digest(i.clock.Now(), i.rater.Digest())
+	}
+	i.gossip.Heard = func(from gossiper.Member, d [gossiper.DigestBytes]byte, asked clock.Millis) {
+		i.follower.Heard(i.clock.Now(), from, d, asked)
+	}
+	i.connectGossip()
+	i.spreader = spreader.New(self.ID, i.rater, i.supervisor, i.seeded(5))
+	i.spreader.Members = i.gossip.Members
+	i.spreader.Connect(i.links, i.clock)
+	i.allocator = allocator.New(
+		allocator.MemberName(self.ID, self.Incarnation), i.store, i.options.Permits, i.clock, i.seeded(6))
+	i.allocator.Members = i.gossip.Members
+	i.allocator.Processes = func() []permitter.Process { return i.tracker.Processes() }
+	i.allocator.Connect(i.links)
+	i.links.Handle(kindEntry, func(context.Context, linker.Envelope) ([]byte, error) {
+		return cbor.Marshal(entryReply{Address: i.settings.Listen})
+	})
+	i.buildReviser()
+	return nil
+}
+
+func (i *Instance) peerSecrets() [][]byte {
+	var secrets [][]byte
+	for _, s := range i.keys.Keys().PeerSecrets {
+		secrets = append(secrets, []byte(s))
+	}
+	return secrets
+}
+
+func (i *Instance) connectGossip() {
+	for _, kind := range []string{gossiper.KindPing, gossiper.KindAck, gossiper.KindPingReq} {
+		i.links.Handle(kind, func(_ context.Context, e linker.Envelope) ([]byte, error) {
+			p, err := gossiper.Decode(e.Kind, e.Body)
+			if err != nil {
+				return nil, err
+			}
+			i.sendPackets(i.gossip.Receive(i.clock.Now(), p))
+			return nil, nil
+		})
+	}
+}
+
+func (i *Instance) sendPackets(packets []gossiper.Packet) {
+	for _, p := range packets {
+		body, err := p.Encode()
+		if err != nil {
+			klog.Errorf("assembler: encode gossip packet: %v", err)
+			continue
+		}
+		_ = i.links.Send(p.To, p.Kind, body) // the linker counts drops
+	}
+}
+
+func (i *Instance) tickGossip(now clock.Millis) {
+	i.sendPackets(i.gossip.Tick(now))
+	if i.gossip.Replaced() && !i.drain.leaving() {
+		klog.Errorf("assembler: another process runs as %s, shutting down", i.settings.Instance)
+		go func() { _ = i.Shutdown(context.Background()) }()
+	}
+}
+
+func (i *Instance) buildReviser() {
+	i.reviser = reviser.New(i.store, i.clock)
+	i.reviser.Validate = validateText
+	i.reviser.CheckDataCentre = checkDataCentre
+	i.reviser.CheckEndpoint = i.checkEndpoint
+	i.reviser.MayWrite = i.mayWrite
+	i.reviser.Accepted = func(value []byte, version uint64, asked clock.Millis) {
+		i.follower.Accepted(i.clock.Now(), value, version, asked)
+	}
+}
+
+// tickPeers asks live peers for the addresses that callers use.
+func (i *Instance) tickPeers(clock.Millis) {
+	for _, m := range i.gossip.Members() {
+		if m.ID == i.settings.Instance || m.State != gossiper.Alive && m.State != gossiper.Suspect {
+			continue
+		}
+		if _, ok := i.fleet.entries.get(m); !ok {
+			go i.askEntry(m)
+		}
+	}
+}
+
+func (i *Instance) askEntry(m gossiper.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	body, err := i.links.Call(ctx, m.Address, kindEntry, nil)
+	if err != nil {
+		return
+	}
+	var r entryReply
+	if err := cbor.Unmarshal(body, &r); err != nil {
+		klog.Errorf("assembler: entry of %s: %v", m.ID, err)
+		return
+	}
+	i.fleet.entries.put(m, r)
+}
+
+func (e *entries) get(m gossiper.Member) (entryReply, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, ok := e.known[allocator.MemberName(m.ID, m.Incarnation)]
+	return r, ok
+}
+
+func (e *entries) put(m gossiper.Member, r entryReply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.known == nil {
+		e.known = map[string]entryReply{}
+	}
+	e.known[allocator.MemberName(m.ID, m.Incarnation)] = r
+}
+
+// entries returns the addresses that callers may use now: this instance and
+// the live peers, without those that leave or whose data centre is out.
+func (i *Instance) entries() server.Entries {
+	out := i.policy.current().out
+	list := server.Entries{LifetimeMS: i.settings.Limits.EntryLifetimeMS, Entries: []server.Entry{}}
+	for _, m := range i.gossip.Members() {
+		if m.State != gossiper.Alive || out[m.DataCentre] {
+			continue
+		}
+		if m.ID == i.settings.Instance {
+			if i.open() {
+				list.Entries = append(list.Entries, server.Entry{Address: i.settings.Listen, DataCentre: m.DataCentre})
+			}
+			continue
+		}
+		if r, ok := i.fleet.entries.get(m); ok {
+			list.Entries = append(list.Entries, server.Entry{Address: r.Address, DataCentre: m.DataCentre})
+		}
+	}
+	return list
+}
+
+// peerTLS reads the files for mutual TLS. Without files both results are nil.
+func peerTLS(t loader.TLS) (serverTLS, clientTLS *tls.Config, err error) {
+	if t.Certificate == "" {
+		return nil, nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "peer_tls: certificate")
+	}
+	pem, err := os.ReadFile(t.Authority)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "peer_tls: authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, nil, errors.Newf("peer_tls: %s holds no certificate", t.Authority)
+	}
+	serverTLS = &tls.Config{
+		Certificates: []tls.Certificate{certificate}, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+	clientTLS = &tls.Config{
+		Certificates: []tls.Certificate{certificate}, RootCAs: pool, MinVersion: tls.VersionTLS13,
+	}
+	return serverTLS, clientTLS, nil
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -48,7 +48,7 @@
 	DefaultMaxBodyBytes    = 1 << 20
 	DefaultMaxInFlight     = 512
 	DefaultMaxQueued       = 2048
-	DefaultEntryLifetimeMS = 5 * clock.Second
+	DefaultEntryLifetimeMS = 3 * clock.Second / 2
 	DefaultDrainMS         = 60 * clock.Second
 )
 
--- a/router/chat.go
+++ b/router/chat.go
@@ -8,6 +8,7 @@
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/parser"
+	"rosemaryarch.example/rosemaryarch/rater"
 	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/scheduler"
 )
@@ -115,6 +116,10 @@
 	return t.finish(ctx, u), nil
 }
 
+// CheckedKind names the kind under which every checked first answer of a service
+// is counted, passed or not.
+func CheckedKind(service string) string { return "checked/" + service }
+
 // failure turns an error into a refusal.
 func (t *turn) failure(err error) error {
 	var refusal *refuser.Refusal
@@ -146,6 +151,11 @@
 	passed := known && score >= t.w.Quality
 	if known {
 		t.r.o.Rater.Check(key, at, now, passed)
+		// Ratings of passed answers alone would hide a version that mostly fails.
+		all := rater.Key{Workspace: t.w.Name, Kind: CheckedKind(t.s.Name), Version: u.version}
+		t.r.o.Rater.Serve(all, at, now, false)
+		t.r.o.Rater.Ask(all, at, now)
+		t.r.o.Rater.Rate(all, at, now, score)
 	}
 	if !passed {
 		t.r.o.Meter.Retried(refuser.RetryEscalate)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -139,9 +139,10 @@
 
 // count returns the counts of a version over the workspaces that may use every
 // version of the model, so that both sides of the test see the same requests.
+// Answers after a check are left out: their requests or answers were selected.
 func (s *Supervisor) count(f *parser.Fleet, m parser.Model, version string, since clock.Millis) rater.Estimate {
 	return s.Total(func(k rater.Key) bool {
-		if k.Version != version || k.Step == rater.StepEscalated {
+		if k.Version != version || k.Step != rater.StepOnly {
 			return false
 		}
 		w, ok := f.Workspace(k.Workspace)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -372,7 +372,7 @@
 // Row is the present state of one endpoint, for operators.
 type Row struct {
 	Endpoint
-	State    string // serving, cold, leaving, out, broken
+	State    string
 	InFlight int
 	Restart  string
 	LoadAge  clock.Millis // -1 if no report has come
@@ -394,19 +394,47 @@
 	return all
 }
 
+// The states of an endpoint, as operators see them.
+const (
+	StateServing = "serving"
+	StateCold    = "cold"    // takes work within permits only
+	StateLeaving = "leaving" // the instance list says that it leaves
+	StateOut     = "out"     // taken out, or in a data centre that is taken out
+	StateBroken  = "broken"  // its circuit breaker is open
+)
+
+// States returns the names of all states.
+func States() []string {
+	return []string{StateServing, StateCold, StateLeaving, StateOut, StateBroken}
+}
+
 func stateName(s uint8) string {
 	switch {
 	case s&picker.StateOut != 0:
-		return "out"
+		return StateOut
 	case s&picker.StateLeaving != 0:
-		return "leaving"
+		return StateLeaving
 	case s&picker.StateOpen != 0:
-		return "broken"
+		return StateBroken
 	case s&picker.StateCold != 0:
-		return "cold"
+		return StateCold
 	default:
-		return "serving"
+		return StateServing
+	}
+}
+
+// Processes returns the processes of the model engines that may take work.
+func (t *Tracker) Processes() []permitter.Process {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []permitter.Process
+	for i := range t.rows {
+		r := &t.rows[i]
+		if r.Service == "" && r.restart != "" && !r.Out && !r.Leaving {
+			all = append(all, permitter.Process{Endpoint: r.ID, Restart: r.restart})
+		}
 	}
+	return all
 }
 
 func equal(a, b []string) bool {
