Raise the endpoint queue of the endpoint_choice experiment to 4

With a limit of two requests beyond the slots, slots stood empty between the late reports. Weights of 50 and 200 ms for the load and a squared load were tried and are not better at all loads.

--- a/experimenter/endpointchoice.go
+++ b/experimenter/endpointchoice.go
@@ -23,7 +23,7 @@
 	meanThinkMillis   = 8000
 	meanDecodeTokens  = 120
 	hopMillis         = 1
-	endpointQueue     = 2 // requests beyond the slots that the picker may send to an endpoint
+	endpointQueue     = 4 // requests beyond the slots; with 2, slots stood empty between the late reports
 )
 
 // EndpointChoice returns the experiment on the choice of an endpoint. Nine
