Compute the roller's evidence without a logarithm per alternative

The margins of the first steps are 0.05 of quality and 3% of errors, so that a version that is worse by more stays at 1%.

--- a/roller/evidence.go
+++ b/roller/evidence.go
@@ -20,13 +20,24 @@
 	return sample{n: s.n, sum: s.n - s.sum, squares: s.n - 2*s.sum + s.squares}
 }
 
-// The alternatives of both mixtures form geometric grids, so that small and
+// The alternatives of both mixtures form a geometric grid, so that small and
 // large differences each have one nearby.
 const (
 	gridPoints = 12
 	gridRatio  = 0.7
+	boundSteps = 20 // halvings of the interval of a bound
 )
 
+// bets holds the grid, logBets the logarithms of k and logRests those of 1-k.
+var bets, logBets, logRests = func() (k, log, rest [gridPoints]float64) {
+	x := 1.0
+	for i := range k {
+		x *= gridRatio
+		k[i], log[i], rest[i] = x, math.Log(x), math.Log1p(-x)
+	}
+	return k, log, rest
+}()
+
 // evidence returns the logarithm of an e-process against "the mean is at least
 // m". Under that hypothesis it exceeds log(1/alpha) at any time with probability
 // at most alpha (Ville's inequality). It depends on the values only through
@@ -49,27 +60,20 @@
 	m = min(m, 1-1e-9)
 	drift := s.n*m - s.sum
 	variation := max(0, s.n*m*m-2*m*s.sum+s.squares)
-	total := math.Inf(-1)
-	odds, k := m/(1-m), 1.0
-	for range gridPoints {
-		odds *= gridRatio
-		k *= gridRatio
-		p := odds / (1 + odds)
-		ratio := s.sum*math.Log(p/m) + (s.n-s.sum)*math.Log((1-p)/(1-m))
-		bet := k*drift + (k+math.Log1p(-k))*variation
-		total = logAdd(total, logAdd(ratio, bet))
-	}
-	return total - math.Log(2*gridPoints)
-}
-
-func logAdd(a, b float64) float64 {
-	if a < b {
-		a, b = b, a
+	var terms [2 * gridPoints]float64
+	odds, top := m/(1-m), math.Inf(-1)
+	for i, k := range bets {
+		// With odds o of m and k·o of p, p/m = k·(1+o)/(1+k·o) and (1-p)/(1-m) = (1+o)/(1+k·o).
+		ratio := s.sum*logBets[i] + s.n*math.Log((1+odds)/(1+k*odds))
+		bet := k*drift + (k+logRests[i])*variation
+		terms[2*i], terms[2*i+1] = ratio, bet
+		top = max(top, ratio, bet)
 	}
-	if math.IsInf(b, -1) {
-		return a
+	var total float64
+	for _, x := range terms {
+		total += math.Exp(x - top)
 	}
-	return a + math.Log1p(math.Exp(b-a))
+	return top + math.Log(total/(2*gridPoints))
 }
 
 // upper returns the upper end of an always-valid confidence sequence for the
@@ -84,7 +88,7 @@
 	if evidence(s, high) < goal {
 		return 1
 	}
-	for range 30 {
+	for range boundSteps {
 		mid := (low + high) / 2
 		if evidence(s, mid) >= goal {
 			high = mid
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -67,8 +67,8 @@
 	return Roller{
 		Instance:         instance,
 		Steps:            []float64{0.01, 0.05, 0.2, 0.5, 1},
-		QualityMargins:   []float64{0.10, 0.07, 0.05, 0.04},
-		ErrorMargins:     []float64{0.05, 0.03, 0.02, 0.015},
+		QualityMargins:   []float64{0.05, 0.05, 0.04, 0.03},
+		ErrorMargins:     []float64{0.03, 0.02, 0.015, 0.015},
 		Dwell:            10 * clock.Minute,
 		QualityTolerance: 0.01,
 		ErrorTolerance:   0.005,
