Give the rater's counts by time bucket

Totals replaces Total, so that two versions can be compared within spans of time. A bucket is now a quarter of a half-life and counts are kept for five half-lives.

--- a/rater/bounds.go
+++ b/rater/bounds.go
@@ -31,6 +31,14 @@
 	}
 }
 
+// Scale returns the estimate with all counts multiplied by w.
+func (e Estimate) Scale(w float64) Estimate {
+	return Estimate{
+		Served: w * e.Served, Errors: w * e.Errors, Asked: w * e.Asked, Rated: w * e.Rated,
+		Sum: w * e.Sum, Squares: w * e.Squares, Passed: w * e.Passed, Failed: w * e.Failed,
+	}
+}
+
 // Mean returns the mean rated quality, or 0 without ratings.
 func (e Estimate) Mean() float64 {
 	if e.Rated <= 0 {
--- a/rater/rater.go
+++ b/rater/rater.go
@@ -19,8 +19,8 @@
 
 const (
 	qualityScale   = 1000 // units of quality 1
-	bucketsPerLife = 2
-	bucketsKept    = 16
+	bucketsPerLife = 4
+	bucketsKept    = 20
 )
 
 // Key names what is counted. Names of more than 256 bytes and unknown steps are
@@ -55,9 +55,9 @@
 }
 
 // New returns an empty rater of one incarnation of an instance. Counts weigh
-// half after halfLife and are removed after eight half-lives. At most maxCells
+// half after halfLife and are removed after five half-lives. At most maxCells
 // cells are held; the oldest are removed first. It panics if halfLife is under
-// 2 ms or maxCells is not positive.
+// 4 ms or maxCells is not positive.
 func New(instance string, incarnation uint64, halfLife clock.Millis, maxCells int) *Rater {
 	if halfLife < bucketsPerLife || maxCells <= 0 {
 		panic("rater: half-life or number of cells too small")
@@ -134,24 +134,25 @@
 	return e
 }
 
-// Total returns the counts, without ageing, of the keys that match accepts and
-// of the answers given from the bucket of since on.
-func (r *Rater) Total(match func(Key) bool, since clock.Millis) Estimate {
+// Totals returns the counts, without ageing, of the keys that match accepts, by
+// time bucket of a quarter of a half-life from that of since to that of now.
+// Removed buckets are left out.
+func (r *Rater) Totals(match func(Key) bool, since, now clock.Millis) []Estimate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	first := r.bucket(since)
-	var e Estimate
+	first := max(r.bucket(since), r.floor(now))
+	totals := make([]Estimate, max(0, r.bucket(now)-first+1))
 	for k, cells := range r.keys {
 		if !match(k) {
 			continue
 		}
 		for o, c := range cells {
-			if o.bucket >= first {
-				e = e.Plus(c.counts.weighted(1))
+			if i := o.bucket - first; i >= 0 && i < int64(len(totals)) {
+				totals[i] = totals[i].Plus(c.counts.weighted(1))
 			}
 		}
 	}
-	return e
+	return totals
 }
 
 func (r *Rater) add(k Key, at, now clock.Millis, change func(*counts)) bool {
