--- a/roller/evidence.go
+++ b/roller/evidence.go
@@ -1,31 +1,32 @@
 package roller
 
-import "math"
+import (
+	"math"
+
+	"rosemaryarch.example/rosemaryarch/rater"
+)
 
 // sample is what a test needs to know of n values in [0, 1].
 type sample struct {
 	n, sum, squares float64
 }
 
-// mean returns the mean of the values, or without values the given one.
-func (s sample) mean(without float64) float64 {
-	if s.n <= 0 {
-		return without
-	}
-	return s.sum / s.n
-}
-
 // flip returns the sample of 1-x.
 func (s sample) flip() sample {
 	return sample{n: s.n, sum: s.n - s.sum, squares: s.n - 2*s.sum + s.squares}
 }
 
+func ratings(e rater.Estimate) sample { return sample{n: e.Rated, sum: e.Sum, squares: e.Squares} }
+
+func failures(e rater.Estimate) sample {
+	return sample{n: e.Served, sum: e.Errors, squares: e.Errors}
+}
+
 // The alternatives of both mixtures form a geometric grid, so that small and
 // large differences each have one nearby.
 const (
 	gridPoints = 12
 	gridRatio  = 0.7
-	boundSteps = 20 // halvings of the interval of a bound
 )
 
 // bets holds the grid, logBets the logarithms of k and logRests those of 1-k.
@@ -38,66 +39,106 @@
 	return k, log, rest
 }()
 
-// evidence returns the logarithm of an e-process against "the mean is at least
-// m". Under that hypothesis it exceeds log(1/alpha) at any time with probability
-// at most alpha (Ville's inequality). It depends on the values only through
-// their sums, so merged counts are sufficient. It is the mean of two mixtures,
-// each over a grid:
+const (
+	minBaseline = 30   // values of the current version that a stratum needs
+	edge        = 1e-9 // distance of a reference mean from 0 and 1
+)
+
+// strata compares two versions within spans of time, so that a common drift of
+// both does not count: the share changes with time, so the spans weigh
+// differently for the two versions.
+type strata struct {
+	fresh []sample
+	old   []float64 // mean of the current version
+	error float64   // standard error of the mean of old, weighted like fresh
+	mean  float64   // of fresh
+	base  float64   // mean of old, weighted like fresh
+	n     float64   // values in fresh
+}
+
+// compare returns the strata in which the current version has enough values.
+func compare(candidate, baseline []rater.Estimate, of func(rater.Estimate) sample) strata {
+	var s strata
+	var variance float64
+	for i := range candidate {
+		c, b := of(candidate[i]), of(baseline[i])
+		if c.n <= 0 || b.n < minBaseline {
+			continue
+		}
+		mean := b.sum / b.n
+		s.fresh = append(s.fresh, c)
+		s.old = append(s.old, mean)
+		s.n += c.n
+		s.mean += c.sum
+		s.base += c.n * mean
+		// The added 1/n keeps the variance of a rare event above 0.
+		variance += c.n * c.n * (max(0, b.squares/b.n-mean*mean) + 1/b.n) / b.n
+	}
+	if s.n > 0 {
+		s.mean /= s.n
+		s.base /= s.n
+		s.error = math.Sqrt(variance) / s.n
+	}
+	return s
+}
+
+// flip returns the strata of 1-x.
+func (s strata) flip() strata {
+	f := strata{error: s.error, mean: 1 - s.mean, base: 1 - s.base, n: s.n}
+	for i := range s.fresh {
+		f.fresh = append(f.fresh, s.fresh[i].flip())
+		f.old = append(f.old, 1-s.old[i])
+	}
+	return f
+}
+
+// below returns the logarithm of an e-process against "in every stratum the mean
+// of the new version is at least that of the current one less margin". Under
+// that hypothesis it exceeds log(1/alpha) at any time with probability at most
+// alpha (Ville's inequality), so it may be looked at after every merge. It
+// depends on the values only through their sums. It is the mean of two mixtures
+// over a grid of bets k, with m the reference mean of a stratum:
 //
-//   - the likelihood ratio of Bernoulli variables with means p < m and m, which
-//     by convexity is a supermartingale for all values in [0, 1] (Robbins 1970;
-//     Johari, Koomen, Pekelis, Walsh: Always Valid Inference, Operations
-//     Research 70, 2022);
+//   - the likelihood ratio of Bernoulli variables whose odds are k times those
+//     of m, which by convexity is a supermartingale for all values in [0, 1]
+//     (Robbins 1970; Johari, Koomen, Pekelis, Walsh: Always Valid Inference,
+//     Operations Research 70, 2022);
 //   - exp(k·Σx + (k+log(1-k))·Σx²) for x = m - value, which adapts to a small
 //     variance (Fan, Grama, Liu: Exponential inequalities for martingales,
 //     Electronic Journal of Probability 20, 2015; Howard, Ramdas, McAuliffe,
 //     Sekhon: Time-uniform, nonparametric, nonasymptotic confidence sequences,
 //     Annals of Statistics 49, 2021).
-func evidence(s sample, m float64) float64 {
-	if s.n <= 0 || m <= 0 {
+//
+// It is also a mean over the stratum from which values count, so that a version
+// that turns bad late is not excused by its past (Shin, Ramdas, Rinaldo:
+// E-detectors, New England Journal of Statistics in Data Science 2, 2024).
+func (s strata) below(margin float64) float64 {
+	if len(s.fresh) == 0 {
 		return 0
 	}
-	m = min(m, 1-1e-9)
-	drift := s.n*m - s.sum
-	variation := max(0, s.n*m*m-2*m*s.sum+s.squares)
-	var terms [2 * gridPoints]float64
-	odds, top := m/(1-m), math.Inf(-1)
-	for i, k := range bets {
-		// With odds o of m and k·o of p, p/m = k·(1+o)/(1+k·o) and (1-p)/(1-m) = (1+o)/(1+k·o).
-		ratio := s.sum*logBets[i] + s.n*math.Log((1+odds)/(1+k*odds))
-		bet := k*drift + (k+logRests[i])*variation
-		terms[2*i], terms[2*i+1] = ratio, bet
-		top = max(top, ratio, bet)
-	}
-	var total float64
-	for _, x := range terms {
-		total += math.Exp(x - top)
+	var logs [2 * gridPoints]float64
+	top, total := math.Inf(-1), 0.0
+	for i := len(s.fresh) - 1; i >= 0; i-- {
+		addStratum(&logs, s.fresh[i], min(1-edge, max(edge, s.old[i]-margin)))
+		for _, x := range logs {
+			if x > top {
+				total *= math.Exp(top - x)
+				top = x
+			}
+			total += math.Exp(x - top)
+		}
 	}
-	return top + math.Log(total/(2*gridPoints))
+	return top + math.Log(total/float64(len(logs)*len(s.fresh)))
 }
 
-// upper returns the upper end of an always-valid confidence sequence for the
-// mean: the smallest value above the observed mean against which the evidence
-// reaches 1/alpha.
-func upper(s sample, alpha float64) float64 {
-	if s.n <= 0 {
-		return 1
-	}
-	goal := -math.Log(alpha)
-	low, high := s.sum/s.n, 1.0
-	if evidence(s, high) < goal {
-		return 1
-	}
-	for range boundSteps {
-		mid := (low + high) / 2
-		if evidence(s, mid) >= goal {
-			high = mid
-		} else {
-			low = mid
-		}
+// addStratum adds the logarithms of one stratum with reference mean m for every bet.
+func addStratum(logs *[2 * gridPoints]float64, x sample, m float64) {
+	drift := x.n*m - x.sum
+	variation := max(0, x.n*m*m-2*m*x.sum+x.squares)
+	odds := m / (1 - m)
+	for i, k := range bets {
+		// With odds o of m and k·o of p, p/m = k·(1+o)/(1+k·o) and (1-p)/(1-m) = (1+o)/(1+k·o).
+		logs[2*i] += x.sum*logBets[i] + x.n*math.Log((1+odds)/(1+k*odds))
+		logs[2*i+1] += k*drift + (k+logRests[i])*variation
 	}
-	return high
 }
-
-// lower returns the lower end of an always-valid confidence sequence for the mean.
-func lower(s sample, alpha float64) float64 { return 1 - upper(s.flip(), alpha) }
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -1,6 +1,8 @@
 package roller
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -28,21 +30,23 @@
 	Reason    string       `json:"reason" cbor:"reason"`   // ReasonQuality or ReasonErrors
 	At        clock.Millis `json:"at" cbor:"at"`
 	Instance  string       `json:"instance" cbor:"instance"`
-	Candidate float64      `json:"candidate" cbor:"candidate"` // bound of the stopped version
-	Baseline  float64      `json:"baseline" cbor:"baseline"`   // bound of the current version
+	Candidate float64      `json:"candidate" cbor:"candidate"` // mean of the stopped version
+	Baseline  float64      `json:"baseline" cbor:"baseline"`   // mean of the current version at the same times
 	Samples   float64      `json:"samples" cbor:"samples"`     // ratings or answers of the stopped version
 }
 
 // Rollout is the state of one roll-out. The counts are those of the whole fleet
-// since the start, without ageing, over the workspaces that allow both versions.
+// since the start, without ageing, over the workspaces that allow both versions,
+// by span of time; see rater.Totals. Spans must be short against the time in
+// which the traffic changes, since both versions are compared within each.
 type Rollout struct {
 	Version   string
 	Current   string
 	Since     clock.Millis
 	Ceiling   float64 // largest share allowed; a halted roll-out has the share at which it was halted
 	Withdrawn bool
-	Candidate rater.Estimate
-	Baseline  rater.Estimate
+	Candidate []rater.Estimate
+	Baseline  []rater.Estimate
 	Stops     []StopRecord // all known stop records, including those of other instances
 }
 
@@ -57,12 +61,12 @@
 	Dwell            clock.Millis // shortest time on each step
 	QualityTolerance float64      // difference that does not count as worse
 	ErrorTolerance   float64
-	Alpha            float64 // error probability of each bound of the new version
-	BaselineAlpha    float64 // error probability of each bound of the current version
+	Alpha            float64 // error probability of each test
+	BaselineErrors   float64 // standard errors by which the current mean may be wrong
 }
 
 // Default returns the usual parameters. The error probabilities of the two tests
-// add up to 0.8%.
+// add up to 0.6%, and those of three standard errors to 0.3%.
 func Default(instance string) Roller {
 	return Roller{
 		Instance:         instance,
@@ -73,7 +77,7 @@
 		QualityTolerance: 0.01,
 		ErrorTolerance:   0.005,
 		Alpha:            0.003,
-		BaselineAlpha:    0.001,
+		BaselineErrors:   3,
 	}
 }
 
@@ -100,33 +104,33 @@
 	return share, reason, nil
 }
 
-// test compares always-valid bounds of both versions. Both are valid at any
-// time together, so the test may be repeated with every merge.
+// test looks for evidence that the new version fails more often, or is rated
+// worse, than the current one. It may be repeated with every merge.
 func (r Roller) test(t *Rollout, now clock.Millis) *StopRecord {
 	stop := StopRecord{Version: t.Version, Current: t.Current, At: now, Instance: r.Instance}
-	fresh, old := failures(t.Candidate), failures(t.Baseline)
-	stop.Candidate, stop.Baseline = lower(fresh, r.Alpha), upper(old, r.BaselineAlpha)
-	if stop.Candidate > stop.Baseline+r.ErrorTolerance {
-		stop.Reason, stop.Samples = ReasonErrors, fresh.n
+	goal := -math.Log(r.Alpha)
+	failing := compare(t.Candidate, t.Baseline, failures)
+	if failing.flip().below(r.ErrorTolerance+r.BaselineErrors*failing.error) >= goal {
+		stop.Reason, stop.Candidate, stop.Baseline, stop.Samples = ReasonErrors, failing.mean, failing.base, failing.n
 		return &stop
 	}
-	fresh, old = ratings(t.Candidate), ratings(t.Baseline)
-	stop.Candidate, stop.Baseline = upper(fresh, r.Alpha), lower(old, r.BaselineAlpha)
-	if stop.Candidate < stop.Baseline-r.QualityTolerance {
-		stop.Reason, stop.Samples = ReasonQuality, fresh.n
+	rated := compare(t.Candidate, t.Baseline, ratings)
+	if rated.below(r.QualityTolerance+r.BaselineErrors*rated.error) >= goal {
+		stop.Reason, stop.Candidate, stop.Baseline, stop.Samples = ReasonQuality, rated.mean, rated.base, rated.n
 		return &stop
 	}
 	return nil
 }
 
-// step returns the first step that is not cleared yet. Without ratings of the
-// current version its quality counts as 1, so that no step is cleared by a lack
-// of ratings.
+// step returns the first step that is not cleared yet. A step is cleared by
+// evidence that the new version is not worse by more than the margins; without
+// ratings of both versions there is none.
 func (r Roller) step(t *Rollout, now clock.Millis) (int, string) {
-	quality := lower(ratings(t.Candidate), r.Alpha) - ratings(t.Baseline).mean(1)
-	failing := upper(failures(t.Candidate), r.Alpha) - failures(t.Baseline).mean(0)
+	goal := -math.Log(r.Alpha)
+	rated := compare(t.Candidate, t.Baseline, ratings).flip()
+	failing := compare(t.Candidate, t.Baseline, failures)
 	for i := range len(r.Steps) - 1 {
-		if quality < -r.QualityMargins[i] || failing > r.ErrorMargins[i] {
+		if rated.below(-r.QualityMargins[i]) < goal || failing.below(-r.ErrorMargins[i]) < goal {
 			return i, ReasonHeld
 		}
 		if now < t.Since+clock.Millis(i+1)*r.Dwell {
@@ -146,9 +150,3 @@
 	_, _ = d.WriteString(session)
 	return float64(d.Sum64()>>11)/(1<<53) < share
 }
-
-func ratings(e rater.Estimate) sample { return sample{n: e.Rated, sum: e.Sum, squares: e.Squares} }
-
-func failures(e rater.Estimate) sample {
-	return sample{n: e.Served, sum: e.Errors, squares: e.Errors}
-}
