permitter: count finished work by round and keep cold marks

The property test found two faults: requests that finished before a sign of cold raised the limit after it (a late ask had set a low base line), and a member that is not the granter dropped a cold mark at its next tick. Permits now carry a round, which begins with a new granter and with each sign; marks are kept for the takeover wait.

--- a/permitter/granter.go
+++ b/permitter/granter.go
@@ -1,8 +1,11 @@
 package permitter
 
 import (
+	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rosemaryarch.example/rosemaryarch/clock"
 )
 
@@ -15,6 +18,7 @@
 	until   clock.Millis
 	votes   map[string]clock.Millis // when each member was asked for its newest vote
 	ledgers map[Process]*ledger
+	rounds  uint64 // rounds that were begun
 }
 
 // adoption is an assignment with the instant at which it was adopted.
@@ -114,12 +118,17 @@
 	units := l.grant(now, q, g.options)
 	return Permit{
 		Process: q.Process, Holder: q.Holder, Epoch: q.Epoch, Sequence: q.Sequence,
-		Units: units, Lifetime: g.options.lifetime(units),
+		Units: units, Round: l.round, Lifetime: g.options.lifetime(units),
 	}, true
 }
 
-// Cold records that a process is cold.
-func (g *Granter) Cold(p Process) { g.ledger(p).cool(g.options) }
+// Cold records that a process is cold. A member that is not the granter now
+// keeps the mark until every permit from before it must have run out.
+func (g *Granter) Cold(now clock.Millis, p Process) {
+	l := g.ledger(p)
+	l.used = now
+	l.cool(g.options, g.nextRound())
+}
 
 // Limit returns the present limit of a process, or Unlimited if it is warm.
 func (g *Granter) Limit(p Process) int {
@@ -192,8 +201,15 @@
 func (g *Granter) ledger(p Process) *ledger {
 	l, ok := g.ledgers[p]
 	if !ok {
-		l = newLedger(g.options)
+		l = newLedger(g.options, g.nextRound())
 		g.ledgers[p] = l
 	}
 	return l
 }
+
+// nextRound returns a number that no granter has used before: it hashes the
+// member's unique name with a counter.
+func (g *Granter) nextRound() uint64 {
+	g.rounds++
+	return xxhash.Sum64String(fmt.Sprintf("%s/%d", g.member, g.rounds))
+}
--- a/permitter/holder.go
+++ b/permitter/holder.go
@@ -19,7 +19,8 @@
 	units    int          // of the newest permit
 	until    clock.Millis // end of the newest permit
 	running  int
-	finished uint64
+	round    uint64 // of the newest permit
+	finished uint64 // in this round
 }
 
 // Work is one request that runs at a process.
@@ -27,6 +28,7 @@
 	Process
 	Deadline clock.Millis // the endpoint must have ended the request by then
 	limited  bool
+	round    uint64
 }
 
 // NewHolder returns a holder without permits. Member names the instance with
@@ -60,7 +62,8 @@
 	}
 	return Ask{
 		Process: p, Holder: h.member, Epoch: h.assignment.Epoch, Sequence: t.sequence,
-		Want: want, Held: t.units, Running: t.running, Finished: t.finished,
+		Want: want, Held: t.units, Running: t.running,
+		Round: t.round, Finished: t.finished,
 	}
 }
 
@@ -72,6 +75,9 @@
 	}
 	t.sequence = 0
 	t.units, t.until = m.Units, t.asked+m.Lifetime
+	if m.Round != t.round {
+		t.round, t.finished = m.Round, 0
+	}
 	return now < t.until
 }
 
@@ -98,7 +104,7 @@
 	}
 	t := h.processes[p]
 	t.running++
-	return Work{Process: p, Deadline: now + h.options.Work, limited: t.units != Unlimited}, true
+	return Work{Process: p, Deadline: now + h.options.Work, limited: t.units != Unlimited, round: t.round}, true
 }
 
 // Finish ends a request that Start has counted. Normal is false if it failed or
@@ -109,7 +115,7 @@
 		return
 	}
 	t.running--
-	if normal && w.limited {
+	if normal && w.limited && w.round == t.round {
 		t.finished++
 	}
 }
--- a/permitter/ledger.go
+++ b/permitter/ledger.go
@@ -7,9 +7,10 @@
 	limit    int
 	warm     bool
 	doubted  bool // a cold sign was seen
-	step     int  // requests finished at the present limit
+	round    uint64
+	step     int // requests of the round finished at the present limit
 	accounts map[string]*account
-	finished map[string]uint64 // newest Finished of each holder
+	finished map[string]uint64 // newest Finished of each holder in the round
 	reported map[string]bool   // members that reported under the present epoch
 	used     clock.Millis
 }
@@ -23,9 +24,9 @@
 	until    clock.Millis // nothing of the holder runs afterwards
 }
 
-func newLedger(o Options) *ledger {
+func newLedger(o Options, round uint64) *ledger {
 	return &ledger{
-		limit: o.ColdLimit, accounts: map[string]*account{},
+		limit: o.ColdLimit, round: round, accounts: map[string]*account{},
 		finished: map[string]uint64{}, reported: map[string]bool{},
 	}
 }
@@ -62,18 +63,16 @@
 	return true
 }
 
-// learn raises the limit for requests that have finished. What a holder
-// finished before its first report is not counted: it may have preceded a sign
-// of cold.
+// learn raises the limit for requests that have finished.
 func (l *ledger) learn(q Ask, o Options) {
 	if q.Held == Unlimited && !l.doubted {
 		l.warm = true
 	}
-	before, known := l.finished[q.Holder]
-	l.finished[q.Holder] = max(before, q.Finished)
-	if !known || q.Finished <= before || l.warm {
+	before := l.finished[q.Holder]
+	if l.warm || q.Round != l.round || q.Finished <= before {
 		return
 	}
+	l.finished[q.Holder] = q.Finished
 	l.step += int(q.Finished - before)
 	for l.step >= o.StepWork*l.limit && !l.warm {
 		l.step -= o.StepWork * l.limit
@@ -109,7 +108,6 @@
 	for h, a := range l.accounts {
 		if now >= a.until {
 			delete(l.accounts, h)
-			delete(l.finished, h)
 			continue
 		}
 		if h != holder {
@@ -132,7 +130,8 @@
 }
 
 // cool drops the process to the cold limit. Permits that are out stay counted.
-func (l *ledger) cool(o Options) {
+func (l *ledger) cool(o Options, round uint64) {
+	l.round = round
 	l.limit, l.warm, l.doubted, l.step = o.ColdLimit, false, true, 0
 	clear(l.finished)
 }
--- a/permitter/permit.go
+++ b/permitter/permit.go
@@ -50,8 +50,8 @@
 }
 
 // Ask is a holder's request for a permit and its report. Held is 0 if the
-// holder has no valid permit. Finished counts the requests that ended normally
-// under a limited permit.
+// holder has no valid permit. Finished counts the requests that started under
+// limited permits of the round and ended normally.
 type Ask struct {
 	Process
 	Holder   string `cbor:"holder"`
@@ -60,17 +60,21 @@
 	Want     int    `cbor:"want"` // units; 0 gives the permit back
 	Held     int    `cbor:"held"`
 	Running  int    `cbor:"running"`
+	Round    uint64 `cbor:"round"`
 	Finished uint64 `cbor:"finished"`
 }
 
 // Permit allows its holder up to Units concurrent requests at the process. It
-// replaces the permit that the holder had before.
+// replaces the permit that the holder had before. A round begins with a new
+// granter and with each sign of cold; only requests that started in it raise
+// the limit.
 type Permit struct {
 	Process
 	Holder   string       `cbor:"holder"`
 	Epoch    uint64       `cbor:"epoch"`
 	Sequence uint64       `cbor:"sequence"` // of the ask
 	Units    int          `cbor:"units"`
+	Round    uint64       `cbor:"round"`
 	Lifetime clock.Millis `cbor:"lifetime"` // from before the holder asked
 }
 
--- /dev/null
+++ b/permitter/permitter_test.go
@@ -0,0 +1,351 @@
+package permitter
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/storeemulator"
+)
+
+// propose writes an assignment from a member's own view of the membership.
+func (m *model) propose() {
+	b := m.pick()
+	if b == nil || b.side != 0 || m.down {
+		return
+	}
+	a, err := b.registry.Load(context.Background())
+	if err != nil {
+		return
+	}
+	var view []string
+	for _, o := range m.members {
+		if !o.dead && m.random.IntN(6) > 0 {
+			view = append(view, o.id)
+		}
+	}
+	n := a.Next(b.id, view, m.drained)
+	if len(view) > 0 && b.registry.Save(context.Background(), n) == nil {
+		m.adopt(b, n)
+	}
+}
+
+// replace ends a member, gracefully if it has nothing running, and starts
+// another incarnation.
+func (m *model) replace() {
+	b := m.pick()
+	if b == nil {
+		return
+	}
+	b.dead = true
+	var running int
+	for _, h := range m.machines {
+		for _, j := range h.jobs {
+			if j.holder == b {
+				running++
+			}
+		}
+	}
+	if running == 0 {
+		m.drained = append(m.drained, b.id)
+	}
+	m.join(fmt.Sprintf("r%d/1", len(m.members)))
+}
+
+func (m *model) each(change func(*machine)) {
+	for _, h := range m.machines {
+		change(h)
+	}
+}
+
+func (m *model) restart(h *machine) {
+	h.restart++
+	h.finished, h.jobs, h.cooling = 0, nil, 0
+}
+
+// cool makes a warm process cold without a restart; one member sees the sign.
+func (m *model) cool(h *machine) {
+	b := m.pick()
+	if b == nil || h.tolerance() != Unlimited {
+		return
+	}
+	h.cooling++
+	h.finished = 0
+	p, cooling := Process{Endpoint: h.name, Restart: fmt.Sprint(h.restart)}, h.cooling
+	b.holder.Cold(p)
+	for _, o := range m.members {
+		m.send(b, o, func() {
+			o.holder.Cold(p)
+			o.granter.Cold(m.clock(o), p)
+			o.told[p] = max(o.told[p], cooling)
+		})
+	}
+}
+
+// modelFaults are the faults by name; the names are drawn.
+var modelFaults = map[string]func(m *model){
+	"propose":      (*model).propose,
+	"replace":      (*model).replace,
+	"restart":      func(m *model) { m.restart(m.machines[m.random.IntN(len(m.machines))]) },
+	"cool":         func(m *model) { m.cool(m.machines[m.random.IntN(len(m.machines))]) },
+	"store":        func(m *model) { m.down = !m.down },
+	"lose":         func(m *model) { m.store.SetFaults(storeemulator.Faults{LoseWrites: 1}) },
+	"mass restart": func(m *model) { m.each(m.restart) },
+	"pause": func(m *model) {
+		if b := m.pick(); b != nil {
+			b.paused = true
+		}
+	},
+	"wake": func(m *model) {
+		for _, b := range m.members {
+			b.paused = false
+		}
+	},
+	"cut": func(m *model) {
+		for _, b := range m.members {
+			b.side = m.random.IntN(2)
+		}
+	},
+	"heal": func(m *model) {
+		for _, b := range m.members {
+			b.side = 0
+		}
+	},
+}
+
+var modelFaultNames = []string{
+	"propose", "replace", "restart", "mass restart", "cool", "store", "store",
+	"pause", "wake", "wake", "cut", "heal", "heal", "lose",
+}
+
+// TestNeverAboveLimit guards against granters that together permit more than a
+// cold process can handle: granters that are paused, cut off or restarted,
+// members that disagree about the membership, messages that are late, doubled
+// or lost, a store that is down or loses answers, processes that restart one by
+// one or all at once, and processes that become cold without a restart (there
+// for every start under a permit that was granted after the sign).
+func TestNeverAboveLimit(t *testing.T) {
+	var limited, histories int
+	rapid.Check(t, func(r *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(r, "seed"), rapid.IntRange(2, 7).Draw(r, "members"))
+		m.propose()
+		for range rapid.IntRange(10, 60).Draw(r, "faults") {
+			modelFaults[rapid.SampledFrom(modelFaultNames).Draw(r, "fault")](m)
+			for range rapid.IntRange(0, 40).Draw(r, "ticks") {
+				m.tick(clock.Millis(50 + m.random.IntN(250)))
+			}
+			if len(m.faults) > 0 {
+				r.Fatalf("%s", m.faults[0])
+			}
+		}
+		limited += m.limited
+		histories++
+	})
+	if !t.Failed() && limited < 10*histories {
+		t.Errorf("got %d starts under limited permits in %d histories, want at least ten each", limited, histories)
+	}
+}
+
+// TestAccounting guards against a holder whose running work is forgotten when
+// it dies, is paused or gives its permit back, and against late messages that
+// are taken for new ones.
+func TestAccounting(t *testing.T) {
+	o := modelOptions
+	p := Process{Endpoint: "e", Restart: "1"}
+	a := Assignment{}.Next("a/1", []string{"a/1", "b/1"}, nil)
+	g := NewGranter(a.Granter("e"), o)
+	g.Adopt(0, a)
+	holders := map[string]*Holder{"a/1": NewHolder("a/1", o), "b/1": NewHolder("b/1", o)}
+	ask := func(now clock.Millis, name string, want int) (Ask, bool) {
+		g.Confirm(now, a.Epoch)
+		q := holders[name].Ask(now, p, want)
+		permit, ok := g.Grant(now, q)
+		return q, ok && holders[name].Accept(now, permit) && holders[name].Units(now, p) > 0
+	}
+	for _, h := range holders {
+		h.Adopt(a)
+	}
+	if _, ok := ask(0, "a/1", 2); ok {
+		t.Error("a new granter permitted before every member had reported")
+	}
+	ask(0, "b/1", 0)
+	late, ok := ask(10, "a/1", 2)
+	if _, started := holders["a/1"].Start(10, p); !ok || !started {
+		t.Fatal("the first holder may not start")
+	}
+	if _, ok := ask(20, "b/1", 1); ok {
+		t.Error("a second holder got units that the first one holds")
+	}
+	ask(30, "a/1", 0)
+	if _, ok := g.Grant(35, late); ok || g.Out(35, p) != 1 {
+		t.Errorf("after a late ask: got %v and %d out, want no answer and 1", ok, g.Out(35, p))
+	}
+	if _, ok := ask(40, "b/1", 2); !ok || holders["b/1"].Units(40, p) != 1 {
+		t.Errorf("got %v, %d units next to one running request, want 1", ok, holders["b/1"].Units(40, p))
+	}
+	// Both holders die now. The request that runs and the one that may yet be
+	// started count until their deadlines and the margins.
+	end := 30 + o.Work + 2*o.Margin
+	if got, want := g.Out(end-1, p), 2; got != want {
+		t.Errorf("before the deadline of a dead holder's request: got %d out, want %d", got, want)
+	}
+	if got, want := g.Out(end, p), 1; got != want {
+		t.Errorf("after the deadline of a dead holder's request: got %d out, want %d", got, want)
+	}
+	if got, want := g.Out(end+10+o.Lifetime-1, p), 1; got != want {
+		t.Errorf("before the deadline of a request that may yet start: got %d out, want %d", got, want)
+	}
+}
+
+// TestTakeover guards against a granter that starts before the work of another
+// one must have ended, against reports of an earlier epoch that are taken for
+// new ones, against permits and votes of an earlier epoch, and against a permit
+// whose lifetime counts from its arrival.
+func TestTakeover(t *testing.T) {
+	o := modelOptions
+	both, one := []string{"a/1", "b/1"}, []string{"b/1"}
+	first := Assignment{}.Next("a/1", both, nil)
+	p := Process{Restart: "1"}
+	for n := 0; first.Granter(p.Endpoint) != "a/1"; n++ {
+		p.Endpoint = fmt.Sprint(n)
+	}
+	a, b, h := NewGranter("a/1", o), NewGranter("b/1", o), NewHolder("b/1", o)
+	a.Adopt(0, first)
+	h.Adopt(first)
+	a.Confirm(0, 1)
+	a.Grant(0, NewHolder("a/1", o).askIn(0, first, p))
+	permit, ok := a.Grant(0, h.Ask(0, p, 1))
+	if accepted := h.Accept(2900, permit); !ok || !accepted || h.Units(2999, p) != 1 || h.Units(3000, p) != 0 {
+		t.Errorf("got %v, %v, %d units at the end of the lifetime and %d after it, want true, true, 1, 0",
+			ok, accepted, h.Units(2999, p), h.Units(3000, p))
+	}
+	stale, _ := a.Grant(0, h.Ask(2999, p, 1))
+	second := first.Next("b/1", one, nil)
+	settled, _ := second.Settle(one)
+	b.Adopt(5000, second)
+	h.Adopt(settled)
+	if h.Accept(3000, stale) || h.Vote(1) || !h.Vote(2) {
+		t.Error("a permit or a vote of an earlier epoch was accepted")
+	}
+	b.Adopt(9000, settled)
+	for early := clock.Millis(1); early >= 0; early-- {
+		now := 9000 + o.Quiet() - early
+		b.Confirm(now, 2)
+		if _, got := b.Grant(now, h.Ask(now, p, 1)); got != (early == 0) {
+			t.Errorf("new granter, %d ms before the end of its wait: got %v", early, got)
+		}
+	}
+	third, _ := settled.Next("b/1", both, both).Settle(one)
+	a.Adopt(10000, settled)
+	a.Adopt(10000, third)
+	a.Confirm(10000, 3)
+	if _, got := a.Grant(10000, h.askIn(10000, third, p)); got {
+		t.Error("a returning granter used the reports of its earlier term")
+	}
+}
+
+// askIn adopts an assignment and asks for one unit.
+func (h *Holder) askIn(now clock.Millis, a Assignment, p Process) Ask {
+	h.Adopt(a)
+	return h.Ask(now, p, 1)
+}
+
+// TestConfirmation guards against a granter that acts without a recent
+// confirmation, on the votes of a minority, or on an assignment that replaces
+// one which may still be in use; and against assignments that end while the
+// store is down although a majority is in contact.
+func TestConfirmation(t *testing.T) {
+	first := Assignment{}.Next("a/1", []string{"a/1", "b/1", "c/1", "d/1"}, nil)
+	second := first.Next("a/1", []string{"a/1"}, nil)
+	settled, ok := second.Settle([]string{"a/1", "b/1"})
+	if _, early := second.Settle([]string{"a/1", "x/1"}); !ok || early {
+		t.Errorf("settled by two of four members %v, by one %v, want true and false", ok, early)
+	}
+	cases := map[string]struct {
+		a     Assignment
+		store bool
+		votes []string
+		now   clock.Millis
+		want  bool
+	}{
+		"no confirmation":        {a: first, now: 100},
+		"store":                  {a: first, store: true, now: 3099, want: true},
+		"store, too old":         {a: first, store: true, now: 3100},
+		"majority, store down":   {a: first, votes: []string{"a/1", "b/1", "c/1"}, now: 3099, want: true},
+		"majority, too old":      {a: first, votes: []string{"a/1", "b/1", "c/1"}, now: 3100},
+		"half":                   {a: first, votes: []string{"a/1", "b/1"}, now: 100},
+		"one member three times": {a: first, votes: []string{"a/1", "a/1", "a/1"}, now: 100},
+		"strangers":              {a: first, votes: []string{"x/1", "y/1", "z/1"}, now: 100},
+		"not settled":            {a: second, store: true, votes: []string{"a/1"}, now: 100},
+		"settled":                {a: settled, votes: []string{"a/1"}, now: 100, want: true},
+	}
+	for name, c := range cases {
+		g := NewGranter("a/1", modelOptions)
+		g.Adopt(50, c.a)
+		if c.store {
+			g.Confirm(100, c.a.Epoch)
+		}
+		for _, v := range c.votes {
+			g.Vote(100, c.a.Epoch, v)
+		}
+		if got := g.Confirmed(c.now); got != c.want {
+			t.Errorf("%s: got %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// TestGrowth guards against limits that do not grow with finished work, or that
+// survive a sign of cold.
+func TestGrowth(t *testing.T) {
+	o := modelOptions
+	p := Process{Endpoint: "e", Restart: "1"}
+	a := Assignment{}.Next("a/1", []string{"a/1"}, nil)
+	g, h := NewGranter("a/1", o), NewHolder("a/1", o)
+	g.Adopt(0, a)
+	h.Adopt(a)
+	var limits []int
+	for now := clock.Millis(0); now < 100; now++ {
+		g.Confirm(now, a.Epoch)
+		permit, _ := g.Grant(now, h.Ask(now, p, 100))
+		h.Accept(now, permit)
+		if len(limits) == 0 || limits[len(limits)-1] != permit.Units {
+			limits = append(limits, permit.Units)
+		}
+		if w, ok := h.Start(now, p); ok {
+			h.Finish(w, true)
+		}
+	}
+	if got, want := fmt.Sprint(limits), fmt.Sprint([]int{2, 4, Unlimited}); got != want {
+		t.Errorf("got limits %s, want %s", got, want)
+	}
+	h.Cold(p)
+	g.Cold(100, p)
+	if _, ok := h.Start(100, p); ok || g.Limit(p) != o.ColdLimit {
+		t.Errorf("after a sign of cold: start %v, limit %d, want false and %d", ok, g.Limit(p), o.ColdLimit)
+	}
+}
+
+// TestLostAnswer guards against an assignment that is taken for unwritten, or
+// for written, when the store's answer was lost or a read is stale.
+func TestLostAnswer(t *testing.T) {
+	e := storeemulator.New()
+	s := e.Store()
+	r := Registry{Get: s.Get, Put: s.Put, Key: "permits"}
+	ctx := context.Background()
+	a := Assignment{}.Next("a/1", []string{"a/1"}, nil)
+	e.SetFaults(storeemulator.Faults{LoseWrites: 1})
+	if err := r.Save(ctx, a); err != nil {
+		t.Errorf("lost answer: got %v, want nil", err)
+	}
+	e.SetFaults(storeemulator.Faults{LoseWrites: 1, StaleReads: true})
+	if err := r.Save(ctx, a.Next("a/1", []string{"a/1", "b/1"}, nil)); err == nil {
+		t.Error("lost answer and stale read: got nil, want an unknown outcome")
+	}
+	e.SetFaults(storeemulator.Faults{})
+	if err := r.Confirm(ctx); err == nil {
+		t.Error("confirm of an assignment that has been replaced: got nil, want a conflict")
+	}
+}
