--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -224,24 +224,25 @@
 	}
 	stale, _ := a.Grant(0, h.Ask(2999, p, 1))
 	second := first.Next("b/1", one, nil)
-	settled, _ := second.Settle(one)
+	settled, _ := second.Next("b/1", one, nil).Settle(one)
 	b.Adopt(5000, second)
 	h.Adopt(settled)
-	if h.Accept(3000, stale) || h.Vote(1) || !h.Vote(2) {
+	if h.Accept(3000, stale) || h.Vote(1) || !h.Vote(3) {
 		t.Error("a permit or a vote of an earlier epoch was accepted")
 	}
 	b.Adopt(9000, settled)
 	for early := clock.Millis(1); early >= 0; early-- {
 		now := 9000 + o.Quiet() - early
-		b.Confirm(now, 2)
+		b.Confirm(now, 3)
 		if _, got := b.Grant(now, h.Ask(now, p, 1)); got != (early == 0) {
 			t.Errorf("new granter, %d ms before the end of its wait: got %v", early, got)
 		}
 	}
 	third, _ := settled.Next("b/1", both, both).Settle(one)
+	a.Adopt(5000, second)
 	a.Adopt(10000, settled)
 	a.Adopt(10000, third)
-	a.Confirm(10000, 3)
+	a.Confirm(10000, 4)
 	if _, got := a.Grant(10000, h.askIn(10000, third, p)); got {
 		t.Error("a returning granter used the reports of its earlier term")
 	}
