--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -207,7 +207,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.holder.Cold(p)
-	a.granter.Cold(p)
+	a.granter.Cold(a.clock.Now(), p)
 }
 
 func (a *Allocator) noteDrained(member string) {
--- a/assembler/admin.go
+++ b/assembler/admin.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"encoding/binary"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
 	"rosemaryarch.example/rosemaryarch/administrator"
 	"rosemaryarch.example/rosemaryarch/clock"
-	"rosemaryarch.example/rosemaryarch/follower"
 	"rosemaryarch.example/rosemaryarch/gossiper"
 	"rosemaryarch.example/rosemaryarch/rater"
 	"rosemaryarch.example/rosemaryarch/refuser"
@@ -89,6 +87,8 @@
 		return administrator.Change{ID: c.ChangeID, Outcome: administrator.OutcomeAccepted, Revision: found.Revision}, nil
 	case errors.Is(err, refuser.ErrChangeUnknown):
 		return administrator.Change{}, err
+	case errors.Is(err, reviser.ErrNotRecorded):
+		return administrator.Change{ID: c.ChangeID, Outcome: administrator.OutcomeNotFound}, nil
 	default:
 		return administrator.Change{}, refuser.ErrChangeUnknown.WithMessage("%v", err)
 	}
@@ -106,7 +106,7 @@
 	for _, m := range i.gossip.Members() {
 		revision := c.object.Revision
 		if m.ID != i.settings.Instance {
-			revision = follower.Revision(m.Digest)
+			revision = binary.BigEndian.Uint64(m.Digest[:])
 		}
 		s.Instances = append(s.Instances, administrator.InstanceStatus{
 			ID: m.ID, DataCentre: m.DataCentre, State: memberState(m.State), Incarnation: m.Incarnation, Revision: revision,
@@ -143,7 +143,10 @@
 	var all []administrator.VersionStatus
 	for _, m := range f.Models {
 		for _, v := range m.Versions {
-			e := i.rater.Total(func(k rater.Key) bool { return k.Version == v.Key }, 0)
+			var e rater.Estimate
+			for _, bucket := range i.rater.Totals(func(k rater.Key) bool { return k.Version == v.Key }, 0, i.clock.Now()) {
+				e = e.Plus(bucket)
+			}
 			all = append(all, administrator.VersionStatus{
 				Key: v.Key, State: v.State, Stopped: stopped[v.Key], Share: shares[v.Key], ShareReason: reasons[v.Key],
 				Ratings: int(e.Rated), Quality: e.Mean(), Errors: int(e.Errors),
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -16,7 +16,6 @@
 	"k8s.io/klog/v2"
 
 	"rosemaryarch.example/rosemaryarch/allocator"
-	"rosemaryarch.example/rosemaryarch/biller"
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/claimer"
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -30,7 +29,6 @@
 	"rosemaryarch.example/rosemaryarch/loader"
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/permitter"
-	"rosemaryarch.example/rosemaryarch/pinner"
 	"rosemaryarch.example/rosemaryarch/planner"
 	"rosemaryarch.example/rosemaryarch/prober"
 	"rosemaryarch.example/rosemaryarch/rater"
@@ -88,8 +86,7 @@
 	spreader   *spreader.Spreader
 	committer  *committer.Committer
 	claimer    *claimer.Claimer
-	biller     *biller.Biller
-	pinner     *pinner.Pinner
+	bills      bills
 	gate       *router.Gate
 	router     *router.Router
 	list       listclient.Client
@@ -306,7 +303,7 @@
 func (i *Instance) systems() []system {
 	return []system{
 		{every: 50, run: i.tickGossip},
-		{every: 50, run: i.tickPolicy},
+		{every: 200, run: i.tickPolicy},
 		{every: 50, run: func(now clock.Millis) { i.tracker.Tick(now) }},
 		{every: 50, run: func(clock.Millis) { i.gate.Tick() }},
 		{every: 100, run: i.tickProbes},
--- /dev/null
+++ b/assembler/state.go
@@ -0,0 +1,305 @@
+package assembler
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"k8s.io/klog/v2"
+
+	"rosemaryarch.example/rosemaryarch/claimer"
+	"rosemaryarch.example/rosemaryarch/committer"
+	"rosemaryarch.example/rosemaryarch/exchanger"
+	"rosemaryarch.example/rosemaryarch/gossiper"
+	"rosemaryarch.example/rosemaryarch/linker"
+	"rosemaryarch.example/rosemaryarch/ratingclient"
+	"rosemaryarch.example/rosemaryarch/refuser"
+	"rosemaryarch.example/rosemaryarch/router"
+	"rosemaryarch.example/rosemaryarch/serviceclient"
+	"rosemaryarch.example/rosemaryarch/signer"
+)
+
+// Kinds of the messages about shared state.
+const (
+	kindCommit  = "commit"
+	kindAttempt = "attempt_ask"
+)
+
+// forwardTimeout bounds a change that a peer has forwarded.
+const forwardTimeout = 5 * time.Second
+
+// commitAsk forwards a change to the shard's preferred writer.
+type commitAsk struct {
+	Shard  string `cbor:"shard"`
+	Key    string `cbor:"key"`
+	Change []byte `cbor:"change"`
+}
+
+// commitReply is the outcome of a forwarded change.
+type commitReply struct {
+	Value       []byte `cbor:"value"`
+	Error       string `cbor:"error,omitempty"`
+	NotExecuted bool   `cbor:"not_executed,omitempty"`
+}
+
+type attemptAsk struct {
+	Attempt string `cbor:"attempt"`
+}
+
+type attemptReply struct {
+	State claimer.State `cbor:"state"`
+}
+
+func (i *Instance) buildState() {
+	i.committer = committer.New(i.store, i.clock, committer.Options{
+		Instance: i.settings.Instance, Incarnation: i.incarnation, Seed: i.incarnation,
+	})
+	i.committer.Retried = i.meter.Retried
+	i.claimer = claimer.New(i.committer, i.clock, i.settings.Instance, i.incarnation)
+	i.claimer.Commit = i.commit
+	i.claimer.AskAttempt = i.askAttempt
+	i.claimer.LookUp = i.lookUp
+	i.links.Handle(kindCommit, i.serveCommit)
+	i.links.Handle(kindAttempt, func(_ context.Context, e linker.Envelope) ([]byte, error) {
+		var q attemptAsk
+		if err := cbor.Unmarshal(e.Body, &q); err != nil {
+			return nil, errors.Wrap(err, "assembler: decode attempt question")
+		}
+		return cbor.Marshal(attemptReply{State: i.claimer.State(q.Attempt)})
+	})
+}
+
+// writer returns the live member that preferably writes a shard. The
+// conditional update is the authority, so two opinions do no harm.
+func (i *Instance) writer(shard string) gossiper.Member {
+	var best gossiper.Member
+	var highest uint64
+	for _, m := range i.gossip.Members() {
+		if m.State != gossiper.Alive {
+			continue
+		}
+		if h := xxhash.Sum64String(shard + "\x00" + m.ID); best.ID == "" || h > highest {
+			best, highest = m, h
+		}
+	}
+	return best
+}
+
+// commit applies a change of an order's record through the shard's writer.
+func (i *Instance) commit(ctx context.Context, shard, key string, change []byte) ([]byte, error) {
+	w := i.writer(shard)
+	if w.ID == i.settings.Instance || w.ID == "" {
+		return i.claimer.CommitLocal(ctx, shard, key, change)
+	}
+	body, err := cbor.Marshal(commitAsk{Shard: shard, Key: key, Change: change})
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "assembler: encode commit"), committer.ErrNotExecuted)
+	}
+	answer, err := i.links.Call(ctx, w.Address, kindCommit, body)
+	if errors.IsAny(err, linker.ErrUnreachable, linker.ErrQueueFull, linker.ErrTooLarge) {
+		return i.claimer.CommitLocal(ctx, shard, key, change)
+	}
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "assembler: forward commit"), committer.ErrUnknown)
+	}
+	var r commitReply
+	if err := cbor.Unmarshal(answer, &r); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "assembler: decode commit"), committer.ErrUnknown)
+	}
+	switch {
+	case r.Error == "":
+		return r.Value, nil
+	case r.NotExecuted:
+		return nil, errors.Mark(errors.Newf("%s", r.Error), committer.ErrNotExecuted)
+	default:
+		return nil, errors.Mark(errors.Newf("%s", r.Error), committer.ErrUnknown)
+	}
+}
+
+// serveCommit applies a change that a peer has forwarded.
+func (i *Instance) serveCommit(ctx context.Context, e linker.Envelope) ([]byte, error) {
+	var q commitAsk
+	if err := cbor.Unmarshal(e.Body, &q); err != nil {
+		return nil, errors.Wrap(err, "assembler: decode commit")
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	value, err := i.claimer.CommitLocal(ctx, q.Shard, q.Key, q.Change)
+	r := commitReply{Value: value}
+	if err != nil {
+		r.Error = err.Error()
+		r.NotExecuted = errors.IsAny(err, committer.ErrNotExecuted, committer.ErrRefused)
+	}
+	return cbor.Marshal(r)
+}
+
+// askAttempt asks the instance that made an attempt what became of it.
+func (i *Instance) askAttempt(ctx context.Context, instance, attempt string) claimer.State {
+	for _, m := range i.gossip.Members() {
+		if m.ID != instance || m.State == gossiper.Dead {
+			continue
+		}
+		body, err := cbor.Marshal(attemptAsk{Attempt: attempt})
+		if err != nil {
+			return claimer.Unreachable
+		}
+		answer, err := i.links.Call(ctx, m.Address, kindAttempt, body)
+		var r attemptReply
+		if err != nil || cbor.Unmarshal(answer, &r) != nil {
+			return claimer.Unreachable
+		}
+		return r.State
+	}
+	return claimer.Unreachable
+}
+
+// lookUp asks a plain service for the outcome of a call. Its key names one call
+// of one workspace, as send passes it on.
+func (i *Instance) lookUp(ctx context.Context, call claimer.Call, _ string) (claimer.Answer, claimer.State) {
+	s, ok := i.policy.current().fleet.Service(call.Service)
+	if !ok || !s.LookUp {
+		return claimer.Answer{}, claimer.CannotTell
+	}
+	for _, r := range i.tracker.Rows(i.clock.Now()) {
+		if r.Service != call.Service {
+			continue
+		}
+		client := serviceclient.NewHTTP(r.Address, i.plain)
+		a, err := client.LookUp(ctx, "/"+call.Service, serviceKey(call.Workspace, call.Key))
+		switch {
+		case err == nil:
+			return claimer.Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body}, claimer.Done
+		case errors.IsAny(err, serviceclient.ErrNotFound, serviceclient.ErrRunning, serviceclient.ErrNoLookUp):
+			// A call that is not found may still be on its way.
+			return claimer.Answer{}, claimer.CannotTell
+		}
+	}
+	return claimer.Answer{}, claimer.CannotTell
+}
+
+// serviceKey is the idempotency key towards a service: callers of different
+// workspaces may use the same key.
+func serviceKey(workspace, key string) string { return workspace + "." + key }
+
+// once runs a call that may not be repeated; see claimer.Claimer.Do.
+func (i *Instance) once(
+	ctx context.Context, c router.Call, run func(context.Context, string) (router.Reply, error),
+) (router.Reply, error) {
+	sum := sha256.Sum256(append([]byte(c.Method+" "+c.Path+"?"+c.Query+"\n"), c.Body...))
+	ran := false
+	answer, err := i.claimer.Do(ctx, claimer.Call{
+		Workspace: c.Workspace, Service: c.Service, Key: c.IdempotencyKey, BodyHash: sum[:], Deadline: c.Deadline,
+	}, func(ctx context.Context, attempt string) (claimer.Answer, error) {
+		ran = true
+		r, err := run(ctx, attempt)
+		return claimer.Answer{Status: r.Status, ContentType: r.ContentType, Body: r.Body}, claimerError(err)
+	})
+	if err != nil {
+		return router.Reply{}, err
+	}
+	reply := router.Reply{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body, Repeated: !ran}
+	if answer.Digest != nil && reply.Body == nil {
+		reply.ContentType = "text/plain"
+		reply.Body = []byte(fmt.Sprintf("the answer was too large to keep; its SHA-256 is %x\n", answer.Digest))
+	}
+	return reply, nil
+}
+
+// claimerError marks the errors that prove that nothing was sent.
+func claimerError(err error) error {
+	if errors.IsAny(err, exchanger.ErrNotSent, exchanger.ErrRefused) {
+		return errors.Mark(err, claimer.ErrNotSent)
+	}
+	return err
+}
+
+// Headers towards plain services.
+const (
+	headerIdempotency = "Idempotency-Key"
+	headerAttempt     = "X-Attempt-Id"
+)
+
+// maxReplyBytes bounds what is read of a plain service's answer.
+const maxReplyBytes = 4 << 20
+
+// send sends a call to an endpoint once. Answers below status 500 count as
+// executed.
+func (i *Instance) send(ctx context.Context, address, attempt string, c router.Call) (router.Reply, error) {
+	target := strings.TrimSuffix(address, "/") + c.Path
+	if c.Query != "" {
+		target += "?" + c.Query
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, target, bytes.NewReader(c.Body))
+	if err != nil {
+		return router.Reply{}, errors.Mark(errors.Wrap(err, "assembler: build call"), exchanger.ErrNotSent)
+	}
+	if c.ContentType != "" {
+		req.Header.Set("Content-Type", c.ContentType)
+	}
+	if c.IdempotencyKey != "" {
+		req.Header.Set(headerIdempotency, serviceKey(c.Workspace, c.IdempotencyKey))
+	}
+	req.Header.Set(headerAttempt, attempt)
+	return i.exchange(req)
+}
+
+// rate asks the rating service for the quality of an answer.
+func (i *Instance) rate(ctx context.Context, requestID, version, prompt, answer string) (float64, error) {
+	client := ratingclient.NewHTTP(i.settings.Rating, i.plain)
+	return client.Rate(ctx, ratingclient.Answer{RequestID: requestID, Version: version, Prompt: prompt, Text: answer})
+}
+
+// pinned returns the version of a session, from its token or from its pin.
+func (i *Instance) pinned(ctx context.Context, workspace, session, token string) string {
+	if token != "" {
+		t, err := i.policy.current().signer.Verify(token, workspace)
+		if err == nil && t.Session == session {
+			return t.Version
+		}
+		i.meter.Event("session_token_invalid")
+	}
+	return i.storedPin(ctx, workspace, session)
+}
+
+// pin records the version of a session and returns its token.
+func (i *Instance) pin(_ context.Context, workspace, session, version string) string {
+	model, _, _ := strings.Cut(version, "@")
+	token, err := i.policy.current().signer.Sign(signer.Token{
+		Workspace: workspace, Session: session, Model: model, Version: version, IssuedAt: i.clock.Now(),
+	})
+	if err != nil && !errors.Is(err, signer.ErrNoKey) {
+		klog.Errorf("assembler: sign session token: %v", err)
+	}
+	i.storePin(workspace, session, version)
+	return token
+}
+
+// exchange sends a request to a plain service. An answer below status 500 is
+// the service's own answer, unless it states that nothing was run.
+func (i *Instance) exchange(req *http.Request) (router.Reply, error) {
+	resp, err := exchanger.Send(i.plain, req)
+	var status *exchanger.StatusError
+	if errors.As(err, &status) && status.Status < http.StatusInternalServerError && status.Run != refuser.RunNo {
+		return router.Reply{Status: status.Status, ContentType: status.ContentType, Body: status.Body}, nil
+	}
+	if err != nil {
+		return router.Reply{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err != nil {
+		return router.Reply{}, errors.Mark(errors.Wrap(err, "assembler: read answer"), exchanger.ErrUnknown)
+	}
+	if len(body) > maxReplyBytes {
+		return router.Reply{}, errors.Mark(errors.Newf("the answer exceeds %d bytes", maxReplyBytes), exchanger.ErrUnknown)
+	}
+	return router.Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/decoder"
@@ -181,3 +182,12 @@
 	}
 	return nil
 }
+
+// Checked returns s with defaults, or the error that its YAML form would give.
+func (s Settings) Checked() (Settings, error) {
+	text, err := yaml.Marshal(s)
+	if err != nil {
+		return s, errors.Wrap(err, "encode settings")
+	}
+	return Parse(s.Instance, text)
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -22,8 +22,8 @@
 	// Get and Put access the object API; see storer.Store.
 	Get func(ctx context.Context, key string) (storer.Object, error)
 	Put func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error)
-	// Total returns the fleet's counts of a version; see rater.Rater.Total.
-	Total func(match func(rater.Key) bool, since clock.Millis) rater.Estimate
+	// Totals returns the fleet's counts by time bucket; see rater.Rater.Totals.
+	Totals func(match func(rater.Key) bool, since, now clock.Millis) []rater.Estimate
 	// Roller holds the parameters of the test.
 	Roller roller.Roller
 
@@ -36,7 +36,7 @@
 // New returns a supervisor without records.
 func New(s storer.Store, r *rater.Rater, o roller.Roller) *Supervisor {
 	return &Supervisor{
-		Get: s.Get, Put: s.Put, Total: r.Total, Roller: o,
+		Get: s.Get, Put: s.Put, Totals: r.Totals, Roller: o,
 		records: records{}, shares: map[string]float64{}, reasons: map[string]string{},
 	}
 }
@@ -110,7 +110,7 @@
 	}
 	rollout := roller.Rollout{
 		Version: v.Key, Current: serving(m), Since: record.Since, Ceiling: v.SharePercent / 100,
-		Candidate: s.count(f, m, v.Key, record.Since), Baseline: s.count(f, m, serving(m), record.Since),
+		Candidate: s.count(f, m, v.Key, record.Since, now), Baseline: s.count(f, m, serving(m), record.Since, now),
 	}
 	if record.Stop != nil {
 		rollout.Stops = []roller.StopRecord{*record.Stop}
@@ -140,14 +140,16 @@
 // count returns the counts of a version over the workspaces that may use every
 // version of the model, so that both sides of the test see the same requests.
 // Answers after a check are left out: their requests or answers were selected.
-func (s *Supervisor) count(f *parser.Fleet, m parser.Model, version string, since clock.Millis) rater.Estimate {
-	return s.Total(func(k rater.Key) bool {
+func (s *Supervisor) count(
+	f *parser.Fleet, m parser.Model, version string, since, now clock.Millis,
+) []rater.Estimate {
+	return s.Totals(func(k rater.Key) bool {
 		if k.Version != version || k.Step != rater.StepOnly {
 			return false
 		}
 		w, ok := f.Workspace(k.Workspace)
 		return ok && slices.Contains(w.Models, m.Name)
-	}, since)
+	}, since, now)
 }
 
 // Sync merges the stored records with the known ones and writes what the store
