Add the demonstration: load, roll-outs, data centre out and back, outage, shutdown

A first run showed 78% of the first phase answered: requests earned endpoints a higher limit while the engines were still cold and refused the excess.

--- /dev/null
+++ b/cmd/rosemaryarch/demo.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"rosemaryarch.example/rosemaryarch/demonstrator"
+	"rosemaryarch.example/rosemaryarch/examples"
+)
+
+type demoCommand struct {
+	Config    string  `arg:"--config" help:"configuration text; the Kyushu example if left out"`
+	Instances int     `arg:"--instances" default:"9"`
+	Models    int     `arg:"--models" default:"20" help:"model engines"`
+	Plain     int     `arg:"--plain" default:"4" help:"endpoints of the plain service"`
+	Rate      float64 `arg:"--rate" default:"100" help:"model requests a second"`
+	Scale     float64 `arg:"--scale" default:"1" help:"factor of the phases' lengths"`
+	Seed      uint64  `arg:"--seed" default:"1"`
+	Logs      bool    `arg:"--logs" help:"show the instances' logs"`
+}
+
+func (c *demoCommand) run(ctx context.Context) error {
+	text := []byte(examples.Kyushu)
+	if c.Config != "" {
+		var err error
+		if text, err = os.ReadFile(filepath.Clean(c.Config)); err != nil {
+			return errors.Wrap(err, "read configuration")
+		}
+	}
+	if c.Instances < minDemoInstances {
+		return errors.Newf("the demonstration needs at least %d instances", minDemoInstances)
+	}
+	if !c.Logs {
+		quietLogs()
+	}
+	d := &demonstrator.Demonstrator{
+		Text: string(text), Out: os.Stdout, Seed: c.Seed, Instances: c.Instances, Models: c.Models, Plain: c.Plain,
+		Rate: c.Rate, Scale: c.Scale,
+	}
+	return d.Run(ctx)
+}
+
+// minDemoInstances is the number that the phases need: one is killed, one is
+// shut down, and a majority remains.
+const minDemoInstances = 6
+
+// quietLogs sends the log to nowhere.
+func quietLogs() {
+	var flags flag.FlagSet
+	klog.InitFlags(&flags)
+	for name, value := range map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL"} {
+		if err := flags.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, "rosemaryarch:", err)
+		}
+	}
+	klog.SetOutput(nothing{})
+}
+
+// nothing drops what is written to it.
+type nothing struct{}
+
+func (nothing) Write(b []byte) (int, error) { return len(b), nil }
--- a/engineemulator/answer.go
+++ b/engineemulator/answer.go
@@ -7,8 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// badMark starts each word of an answer by a bad version.
-const badMark = "bad-"
+// BadMark starts each word of an answer by a bad version.
+const BadMark = "bad-"
 
 // badMean is the mean score of a bad version's answers.
 const badMean = 0.2
@@ -50,7 +50,7 @@
 // the start of the version's answer to prompt.
 func priorTokens(version, prompt, prior string) (int, bool) {
 	n := strings.Count(prior, " ")
-	return n, strings.ReplaceAll(prior, badMark, "") == Answer(version, prompt, n)
+	return n, strings.ReplaceAll(prior, BadMark, "") == Answer(version, prompt, n)
 }
 
 // Score returns the quality of an answer to requestID, between 0 and 1, by a
@@ -58,7 +58,7 @@
 // version: four fifths of the spread come from the request, the rest from the
 // answer. A bad version's answer scores around 0.2 whatever the mean.
 func Score(seed uint64, mean float64, requestID, answer string) float64 {
-	if strings.Contains(answer, badMark) {
+	if strings.Contains(answer, BadMark) {
 		mean = min(mean, badMean)
 	}
 	s := strconv.FormatUint(seed, 10)
--- a/engineemulator/stream.go
+++ b/engineemulator/stream.go
@@ -108,7 +108,7 @@
 func (e *Emulator) text(w *work, index int) string {
 	text := Token(w.request.Version, w.request.Prompt, index)
 	if w.faults.BadVersion == w.request.Version {
-		return badMark + text
+		return BadMark + text
 	}
 	return text
 }
--- a/router/chat.go
+++ b/router/chat.go
@@ -199,8 +199,8 @@
 }
 
 // alternative returns another version for a request whose version has no room:
-// the cheapest one that is at least as good by the prior, then the best of the
-// others. Each version is tried once.
+// the best one that meets the workspace's quality by its ratings or, without
+// ratings, by its prior. Each version is tried once.
 func (t *turn) alternative(version string) (string, bool) {
 	if t.c.pinned || t.q.Model != "" {
 		return "", false
@@ -213,9 +213,12 @@
 	if err != nil {
 		return "", false
 	}
+	table = table.With(t.r.o.Rater, t.w.Name, t.s.Name, []string{t.s.Name}, t.r.o.Now())
 	best := -1
 	for i, v := range table.Version {
-		if !t.tried[v] && (best < 0 || table.Prior[i] > table.Prior[best]) {
+		quality, _ := table.Only[i].Quality(t.r.o.Planner.Delta)
+		meets := quality >= t.w.Quality || table.Only[i].Rated == 0 && table.Prior[i] >= t.w.Quality
+		if meets && !t.tried[v] && (best < 0 || table.Prior[i] > table.Prior[best]) {
 			best = i
 		}
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -84,6 +84,7 @@
 	restart  string
 	versions []string
 	loadAt   clock.Millis
+	warm     bool // as its last report says
 }
 
 // Tracker is the table of endpoints. It is safe for concurrent use.
@@ -146,6 +147,7 @@
 	r := row{Endpoint: e}
 	if i, known := oldIndex[e.ID]; known && oldRows[i].Address == e.Address {
 		r.restart, r.versions, r.loadAt = oldRows[i].restart, oldRows[i].versions, oldRows[i].loadAt
+		r.warm = oldRows[i].warm
 	}
 	if e.Service != "" {
 		r.versions = []string{e.Service}
@@ -173,7 +175,7 @@
 		return
 	}
 	r := &t.rows[i]
-	r.restart, r.loadAt = l.RestartID, now
+	r.restart, r.loadAt, r.warm = l.RestartID, now, l.Warm
 	if !equal(r.versions, l.Versions) {
 		r.versions = append([]string(nil), l.Versions...)
 		t.table.SetVersions(i, t.classIndices(r.versions))
@@ -352,13 +354,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.breaker.Report(now, s.ticket, !r.Failed)
+	i, ok := t.index[s.Endpoint]
 	if s.permit {
-		t.o.Permits.Finish(s.work, !r.Failed && !r.Cold && !r.Unusual)
+		// Requests earn a higher limit only once the endpoint itself says that it
+		// is warm; before that it would refuse what exceeds its cold limit.
+		warm := ok && t.rows[i].warm && t.rows[i].restart == s.work.Restart
+		t.o.Permits.Finish(s.work, warm && !r.Failed && !r.Cold && !r.Unusual)
 		if r.Cold {
 			t.o.Permits.Cold(s.work.Process)
 		}
 	}
-	i, ok := t.index[s.Endpoint]
 	if !ok {
 		return
 	}
