--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -63,7 +63,6 @@
 	engineOffset   = 100
 	plainOffset    = 300
 	callerOffset   = 1100
-	peerOffset     = 1200
 )
 
 // The keys that the stand-ins' settings use.
@@ -215,39 +214,43 @@
 	if err := os.WriteFile(h.KeysFile(), []byte(keys), 0o600); err != nil {
 		return errors.Wrap(err, "hoster: write keys")
 	}
+	// Both ranges are one, so that no address is taken twice.
+	addresses, err := h.reserve(callerOffset+1, 2*h.o.Instances)
+	if err != nil {
+		return err
+	}
+	callers, peers := addresses[:h.o.Instances], addresses[h.o.Instances:]
 	for i := range h.o.Instances {
 		d := h.o.Fleet.DataCentres[i%len(h.o.Fleet.DataCentres)]
-		callers, err := h.reserve(callerOffset + i + 1)
-		if err != nil {
-			return err
-		}
-		peers, err := h.reserve(peerOffset + i + 1)
-		if err != nil {
-			return err
-		}
 		s := loader.Settings{
-			Instance: fmt.Sprintf("entry-%d", i+1), DataCentre: d.Name, Region: d.Region, Listen: callers,
-			PeerListen: peers, Store: store, List: platform, Rating: platform, Weights: platform, KeysFile: h.KeysFile(),
+			Instance: fmt.Sprintf("entry-%d", i+1), DataCentre: d.Name, Region: d.Region, Listen: callers[i],
+			PeerListen: peers[i], Store: store, List: platform, Rating: platform, Weights: platform, KeysFile: h.KeysFile(),
 		}
 		h.settings = append(h.settings, s)
 		h.Platform.SetMember(listclient.Member{
-			ID: s.Instance, Address: peers, DataCentre: d.Name, Kind: listclient.KindEntry, State: listclient.StateLive,
+			ID: s.Instance, Address: peers[i], DataCentre: d.Name, Kind: listclient.KindEntry, State: listclient.StateLive,
 		})
 	}
 	return nil
 }
 
-// reserve returns an address that is free now.
-func (h *Hoster) reserve(offset int) (string, error) {
-	if h.o.BasePort != 0 {
-		return h.address(offset), nil
-	}
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "", errors.Wrap(err, "hoster: find a free port")
+// reserve returns n different addresses that are free now, from the given
+// offset on.
+func (h *Hoster) reserve(offset, n int) ([]string, error) {
+	var addresses []string
+	for k := range n {
+		if h.o.BasePort != 0 {
+			addresses = append(addresses, h.address(offset+k))
+			continue
+		}
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return nil, errors.Wrap(err, "hoster: find a free port")
+		}
+		defer l.Close() // held until all are found, so that they differ
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
 
 // WriteSettings writes one settings file for each instance and the operator's
