Ask for permits where requests wait, and read a returned endpoint's process anew

In the demonstration, engines of a returned data centre had 3 requests while cold (limit 2): the load report still named the process from before the restart. A report counts only if it cannot be older than the return, or than the last lost connection. Units that nobody uses are given back after 0.5 s instead of 2 s, and a request asks at two endpoints instead of all, so that instances with nothing to do no longer hold the few units of a cold fleet.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -25,7 +25,7 @@
 	confirmInterval = clock.Second
 	stableFor       = clock.Second // of the membership, before it is written
 	demandLasts     = 500 * clock.Millis(1)
-	idleAfter       = 2 * clock.Second // without use, a limited permit is given back
+	idleAfter       = 500 * clock.Millis(1) // without use, a limited permit is given back
 	askAgain        = 200 * clock.Millis(1)
 	keptDrained     = 1024
 )
--- a/allocator/ask.go
+++ b/allocator/ask.go
@@ -84,7 +84,7 @@
 // exploreShare is the probability, for each tick and each process without a
 // permit, of an ask without a waiting request. It lets cold endpoints of a
 // returned data centre warm up before they are needed.
-const exploreShare = 0.02
+const exploreShare = 0.005
 
 func (a *Allocator) mayExplore() bool { return a.random.Float64() < exploreShare }
 
--- a/assembler/endpoints.go
+++ b/assembler/endpoints.go
@@ -129,8 +129,9 @@
 	for _, d := range c.fleet.DataCentres {
 		centres = append(centres, d.Name)
 	}
-	i.tracker.Adopt(endpoints, classes, centres)
-	i.tracker.Tick(i.clock.Now())
+	now := i.clock.Now()
+	i.tracker.Adopt(endpoints, classes, centres, now)
+	i.tracker.Tick(now)
 }
 
 // endpointLimit returns how many requests a warm endpoint runs at once.
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,8 @@
 	watch     *watcher
 }
 
+var ratingPercent = regexp.MustCompile(`rating_percent: [0-9.]+`)
+
 // answerTokens is the mean length of the stand-ins' answers.
 const answerTokens = 32
 
@@ -99,6 +102,8 @@
 
 func (d *Demonstrator) prepare(dir string) error {
 	var err error
+	// A few seconds must give the ratings that a day gives elsewhere.
+	d.Text = ratingPercent.ReplaceAllString(d.Text, "rating_percent: 100")
 	if d.fleet, err = parser.Parse("configuration", []byte(d.Text)); err != nil {
 		return err
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -137,11 +137,19 @@
 	result := tracker.Result{}
 	cause := u.exchange(ctx, slot, resume, &result)
 	result.Failed = cause != nil && !errors.Is(cause, context.Canceled) && !errors.Is(cause, exchanger.ErrRefused)
+	result.Lost = connectionLost(cause)
 	result.Cold = result.Cold || errors.Is(cause, engineclient.ErrCold)
 	u.r.o.Tracker.Release(slot, result, u.r.o.Now())
 	return cause
 }
 
+// connectionLost reports whether an exchange ended without an answer from the
+// endpoint, which may have restarted.
+func connectionLost(cause error) bool {
+	var status *exchanger.StatusError
+	return errors.IsAny(cause, exchanger.ErrNotSent, exchanger.ErrUnknown) && !errors.As(cause, &status)
+}
+
 func (u *run) want() tracker.Want {
 	return tracker.Want{Class: u.version, Prompt: u.q.Prompt, Exclude: u.exclude, Deadline: u.q.Deadline}
 }
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -48,6 +48,7 @@
 // Result tells how a request ended at an endpoint.
 type Result struct {
 	Failed  bool // the endpoint failed; counts for the circuit breaker
+	Lost    bool // the connection failed, so that the process may have ended
 	Cold    bool // the endpoint showed a sign of being cold
 	Unusual bool // the request ended, but slower than usual
 }
@@ -76,6 +77,10 @@
 	prefixBytes   = 256
 	bytesPerToken = 4
 	hintsPerRow   = 32
+	// reportLag bounds the lag of a load report.
+	reportLag = clock.Second
+	// wantedRows is how many endpoints a request without a permit asks for.
+	wantedRows = 2
 )
 
 // row is what the tracker knows of an endpoint beside the picker's table.
@@ -85,6 +90,9 @@
 	versions []string
 	loadAt   clock.Millis
 	warm     bool // as its last report says
+	// trustFrom is the instant from which on a report names the process that
+	// runs now; earlier ones may describe a process that has ended.
+	trustFrom clock.Millis
 }
 
 // Tracker is the table of endpoints. It is safe for concurrent use.
@@ -110,7 +118,7 @@
 
 // Adopt replaces the endpoints and the classes that they may serve. Loads,
 // circuits and requests in flight are kept for endpoints that stay.
-func (t *Tracker) Adopt(endpoints []Endpoint, classes, dataCentres []string) {
+func (t *Tracker) Adopt(endpoints []Endpoint, classes, dataCentres []string, now clock.Millis) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.dcs = map[string]uint8{}
@@ -129,7 +137,7 @@
 	t.table = picker.NewTable(len(classes), distance, hintsPerRow*len(endpoints)+1)
 	t.rows, t.index = nil, map[string]int{}
 	for _, e := range endpoints {
-		t.add(e, oldRows, oldIndex)
+		t.add(e, oldRows, oldIndex, now)
 	}
 	t.table.Adopt(old)
 	for id := range oldIndex {
@@ -139,7 +147,13 @@
 	}
 }
 
-func (t *Tracker) add(e Endpoint, oldRows []row, oldIndex map[string]int) {
+// distrust forgets which process runs, until a report shows it that cannot be
+// older than now.
+func (r *row) distrust(now clock.Millis) {
+	r.restart, r.warm, r.trustFrom = "", false, now+reportLag
+}
+
+func (t *Tracker) add(e Endpoint, oldRows []row, oldIndex map[string]int, now clock.Millis) {
 	dc, ok := t.dcs[e.DataCentre]
 	if !ok {
 		return // a data centre that the text does not list
@@ -147,7 +161,10 @@
 	r := row{Endpoint: e}
 	if i, known := oldIndex[e.ID]; known && oldRows[i].Address == e.Address {
 		r.restart, r.versions, r.loadAt = oldRows[i].restart, oldRows[i].versions, oldRows[i].loadAt
-		r.warm = oldRows[i].warm
+		r.warm, r.trustFrom = oldRows[i].warm, oldRows[i].trustFrom
+		if oldRows[i].Out && !e.Out {
+			r.distrust(now)
+		}
 	}
 	if e.Service != "" {
 		r.versions = []string{e.Service}
@@ -175,7 +192,10 @@
 		return
 	}
 	r := &t.rows[i]
-	r.restart, r.loadAt, r.warm = l.RestartID, now, l.Warm
+	if now >= r.trustFrom {
+		r.restart, r.warm = l.RestartID, l.Warm
+	}
+	r.loadAt = now
 	if !equal(r.versions, l.Versions) {
 		r.versions = append([]string(nil), l.Versions...)
 		t.table.SetVersions(i, t.classIndices(r.versions))
@@ -314,13 +334,21 @@
 	return q, prefix
 }
 
-// want tells the permits where a request would have started.
+// want tells the permits where a request would have started: at a few random
+// endpoints, so that one request does not take up the units of all of them.
 func (t *Tracker) want(class int) {
-	for i := range t.rows {
+	left := wantedRows
+	start := t.o.Random.IntN(max(len(t.rows), 1))
+	for k := range t.rows {
+		i := (start + k) % len(t.rows)
 		r := &t.rows[i]
 		usable := !r.Out && !r.Leaving && r.Service == "" && r.restart != ""
-		if usable && t.table.Serves(i, class) {
-			t.o.Permits.Wanted(permitter.Process{Endpoint: r.ID, Restart: r.restart})
+		if !usable || t.table.State[i]&picker.StateCold == 0 || !t.table.Serves(i, class) {
+			continue
+		}
+		t.o.Permits.Wanted(permitter.Process{Endpoint: r.ID, Restart: r.restart})
+		if left--; left == 0 {
+			return
 		}
 	}
 }
@@ -368,6 +396,9 @@
 		return
 	}
 	t.table.Done(i)
+	if r.Lost && s.permit && t.rows[i].restart == s.work.Restart {
+		t.rows[i].distrust(now)
+	}
 	if s.prefix != 0 && !r.Failed {
 		t.table.Cached(s.prefix, i, now)
 	}
