--- /dev/null
+++ b/claimer/history_test.go
@@ -0,0 +1,259 @@
+package claimer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/refuser"
+	"rosemaryarch.example/rosemaryarch/storeemulator"
+	"rosemaryarch.example/rosemaryarch/storer"
+)
+
+// history is a random run of several instances under faults. Its invariants
+// hold for every interleaving of its goroutines.
+type history struct {
+	*fleet
+	service *service
+	lookUp  bool
+
+	mu     sync.Mutex // guards what follows
+	random *rand.Rand
+	rate   float64 // of faults per call
+	late   []func()
+	down   bool
+	ran    map[int]int                // runs, by call of Do
+	told   map[int]error              // by call of Do
+	bodies map[string]map[string]bool // answers told, by key
+	reason map[string]int
+}
+
+func (h *history) hit() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.random.Float64() < h.rate
+}
+
+func (h *history) draw(n int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.random.IntN(n)
+}
+
+func (h *history) isDown() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down
+}
+
+func (h *history) landOne() {
+	h.mu.Lock()
+	var land func()
+	if len(h.late) > 0 {
+		land, h.late = h.late[0], h.late[1:]
+	}
+	h.mu.Unlock()
+	if land != nil {
+		land()
+	}
+}
+
+func (h *history) store() storer.Store {
+	s := h.emulator.Store()
+	c := s
+	c.Get = func(ctx context.Context, key string) (storer.Object, error) {
+		if h.isDown() || h.hit() {
+			return storer.Object{}, storer.ErrUnavailable
+		}
+		return s.Get(ctx, key)
+	}
+	c.Put = func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+		if h.hit() {
+			h.landOne()
+		}
+		if h.isDown() {
+			return 0, storer.ErrUnavailable
+		}
+		if !h.hit() {
+			return s.Put(ctx, key, value, expect)
+		}
+		put := func() { _, _ = s.Put(context.Background(), key, value, expect) }
+		switch h.draw(4) {
+		case 0:
+			return 0, storer.ErrUnavailable
+		case 1:
+			put()
+		case 2:
+			h.mu.Lock()
+			h.late = append(h.late, put)
+			h.mu.Unlock()
+		}
+		return 0, storer.ErrUnknown
+	}
+	return c
+}
+
+func (h *history) startNode(name string, incarnation uint64) {
+	h.start(name, incarnation, h.store(), func(c *Claimer) {
+		c.CommitWait = clock.Millis(h.draw(5))
+		if h.lookUp {
+			c.LookUp = h.service.lookUp
+		}
+	})
+}
+
+// do makes one call and records what the caller is told. The caller does not
+// wait for an instance that is dead or paused for long.
+func (h *history) do(id int, name, key string, patience time.Duration) {
+	n := h.node(name)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	heard := make(chan struct{})
+	go func() {
+		defer cancel()
+		defer close(heard)
+		answer, err := n.claimer.Do(ctx, h.call(key), h.run(id, n, key))
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.told[id] = err
+		h.reason[told(err)]++
+		if err == nil {
+			h.bodies[key][string(answer.Body)] = true
+		}
+	}()
+	select {
+	case <-heard:
+	case <-time.After(patience + 5*time.Millisecond):
+	}
+}
+
+func (h *history) run(id int, n *node, key string) Run {
+	return func(_ context.Context, attempt string) (Answer, error) {
+		n.gate()
+		if h.hit() {
+			return Answer{}, errors.Mark(errors.New("connection refused"), ErrNotSent)
+		}
+		if h.hit() {
+			return Answer{}, errors.New("request lost")
+		}
+		h.count(id, 1)
+		answer, err := h.service.execute(key, attempt)
+		if err != nil {
+			h.count(id, -1) // refused, since a look-up came first
+		}
+		n.gate()
+		if err == nil && h.hit() {
+			return Answer{}, errors.New("answer lost")
+		}
+		return answer, err
+	}
+}
+
+func (h *history) count(id, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ran[id] += n
+}
+
+// disturb pauses, kills and replaces instances and takes the store down.
+func (h *history) disturb(names []string) {
+	for i := range 4 {
+		n := h.node(names[h.draw(len(names))])
+		switch h.draw(4) {
+		case 0:
+			resume := make(chan struct{})
+			n.set(func(n *node) { n.cut, n.onGate = true, func() { <-resume } })
+			h.clock.Advance(clock.Millis(h.draw(int(2 * clock.Minute))))
+			time.Sleep(2 * time.Millisecond)
+			n.set(func(n *node) { n.cut, n.onGate = h.draw(2) == 0, nil })
+			close(resume)
+		case 1:
+			n.set(func(n *node) { n.dead = true })
+			h.startNode(n.claimer.instance, uint64(i+2))
+		default:
+			h.mu.Lock()
+			h.down = !h.down
+			h.mu.Unlock()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// heal ends all faults and lets late writes land.
+func (h *history) heal(names []string) {
+	h.mu.Lock()
+	h.rate, h.down = 0, false
+	h.mu.Unlock()
+	for _, name := range names {
+		h.node(name).set(func(n *node) { n.cut = false })
+	}
+	for range 100 {
+		h.landOne()
+	}
+}
+
+// TestHistories guards against two runs of one key, against "not run" for a
+// call that ran or runs later, and against two answers for one key.
+func TestHistories(t *testing.T) {
+	reasons := map[string]int{}
+	names, keys := []string{"a", "b", "c"}, []string{"k0", "k1", "k2"}
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{
+			fleet: newFleet(storeemulator.New()), service: newService(),
+			lookUp: rapid.Bool().Draw(t, "look-up"),
+			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+			rate:   rapid.Float64Range(0, 0.5).Draw(t, "rate"),
+			ran:    map[int]int{}, told: map[int]error{}, bodies: map[string]map[string]bool{}, reason: reasons,
+		}
+		for _, k := range keys {
+			h.bodies[k] = map[string]bool{}
+		}
+		for _, name := range names {
+			h.startNode(name, 1)
+		}
+		const callers, calls = 8, 4
+		var group sync.WaitGroup
+		for i := range callers {
+			group.Go(func() {
+				for j := range calls {
+					patience := time.Duration(200+h.draw(3000)) * time.Microsecond
+					h.do(i*calls+j, names[h.draw(len(names))], keys[h.draw(len(keys))], patience)
+				}
+			})
+		}
+		h.disturb(names)
+		group.Wait()
+		h.heal(names)
+		for i, k := range keys {
+			for j, name := range names {
+				h.do(1000+10*i+j, name, k, 20*time.Millisecond)
+			}
+		}
+		h.check(t, keys)
+	})
+	t.Logf("callers were told: %v", reasons)
+}
+
+func (h *history) check(t *rapid.T, keys []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, k := range keys {
+		if got := h.service.count(k); got > 1 {
+			t.Errorf("%s: got %d runs, want at most 1: %v", k, got, h.service.runs[k])
+		}
+		if got := len(h.bodies[k]); got > 1 {
+			t.Errorf("%s: got %d different answers, want at most 1", k, got)
+		}
+	}
+	for id, err := range h.told {
+		notRun := err != nil && (errors.Is(err, ErrNotSent) || refuser.From(err).Run == refuser.RunNo)
+		if notRun && h.ran[id] > 0 {
+			t.Errorf("call %d was told %v and ran", id, err)
+		}
+	}
+}
