Give each start of the roller's test its own error of the current mean

Steps now take 20 minutes, and a step of 90% keeps a current version to compare with. Each start now has its own error, with four standard errors.

--- a/roller/evidence.go
+++ b/roller/evidence.go
@@ -50,7 +50,7 @@
 type strata struct {
 	fresh []sample
 	old   []float64 // mean of the current version
-	error float64   // standard error of the mean of old, weighted like fresh
+	error []float64 // standard error of the mean of old from this stratum on, weighted like fresh
 	mean  float64   // of fresh
 	base  float64   // mean of old, weighted like fresh
 	n     float64   // values in fresh
@@ -59,7 +59,7 @@
 // compare returns the strata in which the current version has enough values.
 func compare(candidate, baseline []rater.Estimate, of func(rater.Estimate) sample) strata {
 	var s strata
-	var variance float64
+	var variance []float64
 	for i := range candidate {
 		c, b := of(candidate[i]), of(baseline[i])
 		if c.n <= 0 || b.n < minBaseline {
@@ -72,12 +72,18 @@
 		s.mean += c.sum
 		s.base += c.n * mean
 		// The added 1/n keeps the variance of a rare event above 0.
-		variance += c.n * c.n * (max(0, b.squares/b.n-mean*mean) + 1/b.n) / b.n
+		variance = append(variance, c.n*c.n*(max(0, b.squares/b.n-mean*mean)+1/b.n)/b.n)
 	}
 	if s.n > 0 {
 		s.mean /= s.n
 		s.base /= s.n
-		s.error = math.Sqrt(variance) / s.n
+	}
+	s.error = make([]float64, len(s.fresh))
+	var n, sum float64
+	for i := len(s.fresh) - 1; i >= 0; i-- {
+		n += s.fresh[i].n
+		sum += variance[i]
+		s.error[i] = math.Sqrt(sum) / n
 	}
 	return s
 }
@@ -93,7 +99,8 @@
 }
 
 // below returns the logarithm of an e-process against "in every stratum the mean
-// of the new version is at least that of the current one less margin". Under
+// of the new version is at least that of the current one less margin", where the
+// current mean may be wrong by a number of standard errors. Under
 // that hypothesis it exceeds log(1/alpha) at any time with probability at most
 // alpha (Ville's inequality), so it may be looked at after every merge. It
 // depends on the values only through their sums. It is the mean of two mixtures
@@ -112,14 +119,18 @@
 // It is also a mean over the stratum from which values count, so that a version
 // that turns bad late is not excused by its past (Shin, Ramdas, Rinaldo:
 // E-detectors, New England Journal of Statistics in Data Science 2, 2024).
-func (s strata) below(margin float64) float64 {
+func (s strata) below(margin, errors float64) float64 {
 	if len(s.fresh) == 0 {
 		return 0
 	}
-	var logs [2 * gridPoints]float64
 	top, total := math.Inf(-1), 0.0
-	for i := len(s.fresh) - 1; i >= 0; i-- {
-		addStratum(&logs, s.fresh[i], min(1-edge, max(edge, s.old[i]-margin)))
+	for first := range s.fresh {
+		var logs [2 * gridPoints]float64
+		// The error of the current mean is larger for fewer strata, so each start has its own.
+		slack := margin + errors*s.error[first]
+		for i := first; i < len(s.fresh); i++ {
+			addStratum(&logs, s.fresh[i], min(1-edge, max(edge, s.old[i]-slack)))
+		}
 		for _, x := range logs {
 			if x > top {
 				total *= math.Exp(top - x)
@@ -128,7 +139,7 @@
 			total += math.Exp(x - top)
 		}
 	}
-	return top + math.Log(total/float64(len(logs)*len(s.fresh)))
+	return top + math.Log(total/float64(2*gridPoints*len(s.fresh)))
 }
 
 // addStratum adds the logarithms of one stratum with reference mean m for every bet.
--- a/roller/roller.go
+++ b/roller/roller.go
@@ -66,18 +66,20 @@
 }
 
 // Default returns the usual parameters. The error probabilities of the two tests
-// add up to 0.6%, and those of three standard errors to 0.3%.
+// add up to 0.6%. Four standard errors leave room for repeated looks at the mean of
+// the current version; three gave 1.1% false stops once its share was small. The
+// step of 90% keeps a current version to compare with for a while.
 func Default(instance string) Roller {
 	return Roller{
 		Instance:         instance,
-		Steps:            []float64{0.01, 0.05, 0.2, 0.5, 1},
-		QualityMargins:   []float64{0.05, 0.05, 0.04, 0.03},
-		ErrorMargins:     []float64{0.03, 0.02, 0.015, 0.015},
-		Dwell:            10 * clock.Minute,
+		Steps:            []float64{0.01, 0.05, 0.2, 0.5, 0.9, 1},
+		QualityMargins:   []float64{0.05, 0.05, 0.04, 0.03, 0.03},
+		ErrorMargins:     []float64{0.03, 0.02, 0.015, 0.015, 0.015},
+		Dwell:            20 * clock.Minute,
 		QualityTolerance: 0.01,
 		ErrorTolerance:   0.005,
 		Alpha:            0.003,
-		BaselineErrors:   3,
+		BaselineErrors:   4,
 	}
 }
 
@@ -110,12 +112,12 @@
 	stop := StopRecord{Version: t.Version, Current: t.Current, At: now, Instance: r.Instance}
 	goal := -math.Log(r.Alpha)
 	failing := compare(t.Candidate, t.Baseline, failures)
-	if failing.flip().below(r.ErrorTolerance+r.BaselineErrors*failing.error) >= goal {
+	if failing.flip().below(r.ErrorTolerance, r.BaselineErrors) >= goal {
 		stop.Reason, stop.Candidate, stop.Baseline, stop.Samples = ReasonErrors, failing.mean, failing.base, failing.n
 		return &stop
 	}
 	rated := compare(t.Candidate, t.Baseline, ratings)
-	if rated.below(r.QualityTolerance+r.BaselineErrors*rated.error) >= goal {
+	if rated.below(r.QualityTolerance, r.BaselineErrors) >= goal {
 		stop.Reason, stop.Candidate, stop.Baseline, stop.Samples = ReasonQuality, rated.mean, rated.base, rated.n
 		return &stop
 	}
@@ -130,7 +132,7 @@
 	rated := compare(t.Candidate, t.Baseline, ratings).flip()
 	failing := compare(t.Candidate, t.Baseline, failures)
 	for i := range len(r.Steps) - 1 {
-		if rated.below(-r.QualityMargins[i]) < goal || failing.below(-r.ErrorMargins[i]) < goal {
+		if rated.below(-r.QualityMargins[i], 0) < goal || failing.below(-r.ErrorMargins[i], 0) < goal {
 			return i, ReasonHeld
 		}
 		if now < t.Since+clock.Millis(i+1)*r.Dwell {
