--- a/experimenter/cascade.go
+++ b/experimenter/cascade.go
@@ -20,7 +20,7 @@
 	cascadeHalfLife    = 2 * clock.Hour
 	cascadeCells       = 1 << 16
 	cascadeBytes       = 64 << 10 // largest snapshot
-	cascadeRated       = 0.2      // share of answers sent to the rating service
+	cascadeRated       = 0.2      // share of answers sent to the rating service, beside all explored ones
 	cascadeRatingLost  = 0.1      // share of ratings that never arrive
 	cascadeRatingLag   = 60 * clock.Second
 	cascadeCheckCost   = 0.1
@@ -275,7 +275,7 @@
 		checked.Version, checked.From, checked.Step = t.Version[plan.First], "", rater.StepFirst
 		r.Check(checked, now, now, k.Step == rater.StepFirst)
 	}
-	if q.rated {
+	if q.rated || plan.Reason == planner.ReasonExplore {
 		r.Ask(k, now, now)
 		due := (now + q.lag + cascadeTick) / cascadeTick * cascadeTick
 		c.pending[due] = append(c.pending[due], cascadeRating{instance: i, key: k, at: now, quality: quality})
