--- a/roller/roller.go
+++ b/roller/roller.go
@@ -67,8 +67,8 @@
 
 // Default returns the usual parameters. The error probabilities of the two tests
 // add up to 0.6%. Four standard errors leave room for repeated looks at the mean of
-// the current version; three gave 1.1% false stops once its share was small. The
-// step of 90% keeps a current version to compare with for a while.
+// the current version. The step of 90% keeps a current version to compare with for a
+// while.
 func Default(instance string) Roller {
 	return Roller{
 		Instance:         instance,
