--- a/experimenter/cascade.go
+++ b/experimenter/cascade.go
@@ -254,7 +254,7 @@
 	}
 	for n := range c.tables[i] {
 		workspace, kind := cascadeWorkspace(n/len(kinds)), kinds[n%len(kinds)]
-		c.tables[i][n] = c.tables[i][n].With(c.raters[i], workspace, kind, kinds, now)
+		c.tables[i][n] = c.planner.Prepare(c.tables[i][n].With(c.raters[i], workspace, kind, kinds, now))
 	}
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -39,33 +39,48 @@
 	cheapest float64 // expected cost at the upper bound of the pass rate
 }
 
+// Prepare returns a copy of t with the bounds of all chains and the exploration share. Prepare a table once
+// after its counts change, since the bounds take most of the time of a plan.
+func (p Planner) Prepare(t Table) Table {
+	t.options = p.options(&t)
+	t.explore = p.ExploreShare(&t)
+	return t
+}
+
 // Plan returns the chain for one request. The result depends only on t and r.
-// If nothing is permitted, First is -1.
+// If nothing is permitted, First is -1. The answer of an explored chain should be
+// sent to the rating service.
 func (p Planner) Plan(t *Table, r *rand.Rand) Plan {
 	best := t.best()
 	if best < 0 {
 		return Plan{First: -1, Second: -1, Reason: ReasonForbidden}
 	}
-	chosen := p.single(t, best)
-	chosen.Reason = ReasonBest
-	meets := chosen.Lower >= t.Target
-	if meets {
-		chosen.Reason = ReasonBound
+	options, share := t.options, t.explore
+	if options == nil {
+		options, share = p.options(t), p.ExploreShare(t)
 	}
-	p.each(t, func(o option) {
-		if o.Lower < t.Target {
-			return
-		}
-		if !meets || o.Cost < chosen.Cost {
-			meets = true
-			chosen = o
+	chosen := cheapest(t, options, best)
+	if r.Float64() >= share {
+		return chosen
+	}
+	return explore(t, options, chosen, r)
+}
+
+// cheapest returns the cheapest chain whose lower bound meets the target, or the
+// best version.
+func cheapest(t *Table, options []option, best int) Plan {
+	var chosen Plan
+	for _, o := range options {
+		if o.Lower >= t.Target && (chosen.Reason != ReasonBound || o.Cost < chosen.Cost) {
+			chosen = o.Plan
 			chosen.Reason = ReasonBound
 		}
-	})
-	if r.Float64() >= p.ExploreShare(t) {
-		return chosen.Plan
+		if o.First == best && o.Second < 0 && chosen.Reason == "" {
+			chosen = o.Plan
+			chosen.Reason = ReasonBest
+		}
 	}
-	return p.explore(t, chosen, r)
+	return chosen
 }
 
 // ExploreShare returns the share of requests that may try unproven chains. Even
@@ -83,37 +98,39 @@
 
 // explore returns a chain that may be cheaper than chosen and may meet the
 // target, each with equal probability, or chosen if there is none.
-func (p Planner) explore(t *Table, chosen option, r *rand.Rand) Plan {
-	picked, seen := chosen.Plan, 0
-	p.each(t, func(o option) {
+func explore(t *Table, options []option, chosen Plan, r *rand.Rand) Plan {
+	picked, seen := chosen, 0
+	for _, o := range options {
 		if o.cheapest >= chosen.Cost || o.upper < t.Target {
-			return
+			continue
 		}
 		seen++
 		if r.IntN(seen) == 0 {
 			picked = o.Plan
 			picked.Reason = ReasonExplore
 		}
-	})
+	}
 	return picked
 }
 
-// each calls f with every permitted chain.
-func (p Planner) each(t *Table, f func(option)) {
+// options returns every permitted chain with its bounds.
+func (p Planner) options(t *Table) []option {
+	var all []option
 	for i := range t.Version {
 		if !t.Permitted[i] {
 			continue
 		}
-		f(p.single(t, i))
+		all = append(all, p.single(t, i))
 		if !t.HasCheck {
 			continue
 		}
 		for j := range t.Version {
 			if t.Permitted[j] && t.Cost[j] > t.Cost[i] {
-				f(p.cascade(t, i, j))
+				all = append(all, p.cascade(t, i, j))
 			}
 		}
 	}
+	return all
 }
 
 func (p Planner) single(t *Table, i int) option {
--- a/planner/table.go
+++ b/planner/table.go
@@ -23,6 +23,9 @@
 	CheckCost float64
 	Target    float64        // mean quality that the workspace needs, in [0, 1]
 	Met       rater.Estimate // ratings of everything the workspace received lately
+
+	options []option // set by Planner.Prepare, like explore
+	explore float64
 }
 
 // With returns a copy of t whose counts are those of r for one workspace and
@@ -33,6 +36,7 @@
 	t.First = make([]rater.Estimate, n)
 	t.Escalated = make([]rater.Estimate, n*n)
 	t.Met = rater.Estimate{}
+	t.options = nil
 	for _, k := range all {
 		read := func(from, version string, step uint8) rater.Estimate {
 			e := r.Estimate(rater.Key{Workspace: workspace, Kind: k, Version: version, From: from, Step: step}, now)
