Use an always-valid bound for the mean quality

The planner looks at the bounds after every merge and takes the best chain, for which a bound at a fixed sample size is too weak, and the empirical Bernstein bound is wide below some hundred ratings.

--- a/rater/bounds.go
+++ b/rater/bounds.go
@@ -66,22 +66,64 @@
 }
 
 // Quality returns bounds of the mean quality, each of which fails with
-// probability at most delta. It takes the tighter of Hoeffding's bound (1963)
-// and the empirical Bernstein bound (Maurer and Pontil: Empirical Bernstein
-// Bounds and Sample-Variance Penalization, COLT 2009, theorem 4), each at half
-// of delta. Without enough ratings the bounds are 0 and 1.
+// probability at most delta, also if it is looked at after every rating. The
+// lower bound is the smallest m that is not refuted by the mean, over a grid of
+// bets k, of exp(k·Σx + (k+log(1-k))·Σx²) with x = m - quality. For qualities in
+// [0, 1] with mean m or more that is a supermartingale with start 1 (Fan, Grama,
+// Liu: Exponential inequalities for martingales, Electronic Journal of
+// Probability 20, 2015), so it reaches 1/delta with probability at most delta
+// (Ville's inequality). The upper bound is that of 1 - quality. Without ratings
+// the bounds are 0 and 1.
 func (e Estimate) Quality(delta float64) (lower, upper float64) {
-	n := e.Rated
-	if n < 2 {
+	if e.Rated <= 0 {
 		return 0, 1
 	}
-	mean := e.Mean()
-	variance := max(0, (e.Squares-n*mean*mean)/(n-1))
-	hoeffding := math.Sqrt(math.Log(2/delta) / (2 * n))
-	tail := math.Log(4 / delta)
-	bernstein := math.Sqrt(2*variance*tail/n) + 7*tail/(3*(n-1))
-	width := min(hoeffding, bernstein)
-	return max(0, mean-width), min(1, mean+width)
+	upper = upperMean(e.Rated, e.Sum, e.Squares, delta)
+	lower = 1 - upperMean(e.Rated, e.Rated-e.Sum, e.Rated-2*e.Sum+e.Squares, delta)
+	return lower, upper
+}
+
+const (
+	betRatio   = 0.7 // between neighbours of the grid
+	boundSteps = 20  // halvings of the interval of a bound
+)
+
+// bets holds the grid, and logRests the logarithms of 1-k.
+var bets, logRests = func() (k, rest [12]float64) {
+	x := 1.0
+	for i := range k {
+		x *= betRatio
+		k[i], rest[i] = x, math.Log1p(-x)
+	}
+	return k, rest
+}()
+
+// upperMean returns the smallest m above the observed mean for which the values
+// refute a mean of m or more.
+func upperMean(n, sum, squares, delta float64) float64 {
+	goal := float64(len(bets)) / delta
+	low, high := min(1, max(0, sum/n)), 1.0
+	if wealth(n, sum, squares, high) < goal {
+		return 1
+	}
+	for range boundSteps {
+		if mid := (low + high) / 2; wealth(n, sum, squares, mid) >= goal {
+			high = mid
+		} else {
+			low = mid
+		}
+	}
+	return high
+}
+
+func wealth(n, sum, squares, m float64) float64 {
+	drift := n*m - sum
+	variation := max(0, n*m*m-2*m*sum+squares)
+	var total float64
+	for i, k := range bets {
+		total += math.Exp(k*drift + (k+logRests[i])*variation)
+	}
+	return total
 }
 
 // Pass returns bounds of the pass rate of the check; see Wilson.
