Guide the planner's exploration by all workspaces together

A chain that is proven over all workspaces is tried by up to half of a workspace's requests, others by up to a tenth, in each case only as far as the met quality stays above the target with the chain at its lower bound.

--- a/experimenter/cascade.go
+++ b/experimenter/cascade.go
@@ -218,6 +218,8 @@
 func (c *cascadeRun) tick(now clock.Millis) {
 	for _, x := range c.pending[now] {
 		c.raters[x.instance].Rate(x.key, x.at, now, x.quality)
+		x.key.Workspace = planner.AllWorkspaces
+		c.raters[x.instance].Rate(x.key, x.at, now, x.quality)
 	}
 	delete(c.pending, now)
 	for i := range cascadeInstances {
@@ -268,15 +270,19 @@
 	plan := c.planner.Plan(t, c.random)
 	c.reasons[plan.Reason]++
 	k, quality := m.serve(q, plan.First, plan.Second)
-	r := c.raters[i]
-	r.Serve(k, now, now, false)
-	if plan.Second >= 0 {
-		checked := k
-		checked.Version, checked.From, checked.Step = t.Version[plan.First], "", rater.StepFirst
-		r.Check(checked, now, now, k.Step == rater.StepFirst)
+	r, pooled := c.raters[i], k
+	pooled.Workspace = planner.AllWorkspaces
+	for _, k := range []rater.Key{k, pooled} {
+		r.Serve(k, now, now, false)
+		if plan.Second >= 0 {
+			checked := k
+			checked.Version, checked.From, checked.Step = t.Version[plan.First], "", rater.StepFirst
+			r.Check(checked, now, now, k.Step == rater.StepFirst)
+		}
 	}
 	if q.rated || plan.Reason == planner.ReasonExplore {
 		r.Ask(k, now, now)
+		r.Ask(pooled, now, now)
 		due := (now + q.lag + cascadeTick) / cascadeTick * cascadeTick
 		c.pending[due] = append(c.pending[due], cascadeRating{instance: i, key: k, at: now, quality: quality})
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -12,14 +12,14 @@
 
 // Planner holds the parameters. Use Default and change fields as needed.
 type Planner struct {
-	Delta         float64 // error probability of each bound
-	MaxExplore    float64 // upper limit of the share of requests spent on exploration
-	MinExploreMet float64 // ratings needed before the met quality counts as known
+	Delta      float64 // error probability of each bound
+	MaxExplore float64 // largest share of requests spent on exploration
+	MaxTrial   float64 // the same for a chain that is proven over all workspaces together
 }
 
 // Default returns the usual parameters.
 func Default() Planner {
-	return Planner{Delta: 0.05, MaxExplore: 0.05, MinExploreMet: 50}
+	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.5}
 }
 
 // Plan is a chain: the index of the first version and that of the version
@@ -36,14 +36,15 @@
 type option struct {
 	Plan
 	upper    float64
+	pooled   float64 // lower bound over all workspaces together
 	cheapest float64 // expected cost at the upper bound of the pass rate
 }
 
-// Prepare returns a copy of t with the bounds of all chains and the exploration share. Prepare a table once
+// Prepare returns a copy of t with the bounds of all chains. Prepare a table once
 // after its counts change, since the bounds take most of the time of a plan.
 func (p Planner) Prepare(t Table) Table {
 	t.options = p.options(&t)
-	t.explore = p.ExploreShare(&t)
+	t.met, _ = t.Met.Quality(p.Delta)
 	return t
 }
 
@@ -55,22 +56,22 @@
 	if best < 0 {
 		return Plan{First: -1, Second: -1, Reason: ReasonForbidden}
 	}
-	options, share := t.options, t.explore
-	if options == nil {
-		options, share = p.options(t), p.ExploreShare(t)
+	if t.options == nil {
+		prepared := p.Prepare(*t)
+		t = &prepared
 	}
-	chosen := cheapest(t, options, best)
-	if r.Float64() >= share {
+	chosen := cheapest(t, best)
+	if t.met <= t.Target {
 		return chosen
 	}
-	return explore(t, options, chosen, r)
+	return p.explore(t, chosen, r)
 }
 
 // cheapest returns the cheapest chain whose lower bound meets the target, or the
 // best version.
-func cheapest(t *Table, options []option, best int) Plan {
+func cheapest(t *Table, best int) Plan {
 	var chosen Plan
-	for _, o := range options {
+	for _, o := range t.options {
 		if o.Lower >= t.Target && (chosen.Reason != ReasonBound || o.Cost < chosen.Cost) {
 			chosen = o.Plan
 			chosen.Reason = ReasonBound
@@ -83,34 +84,45 @@
 	return chosen
 }
 
-// ExploreShare returns the share of requests that may try unproven chains. Even
-// if each of them had quality 0, the met quality would stay above the target.
-func (p Planner) ExploreShare(t *Table) float64 {
-	if t.Met.Rated < p.MinExploreMet {
-		return 0
-	}
-	lower, _ := t.Met.Quality(p.Delta)
-	if lower <= t.Target {
-		return 0
-	}
-	return min(p.MaxExplore, (lower-t.Target)/lower)
-}
-
-// explore returns a chain that may be cheaper than chosen and may meet the
-// target, each with equal probability, or chosen if there is none.
-func explore(t *Table, options []option, chosen Plan, r *rand.Rand) Plan {
-	picked, seen := chosen, 0
-	for _, o := range options {
+// explore returns chosen, or at times a chain that may be cheaper and may meet
+// the target: the cheapest that is proven over all workspaces together, else any
+// with equal probability.
+func (p Planner) explore(t *Table, chosen Plan, r *rand.Rand) Plan {
+	var picked option
+	seen, proven := 0, false
+	for _, o := range t.options {
 		if o.cheapest >= chosen.Cost || o.upper < t.Target {
 			continue
 		}
-		seen++
-		if r.IntN(seen) == 0 {
-			picked = o.Plan
-			picked.Reason = ReasonExplore
+		if o.pooled >= t.Target {
+			if !proven || o.cheapest < picked.cheapest {
+				picked, proven = o, true
+			}
+			continue
+		}
+		if seen++; !proven && r.IntN(seen) == 0 {
+			picked = o
 		}
 	}
-	return picked
+	if seen == 0 && !proven || r.Float64() >= p.share(t, &picked, proven) {
+		return chosen
+	}
+	picked.Reason = ReasonExplore
+	return picked.Plan
+}
+
+// share returns the share of requests that may try o. Even if its quality were at
+// its lower bound, the met quality would stay above the target.
+func (p Planner) share(t *Table, o *option, proven bool) float64 {
+	most := p.MaxExplore
+	if proven {
+		most = p.MaxTrial
+	}
+	loss := t.met - max(o.Lower, o.pooled)
+	if loss <= 0 {
+		return most
+	}
+	return min(most, (t.met-t.Target)/loss)
 }
 
 // options returns every permitted chain with its bounds.
@@ -120,14 +132,23 @@
 		if !t.Permitted[i] {
 			continue
 		}
-		all = append(all, p.single(t, i))
+		o := p.single(t, i)
+		if t.Pooled != nil {
+			o.pooled = p.single(t.Pooled, i).Lower
+		}
+		all = append(all, o)
 		if !t.HasCheck {
 			continue
 		}
 		for j := range t.Version {
-			if t.Permitted[j] && t.Cost[j] > t.Cost[i] {
-				all = append(all, p.cascade(t, i, j))
+			if !t.Permitted[j] || t.Cost[j] <= t.Cost[i] {
+				continue
+			}
+			o := p.cascade(t, i, j)
+			if t.Pooled != nil {
+				o.pooled = p.cascade(t.Pooled, i, j).Lower
 			}
+			all = append(all, o)
 		}
 	}
 	return all
--- a/planner/table.go
+++ b/planner/table.go
@@ -23,38 +23,57 @@
 	CheckCost float64
 	Target    float64        // mean quality that the workspace needs, in [0, 1]
 	Met       rater.Estimate // ratings of everything the workspace received lately
+	// Pooled holds the counts over all workspaces, or is nil. It only guides
+	// exploration, since workspaces may differ.
+	Pooled *Table
 
-	options []option // set by Planner.Prepare, like explore
-	explore float64
+	options []option // set by Planner.Prepare
+	met     float64  // lower bound of the met quality
 }
 
+// AllWorkspaces is the workspace in whose counts those of all workspaces are
+// repeated.
+const AllWorkspaces = ""
+
 // With returns a copy of t whose counts are those of r for one workspace and
-// kind of request. Met is the sum over the kinds in all.
+// kind of request. Met is the sum over the kinds in all. Pooled is read from
+// AllWorkspaces.
 func (t Table) With(r *rater.Rater, workspace, kind string, all []string, now clock.Millis) Table {
-	n := len(t.Version)
-	t.Only = make([]rater.Estimate, n)
-	t.First = make([]rater.Estimate, n)
-	t.Escalated = make([]rater.Estimate, n*n)
+	pooled := t
+	pooled.read(r, AllWorkspaces, kind, now)
+	t.read(r, workspace, kind, now)
 	t.Met = rater.Estimate{}
-	t.options = nil
 	for _, k := range all {
-		read := func(from, version string, step uint8) rater.Estimate {
-			e := r.Estimate(rater.Key{Workspace: workspace, Kind: k, Version: version, From: from, Step: step}, now)
-			t.Met = t.Met.Plus(e)
-			return e
+		counts := t
+		if k != kind {
+			counts.read(r, workspace, k, now)
 		}
-		for i, v := range t.Version {
-			only, first := read("", v, rater.StepOnly), read("", v, rater.StepFirst)
-			if k == kind {
-				t.Only[i], t.First[i] = only, first
-			}
-			for j, to := range t.Version {
-				escalated := read(v, to, rater.StepEscalated)
-				if k == kind {
-					t.Escalated[i*n+j] = escalated
-				}
+		for _, list := range [][]rater.Estimate{counts.Only, counts.First, counts.Escalated} {
+			for _, e := range list {
+				t.Met = t.Met.Plus(e)
 			}
 		}
 	}
+	t.Pooled, t.options = &pooled, nil
 	return t
 }
+
+// read replaces the counts of the chains.
+func (t *Table) read(r *rater.Rater, workspace, kind string, now clock.Millis) {
+	n := len(t.Version)
+	t.Only = make([]rater.Estimate, n)
+	t.First = make([]rater.Estimate, n)
+	t.Escalated = make([]rater.Estimate, n*n)
+	key := rater.Key{Workspace: workspace, Kind: kind}
+	for i, v := range t.Version {
+		key.Version, key.From, key.Step = v, "", rater.StepOnly
+		t.Only[i] = r.Estimate(key, now)
+		key.Step = rater.StepFirst
+		t.First[i] = r.Estimate(key, now)
+		key.From, key.Step = v, rater.StepEscalated
+		for j, to := range t.Version {
+			key.Version = to
+			t.Escalated[i*n+j] = r.Estimate(key, now)
+		}
+	}
+}
