placer: add desired placement, fenced commands and the commander's lease

A commander takes the lease only after it has seen the record unchanged for the lifetime and a margin, waits out former commands at engines without fencing and reads back before it acts.

--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,349 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"golang.org/x/time/rate"
+	"pgregory.net/rapid"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/storeemulator"
+)
+
+const lifetime, margin = 3000, 200
+
+func newLease(e *storeemulator.Emulator, now func() clock.Millis, member string) *Lease {
+	s := e.Store()
+	return &Lease{Get: s.Get, Put: s.Put, Now: now, Key: "placement/d", Member: member, Lifetime: lifetime, Margin: margin}
+}
+
+// contest is a set of instances that want one lease, under one true time.
+type contest struct {
+	random *rand.Rand
+	store  *storeemulator.Emulator
+	now    clock.Millis
+	leases []*Lease
+	paused map[*Lease]bool
+	number uint64
+	holder string
+	fault  string
+}
+
+func newContest(seed uint64, instances int) *contest {
+	c := &contest{random: rand.New(rand.NewPCG(seed, 1)), store: storeemulator.New(), paused: map[*Lease]bool{}}
+	for n := range instances {
+		offset, pace := clock.Millis(c.random.IntN(9000)), 0.98+0.02*c.random.Float64()
+		l := newLease(c.store, func() clock.Millis { return offset + clock.Millis(float64(c.now)*pace) }, fmt.Sprint(n))
+		put := l.Put
+		l.Put = func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+			c.wait(l)
+			v, err := put(ctx, key, value, expect)
+			c.wait(l)
+			return v, err
+		}
+		c.leases = append(c.leases, l)
+	}
+	return c
+}
+
+// wait lets a short time pass or, sometimes, a long one in which others act.
+func (c *contest) wait(l *Lease) {
+	c.now += clock.Millis(c.random.IntN(20))
+	if c.paused[l] || c.random.IntN(20) > 0 {
+		return
+	}
+	c.paused[l] = true
+	for range c.random.IntN(30) {
+		c.now += clock.Millis(c.random.IntN(400))
+		c.act(c.leases[c.random.IntN(len(c.leases))])
+	}
+	c.paused[l] = false
+}
+
+func (c *contest) act(l *Lease) {
+	if c.paused[l] {
+		return
+	}
+	_ = l.Tick(context.Background())
+	c.check()
+	switch c.random.IntN(40) {
+	case 0, 1, 2, 3:
+		_ = l.Change(context.Background(), func(r Record) Record { r.Stage++; return r })
+	case 4:
+		_ = l.Release(context.Background())
+	}
+	c.check()
+}
+
+func (c *contest) check() {
+	var held []string
+	for _, l := range c.leases {
+		if !l.Held() {
+			continue
+		}
+		held = append(held, l.Member)
+		if l.Member != c.holder && l.Record().Number <= c.number {
+			c.fault = fmt.Sprintf("at %d: %s took over under number %d after %d", c.now, l.Member, l.Record().Number, c.number)
+		}
+		c.holder, c.number = l.Member, max(c.number, l.Record().Number)
+	}
+	if len(held) > 1 {
+		c.fault = fmt.Sprintf("at %d: members %v hold the lease", c.now, held)
+	}
+}
+
+var contestFaults = []string{"", "", "", "lose", "stale", "down", "heal", "heal", "pause", "wake"}
+
+// TestOneHolder guards against two commanding instances at the same time, and
+// against a number that does not grow with a takeover: under pauses, clocks
+// with other rates, a store that is down or slow, lost answers and stale reads.
+func TestOneHolder(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := newContest(rapid.Uint64().Draw(r, "seed"), 3)
+		for range rapid.IntRange(20, 200).Draw(r, "steps") {
+			switch rapid.SampledFrom(contestFaults).Draw(r, "fault") {
+			case "lose":
+				c.store.SetFaults(storeemulator.Faults{LoseWrites: 1 + c.random.IntN(3), StaleReads: c.random.IntN(2) == 0})
+			case "stale":
+				c.store.SetFaults(storeemulator.Faults{StaleReads: true})
+			case "down":
+				c.store.SetFaults(storeemulator.Faults{Down: true})
+			case "heal":
+				c.store.SetFaults(storeemulator.Faults{})
+			case "pause":
+				c.paused[c.leases[c.random.IntN(3)]] = true
+			case "wake":
+				clear(c.paused)
+			}
+			for _, l := range c.leases {
+				c.now += clock.Millis(c.random.IntN(300))
+				c.act(l)
+			}
+		}
+		c.store.SetFaults(storeemulator.Faults{})
+		for _, l := range c.leases[1:] {
+			c.paused[l] = true
+		}
+		delete(c.paused, c.leases[0])
+		for n := 0; n < 100 && !c.leases[0].Held(); n++ {
+			c.now += 100
+			_ = c.leases[0].Tick(context.Background())
+			c.check()
+		}
+		if c.fault == "" && !c.leases[0].Held() {
+			c.fault = "the only live instance does not hold the lease"
+		}
+		if c.fault != "" {
+			r.Fatal(c.fault)
+		}
+	})
+}
+
+// TestPausedCommander guards against a commander that acts after its lease has
+// run out while it was paused, and a successor that trusts what it read from an
+// endpoint without fencing before the former commands must have arrived.
+func TestPausedCommander(t *testing.T) {
+	store, c := storeemulator.New(), clock.NewManual(0)
+	a, b := newLease(store, c.Now, "a"), newLease(store, c.Now, "b")
+	ctx := context.Background()
+	_, _ = a.Tick(ctx), b.Tick(ctx)
+	err := a.Change(ctx, func(r Record) Record {
+		r.Stage, r.Desired = 9, map[string][]string{"fenced": {"v"}, "open": {"v"}}
+		return r
+	})
+	if err != nil || !a.Held() || b.Held() {
+		t.Fatalf("got %v, held by a %v, by b %v, want nil, true, false", err, a.Held(), b.Held())
+	}
+	_ = b.Tick(ctx)
+	c.Advance(lifetime + margin - 1)
+	if _ = b.Tick(ctx); b.Held() || a.Held() {
+		t.Error("the lease was taken before the margin, or is held after its lifetime")
+	}
+	c.Advance(1)
+	if err := b.Tick(ctx); err != nil || !b.Held() || b.Record().Number != a.Record().Number+1 {
+		t.Errorf("takeover: got %v, held %v, number %d after %d", err, b.Held(), b.Record().Number, a.Record().Number)
+	}
+	if err := a.Change(ctx, func(r Record) Record { return r }); err == nil {
+		t.Error("a commander that woke up changed the record")
+	}
+	p := New(b.Taken(), Options{CommandTimeout: 500, LoadTimeout: 1000, Rate: 1000, Burst: 10})
+	for wait, want := range []int{1, 2} {
+		now := c.Advance(500 * clock.Millis(wait))
+		read := []Endpoint{{ID: "fenced", Slots: 1, Fenced: true, Read: now}, {ID: "open", Slots: 1, Read: now}}
+		p.sent = map[string]sent{}
+		if got := p.Tick(now+10, b.Record(), read); len(got) != want || got[0].Number != b.Record().Number {
+			t.Errorf("%d ms after the takeover: got commands %v, want %d", 500*wait, got, want)
+		}
+	}
+}
+
+// fleet executes commands as endpoints do, with some lost.
+func execute(random *rand.Rand, now clock.Millis, endpoints []Endpoint, commands []Command) {
+	for k := range endpoints {
+		e := &endpoints[k]
+		e.Read = now
+		for _, c := range commands {
+			if c.Endpoint != e.ID || random.IntN(5) == 0 {
+				continue
+			}
+			e.Versions = slices.DeleteFunc(slices.Clone(e.Versions), func(v string) bool { return v == c.Version })
+			if c.Kind == Load {
+				e.Versions = append(e.Versions, c.Version)
+			}
+		}
+	}
+}
+
+// TestConvergence guards against placements that are never reached (lost
+// commands, endpoints that must exchange their versions), a version that loses
+// its last copy although it is desired and need not, more loads than the
+// weight-store budget allows, and endpoints that hold more than fits.
+func TestConvergence(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "seed"), 1))
+		var endpoints []Endpoint
+		for n := range rapid.IntRange(1, 6).Draw(r, "endpoints") {
+			e := Endpoint{ID: fmt.Sprint(n), Slots: 1 + random.IntN(3)}
+			for range random.IntN(e.Slots + 1) {
+				if v := fmt.Sprint(random.IntN(4)); !slices.Contains(e.Versions, v) {
+					e.Versions = append(e.Versions, v)
+				}
+			}
+			endpoints = append(endpoints, e)
+		}
+		load := map[string]float64{}
+		for v := range rapid.IntRange(1, 4).Draw(r, "versions") {
+			load[fmt.Sprint(v)] = random.Float64()
+		}
+		record := Record{Number: 7, Desired: Desire(endpoints, load, nil)}
+		options := Options{
+			CommandTimeout: 100, LoadTimeout: 500, Rate: 2, Burst: 3, Stages: []float64{0.25, 0.5}, StageTime: 300,
+		}
+		p := New(0, options)
+		var loads int
+		for now := clock.Millis(0); now < 120000; now += 100 {
+			execute(random, now, endpoints, nil)
+			record.Stage = p.Stage(now, record, endpoints)
+			commands := p.Tick(now+1, record, endpoints)
+			for _, c := range commands {
+				if c.Kind == Load {
+					loads++
+				}
+			}
+			if allowed := options.Rate * float64(now+1) / 1000; float64(loads) > allowed {
+				r.Fatalf("at %d: %d loads, the budget allows %.1f", now, loads, allowed)
+			}
+			execute(random, now+50, endpoints, commands)
+			for _, e := range endpoints {
+				if len(e.Versions) > e.Slots {
+					r.Fatalf("endpoint %s holds %v in %d slots", e.ID, e.Versions, e.Slots)
+				}
+			}
+		}
+		for _, e := range endpoints {
+			slices.Sort(e.Versions)
+			if got, want := fmt.Sprint(e.Versions), fmt.Sprint(record.Desired[e.ID]); got != want {
+				r.Fatalf("endpoint %s holds %s, want %s (stage %d)", e.ID, got, want, record.Stage)
+			}
+		}
+	})
+}
+
+// TestLastCopy guards against unloading the only copy of a version that another
+// endpoint is still to load, and against a staged return that fills every
+// endpoint at once.
+func TestLastCopy(t *testing.T) {
+	record := Record{Number: 3, Desired: map[string][]string{"a": {"v"}, "b": {"v"}, "c": {"w"}, "d": {"w"}}}
+	options := Options{CommandTimeout: 1, LoadTimeout: 10, Rate: 1000, Burst: 100, Stages: []float64{0.5}, StageTime: 1000}
+	p := New(0, options)
+	endpoints := []Endpoint{
+		{ID: "a", Slots: 2, Read: 500}, {ID: "b", Slots: 2, Read: 500},
+		{ID: "c", Slots: 1, Read: 500, Versions: []string{"v"}}, {ID: "d", Slots: 2, Read: 500},
+	}
+	got := fmt.Sprint(p.Tick(1000, record, endpoints))
+	if want := fmt.Sprint([]Command{{"a", Load, "v", 3}, {"b", Load, "v", 3}}); got != want {
+		t.Errorf("first stage: got %s, want %s", got, want)
+	}
+	if got := p.Tick(1100, record, endpoints); len(got) > 0 {
+		t.Errorf("before the endpoints were read again: got %v, want no commands", got)
+	}
+	if p.Stage(2000, record, endpoints) != 0 {
+		t.Error("the next stage began before the first one was filled")
+	}
+	execute(rand.New(rand.NewPCG(4, 4)), 1500, endpoints, nil)
+	endpoints[0].Versions, endpoints[1].Versions = []string{"v"}, []string{"v"}
+	record.Stage = p.Stage(2000, record, endpoints)
+	got = fmt.Sprint(p.Tick(2000, record, endpoints))
+	if want := fmt.Sprint([]Command{{"c", Unload, "v", 3}, {"d", Load, "w", 3}}); got != want {
+		t.Errorf("second stage: got %s, want %s", got, want)
+	}
+	record = Record{Number: 4, Desired: map[string][]string{"a": {"w"}}}
+	both := []Endpoint{{ID: "a", Slots: 1, Read: 500}, {ID: "b", Read: 500}, {ID: "c", Read: 500}}
+	both[1].Versions, both[2].Versions = []string{"w"}, []string{"w"}
+	got = fmt.Sprint(New(0, options).Tick(0, record, both))
+	if want := fmt.Sprint([]Command{{"b", Unload, "w", 4}}); got != want {
+		t.Errorf("two copies elsewhere: got %s, want %s", got, want)
+	}
+}
+
+// TestDesire guards against versions without a copy although slots are free,
+// against moves that are not needed, and against withdrawn versions that stay.
+func TestDesire(t *testing.T) {
+	var endpoints []Endpoint
+	for n := range 12 {
+		endpoints = append(endpoints, Endpoint{ID: fmt.Sprint(n), Slots: 2})
+	}
+	load := map[string]float64{"a": 0.6, "b": 0.3, "c": 0.0999, "d": 0.0001}
+	first := Desire(endpoints, load, nil)
+	for v, want := range map[string]int{"a": 12, "b": 7, "c": 2, "d": 1} {
+		if got := count(first, v); got < want {
+			t.Errorf("version %s: got %d copies, want at least %d", v, got, want)
+		}
+	}
+	delete(load, "b")
+	load["e"] = 0.3
+	second := Desire(endpoints, load, first)
+	var moved int
+	for _, e := range endpoints {
+		for _, v := range missing(second[e.ID], first[e.ID]) {
+			if v != "e" {
+				moved++
+			}
+		}
+	}
+	if count(second, "b") != 0 || moved > 1 {
+		t.Errorf("after b was replaced by e: %d copies of b, %d other moves, want 0 and at most 1", count(second, "b"), moved)
+	}
+}
+
+// TestBucket guards against a budget that differs from x/time/rate.
+func TestBucket(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		perSecond := rapid.IntRange(1, 50).Draw(r, "rate")
+		burst := rapid.IntRange(1, 20).Draw(r, "burst")
+		start := time.UnixMilli(1_700_000_000_000)
+		l := rate.NewLimiter(rate.Limit(perSecond), burst)
+		l.AllowN(start, burst)
+		b := bucket{rate: float64(perSecond), burst: float64(burst)}
+		var now clock.Millis
+		for range 100 {
+			now += clock.Millis(rapid.IntRange(0, 1000).Draw(r, "ms"))
+			n := rapid.IntRange(1, 25).Draw(r, "n")
+			wait := b.wait(now, float64(n))
+			near := math.Abs(b.tokens-float64(n)) < 1e-6
+			if got, want := b.take(now, float64(n)), l.AllowN(start.Add(now.Duration()), n); got != want && !near {
+				r.Fatalf("at %d: take %d: got %v, want %v", now, n, got, want)
+			} else if got != want {
+				return
+			} else if got != (wait == 0) && !near {
+				r.Fatalf("at %d: take %d: got %v after a wait of %d", now, n, got, wait)
+			}
+		}
+	})
+}
