reviser: tests for lost answers, racing operators and conflicts

The table covers each place at which an answer can be lost, and the rapid test races up to three operators with lost answers, outages and stale reads: no accepted change is missing, none takes effect twice, and none that took effect is reported as refused.

--- /dev/null
+++ b/reviser/reviser_test.go
@@ -0,0 +1,323 @@
+package reviser
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/refuser"
+	"rosemaryarch.example/rosemaryarch/storeemulator"
+	"rosemaryarch.example/rosemaryarch/storer"
+)
+
+func newReviser(e *storeemulator.Emulator) *Reviser {
+	r := New(e.Store(), clock.NewManual(clock.Hour).Clock())
+	r.Wait = func(ctx context.Context, _ clock.Millis) error { return ctx.Err() }
+	return r
+}
+
+func stored(t testing.TB, e *storeemulator.Emulator) Object {
+	t.Helper()
+	s, err := e.Store().Get(context.Background(), Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := Decode(s.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return o
+}
+
+// TestWrites guards against a text edit that undoes a removal or overwrites
+// another edit, and against writes that are reported with a wrong outcome.
+func TestWrites(t *testing.T) {
+	ctx := context.Background()
+	noDC := refuser.ErrUnknownDataCentre
+	cases := map[string]struct {
+		write func(r *Reviser) (Object, error)
+		want  error // nil: accepted
+		out   []string
+		text  string
+	}{
+		"text from the present revision": {func(r *Reviser) (Object, error) {
+			return r.Apply(ctx, "a\nc\n", 2, "x")
+		}, nil, []string{"oita"}, "a\nc\n"},
+		"text from an old revision": {func(r *Reviser) (Object, error) {
+			return r.Apply(ctx, "a\nc\n", 1, "x")
+		}, refuser.ErrRevisionConflict, []string{"oita"}, "a\nb\n"},
+		"text that is not valid": {func(r *Reviser) (Object, error) {
+			return r.Apply(ctx, "bad", 2, "x")
+		}, refuser.ErrInvalidConfig, []string{"oita"}, "a\nb\n"},
+		"second data centre": {func(r *Reviser) (Object, error) {
+			return r.SetDataCentre(ctx, "aluva", true, "x")
+		}, nil, []string{"aluva", "oita"}, "a\nb\n"},
+		"unknown data centre": {func(r *Reviser) (Object, error) {
+			return r.SetDataCentre(ctx, "nowhere", true, "x")
+		}, noDC, []string{"oita"}, "a\nb\n"},
+		"unknown data centre comes back": {func(r *Reviser) (Object, error) {
+			return r.SetDataCentre(ctx, "nowhere", false, "x")
+		}, nil, []string{"oita"}, "a\nb\n"},
+		"back in": {func(r *Reviser) (Object, error) {
+			return r.SetDataCentre(ctx, "oita", false, "x")
+		}, nil, nil, "a\nb\n"},
+		"repeated id": {func(r *Reviser) (Object, error) {
+			return r.SetDataCentre(ctx, "oita", true, "out")
+		}, nil, []string{"oita"}, "a\nb\n"},
+		"id of another change": {func(r *Reviser) (Object, error) {
+			return r.SetDataCentre(ctx, "oita", false, "out")
+		}, refuser.ErrKeyReused, []string{"oita"}, "a\nb\n"},
+		"no id": {func(r *Reviser) (Object, error) {
+			return r.SetDataCentre(ctx, "oita", false, "")
+		}, refuser.ErrInvalidBody, []string{"oita"}, "a\nb\n"},
+		"no contact with the majority": {func(r *Reviser) (Object, error) {
+			r.MayWrite = func() error { return refuser.ErrNotReady }
+			return r.SetDataCentre(ctx, "oita", false, "x")
+		}, refuser.ErrNotReady, []string{"oita"}, "a\nb\n"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := storeemulator.New()
+			r := newReviser(e)
+			r.Validate = func(text string) error {
+				if text == "bad" {
+					return errors.New("line 1: bad")
+				}
+				return nil
+			}
+			r.CheckDataCentre = func(_, name string) error {
+				if name == "nowhere" {
+					return noDC
+				}
+				return nil
+			}
+			mustWrite(t)(r.Apply(ctx, "a\nb\n", 0, "first"))
+			mustWrite(t)(r.SetDataCentre(ctx, "oita", true, "out"))
+			if _, err := c.write(r); !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+			got := stored(t, e)
+			if !slices.Equal(got.DataCentresOut, c.out) || got.Text != c.text {
+				t.Errorf("stored: out %v, text %q, want %v, %q", got.DataCentresOut, got.Text, c.out, c.text)
+			}
+		})
+	}
+}
+
+func mustWrite(t testing.TB) func(Object, error) {
+	return func(_ Object, err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestLostAnswers guards against "rejected" for a write that took effect, and
+// against a second execution of one that did.
+func TestLostAnswers(t *testing.T) {
+	ctx := context.Background()
+	cases := map[string]struct {
+		// put replaces the store's write; get its reads after the write.
+		put  func(e *storeemulator.Emulator, s storer.Store, value []byte, expect uint64) (uint64, error)
+		down bool
+		want error
+		out  bool
+	}{
+		"took effect": {func(_ *storeemulator.Emulator, s storer.Store, v []byte, x uint64) (uint64, error) {
+			_, _ = s.Put(ctx, Key, v, x)
+			return 0, storer.ErrUnknown
+		}, false, nil, true},
+		"took no effect": {func(_ *storeemulator.Emulator, _ storer.Store, _ []byte, _ uint64) (uint64, error) {
+			return 0, storer.ErrUnknown
+		}, false, nil, true},
+		"took no effect, another write came first": {
+			func(e *storeemulator.Emulator, _ storer.Store, _ []byte, _ uint64) (uint64, error) {
+				_, _ = newReviser(e).SetEndpoint(ctx, "e1", true, "other")
+				return 0, storer.ErrUnknown
+			}, false, nil, true},
+		"took effect, another write followed": {
+			func(e *storeemulator.Emulator, s storer.Store, v []byte, x uint64) (uint64, error) {
+				_, _ = s.Put(ctx, Key, v, x)
+				_, _ = newReviser(e).SetEndpoint(ctx, "e1", true, "other")
+				return 0, storer.ErrUnknown
+			}, false, nil, true},
+		"took effect, then an outage": {
+			func(_ *storeemulator.Emulator, s storer.Store, v []byte, x uint64) (uint64, error) {
+				_, _ = s.Put(ctx, Key, v, x)
+				return 0, storer.ErrUnknown
+			}, true, refuser.ErrChangeUnknown, true},
+		"took no effect, then an outage": {
+			func(_ *storeemulator.Emulator, _ storer.Store, _ []byte, _ uint64) (uint64, error) {
+				return 0, storer.ErrUnknown
+			}, true, refuser.ErrChangeUnknown, false},
+		"refused by an outage": {func(_ *storeemulator.Emulator, _ storer.Store, _ []byte, _ uint64) (uint64, error) {
+			return 0, storer.ErrUnavailable
+		}, false, refuser.ErrStoreUnavailable, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := storeemulator.New()
+			mustWrite(t)(newReviser(e).Apply(ctx, "text", 0, "first"))
+			r := newReviser(e)
+			store := e.Store()
+			first := true
+			r.Store.Put = func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+				if !first {
+					return store.Put(ctx, key, value, expect)
+				}
+				first = false
+				v, err := c.put(e, store, value, expect)
+				e.SetFaults(storeemulator.Faults{Down: c.down})
+				return v, err
+			}
+			_, err := r.SetDataCentre(ctx, "oita", true, "out")
+			if !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+			if errors.Is(c.want, refuser.ErrChangeUnknown) && !strings.Contains(fmt.Sprint(err), `"out"`) {
+				t.Errorf("the error does not name the change id: %v", err)
+			}
+			e.SetFaults(storeemulator.Faults{})
+			o := stored(t, e)
+			if got := slices.Contains(o.DataCentresOut, "oita"); got != c.out {
+				t.Errorf("taken out: got %v, want %v", got, c.out)
+			}
+			_, err = r.Outcome(ctx, "out")
+			if got := err == nil; got != c.out || !got && !errors.Is(err, ErrNotRecorded) {
+				t.Errorf("outcome: got %v, want recorded %v", err, c.out)
+			}
+		})
+	}
+}
+
+// TestConflictNamesTheLines guards against a refusal from which the operator
+// cannot see what differs.
+func TestConflictNamesTheLines(t *testing.T) {
+	ctx := context.Background()
+	e := storeemulator.New()
+	r := newReviser(e)
+	mustWrite(t)(r.Apply(ctx, "same\nstored\nend\n", 0, "first"))
+	_, err := r.Apply(ctx, "same\nmine\nmore\nend\n", 7, "x")
+	for _, want := range []string{"revision 7", "revision is 1", "-2: stored", "+2: mine", "+3: more"} {
+		if !strings.Contains(fmt.Sprint(err), want) {
+			t.Errorf("%v does not contain %q", err, want)
+		}
+	}
+	if strings.Contains(fmt.Sprint(err), "same") {
+		t.Errorf("%v repeats equal lines", err)
+	}
+}
+
+// TestRotation guards against a rotation that drops a key still in use or
+// returns the same key.
+func TestRotation(t *testing.T) {
+	ctx := context.Background()
+	e := storeemulator.New()
+	r := newReviser(e)
+	mustWrite(t)(r.Apply(ctx, "text", 0, "first"))
+	var before [][]byte
+	for i := range 5 {
+		mustWrite(t)(r.RotateSessionKey(ctx, fmt.Sprint("rotate ", i)))
+		mustWrite(t)(r.RotateSessionKey(ctx, fmt.Sprint("rotate ", i))) // repeated id
+		got := stored(t, e).SessionKeys
+		if len(got) != min(i+1, keptSessionKeys) || len(got[0]) != sessionKeyBytes {
+			t.Fatalf("after %d rotations: got %d keys", i+1, len(got))
+		}
+		if i > 0 && (!bytes.Equal(got[1], before[0]) || bytes.Equal(got[0], before[0])) {
+			t.Errorf("rotation %d did not keep the former key in second place", i)
+		}
+		before = got
+	}
+}
+
+// TestRacingOperators guards, over random interleavings with lost answers and
+// outages, against a lost or repeated change, a revision that does not count
+// the accepted writes, and a data centre whose state follows no operator.
+func TestRacingOperators(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ctx := context.Background()
+		e := storeemulator.New()
+		mustWrite(t)(newReviser(e).Apply(ctx, "0", 0, "first"))
+		r := newReviser(e)
+		store := e.Store()
+		depth := 0
+		var accepted []string
+		unknown := map[string]bool{}
+		var operate func()
+		// Another operator acts between the read and the write of this one.
+		r.Store.Put = func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+			if depth < 3 && rapid.Bool().Draw(rt, "race") {
+				operate()
+			}
+			f := storeemulator.Faults{LoseWrites: rapid.IntRange(0, 1).Draw(rt, "lost")}
+			f.Down = rapid.IntRange(0, 9).Draw(rt, "down") == 0
+			e.SetFaults(f)
+			v, err := store.Put(ctx, key, value, expect)
+			f = storeemulator.Faults{StaleReads: rapid.IntRange(0, 9).Draw(rt, "stale") == 0}
+			f.Down = rapid.IntRange(0, 9).Draw(rt, "down after") == 0
+			e.SetFaults(f)
+			return v, err
+		}
+		n := 0
+		operate = func() {
+			depth++
+			defer func() { depth-- }()
+			n++
+			id := fmt.Sprint("change ", n)
+			var err error
+			switch rapid.IntRange(0, 2).Draw(rt, "kind") {
+			case 0:
+				var from uint64
+				if s, err := store.Get(ctx, Key); err == nil {
+					o, _ := Decode(s.Value)
+					from = o.Revision
+				}
+				_, err = r.Apply(ctx, id, from, id)
+			case 1:
+				_, err = r.SetDataCentre(ctx, "oita", rapid.Bool().Draw(rt, "out"), id)
+			case 2:
+				_, err = r.SetEndpoint(ctx, "e1", rapid.Bool().Draw(rt, "out"), id)
+			}
+			switch {
+			case err == nil:
+				accepted = append(accepted, id)
+			case errors.Is(err, refuser.ErrChangeUnknown):
+				unknown[id] = true
+			}
+			e.SetFaults(storeemulator.Faults{})
+		}
+		for range rapid.IntRange(1, 6).Draw(rt, "operations") {
+			operate()
+		}
+		checkChanges(rt, stored(t, e), accepted, unknown)
+	})
+}
+
+func checkChanges(rt *rapid.T, o Object, accepted []string, unknown map[string]bool) {
+	if got, want := o.Revision, uint64(len(o.Changes)); got != want {
+		rt.Fatalf("revision %d after %d changes", got, want)
+	}
+	recordedIDs := map[string]bool{"first": true}
+	for _, c := range o.Changes {
+		if c.ID != "first" && recordedIDs[c.ID] {
+			rt.Fatalf("%s took effect twice", c.ID)
+		}
+		recordedIDs[c.ID] = true
+		if c.ID != "first" && !slices.Contains(accepted, c.ID) && !unknown[c.ID] {
+			rt.Fatalf("%s took effect and was reported as refused", c.ID)
+		}
+	}
+	for _, id := range accepted {
+		if !recordedIDs[id] {
+			rt.Fatalf("%s was accepted and is not recorded", id)
+		}
+	}
+}
