--- a/follower/doc.go
+++ b/follower/doc.go
@@ -57,13 +57,15 @@
 //     At an even split both sides stop.
 //   - store up but reachable only by a minority: the minority serves by
 //     confirmation, and the majority cannot tell this from an outage and serves
-//     by the outage rule. MayAccept is therefore false on the minority side, so
+//     by the outage rule once gossip suspects the silent members, after a pause of
+//     some seconds. MayAccept is therefore false on the minority side, so
 //     that it accepts no operator's change that the majority would not see.
 //
 // Availability is given up in these traces: an isolated minority without store
 // access; both halves of an even split while the store is down; operators'
 // changes on a minority that alone reaches the store; a fleet in which half of
-// the members died within an hour, during a store outage.
+// the members died within an hour, during a store outage; an instance that heard
+// of a revision, in an outage, whose holders all died before it had the body.
 //
 // Two traces remain in which a revision is stored and a majority serves without
 // it for more than 3 s. In the first, the accepting instance writes and is cut
