--- a/assembler/drain.go
+++ b/assembler/drain.go
@@ -64,8 +64,8 @@
 	if !i.claimer.Drain(ctx) {
 		klog.Warningf("assembler: outcomes of orders could not be committed")
 	}
-	if !i.bills.drain(ctx) {
-		klog.Warningf("assembler: bills could not be committed")
+	if !i.drainBills(ctx) {
+		klog.Warningf("assembler: bills could not be committed, their backups commit them")
 	}
 	if drained {
 		i.allocator.Leave()
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"rosemaryarch.example/rosemaryarch/allocator"
+	"rosemaryarch.example/rosemaryarch/biller"
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/claimer"
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -29,6 +30,7 @@
 	"rosemaryarch.example/rosemaryarch/loader"
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/permitter"
+	"rosemaryarch.example/rosemaryarch/pinner"
 	"rosemaryarch.example/rosemaryarch/planner"
 	"rosemaryarch.example/rosemaryarch/prober"
 	"rosemaryarch.example/rosemaryarch/rater"
@@ -86,7 +88,10 @@
 	spreader   *spreader.Spreader
 	committer  *committer.Committer
 	claimer    *claimer.Claimer
-	bills      bills
+	biller     *biller.Biller
+	pinner     *pinner.Pinner
+	pinning    chan struct{}   // one element for each pin that is being committed
+	buried     map[string]bool // members whose death the biller knows of
 	gate       *router.Gate
 	router     *router.Router
 	list       listclient.Client
@@ -108,7 +113,7 @@
 	}
 	i := &Instance{
 		settings: s, options: o.withDefaults(), keys: keys, done: make(chan struct{}),
-		meter: meter.New(), plain: newHTTPClient(),
+		meter: meter.New(), plain: newHTTPClient(), buried: map[string]bool{},
 	}
 	i.clock = i.options.Clock
 	i.incarnation = uint64(i.clock.Now())
@@ -238,6 +243,7 @@
 	i.spawn(func() { reportServe("callers", i.callers.Serve(callers)) })
 	i.spawn(func() { i.follower.Run(i.store, i.clock, i.done) })
 	i.spawn(func() { i.allocator.Run(i.done) })
+	i.spawn(i.runBills)
 	i.spawn(i.runSystems)
 	klog.Infof("assembler: instance %s listens on %s, peers on %s",
 		i.settings.Instance, i.settings.Listen, i.settings.PeerListen)
@@ -284,6 +290,17 @@
 	}
 }
 
+// runBills commits bills until the instance stops.
+func (i *Instance) runBills() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-i.done
+		cancel()
+	}()
+	i.biller.Run(ctx, billInterval)
+}
+
 // system is a step that runs every so often.
 type system struct {
 	every clock.Millis
@@ -312,6 +329,7 @@
 		{every: listInterval, run: i.tickList},
 		{every: clock.Second, run: i.tickRecords},
 		{every: clock.Second, run: i.tickPeers},
+		{every: clock.Second, run: i.tickDeaths},
 		{every: clock.Second, run: i.tickMeter},
 		{every: loader.KeysReloadInterval, run: i.tickKeys},
 	}
--- a/assembler/state.go
+++ b/assembler/state.go
@@ -64,10 +64,13 @@
 	})
 	i.committer.Retried = i.meter.Retried
 	i.claimer = claimer.New(i.committer, i.clock, i.settings.Instance, i.incarnation)
-	i.claimer.Commit = i.commit
+	i.claimer.Commit = func(ctx context.Context, shard, key string, change []byte) ([]byte, error) {
+		return i.forward(ctx, kindCommit, shard, key, change, i.claimer.CommitLocal)
+	}
 	i.claimer.AskAttempt = i.askAttempt
 	i.claimer.LookUp = i.lookUp
-	i.links.Handle(kindCommit, i.serveCommit)
+	i.handleCommit(kindCommit, i.claimer.CommitLocal)
+	i.buildRecords()
 	i.links.Handle(kindAttempt, func(_ context.Context, e linker.Envelope) ([]byte, error) {
 		var q attemptAsk
 		if err := cbor.Unmarshal(e.Body, &q); err != nil {
@@ -93,19 +96,24 @@
 	return best
 }
 
-// commit applies a change of an order's record through the shard's writer.
-func (i *Instance) commit(ctx context.Context, shard, key string, change []byte) ([]byte, error) {
+// commitLocal applies a change through this instance's committer.
+type commitLocal = func(ctx context.Context, shard, key string, change []byte) ([]byte, error)
+
+// forward applies a change of a record through the shard's preferred writer.
+func (i *Instance) forward(
+	ctx context.Context, kind, shard, key string, change []byte, local commitLocal,
+) ([]byte, error) {
 	w := i.writer(shard)
 	if w.ID == i.settings.Instance || w.ID == "" {
-		return i.claimer.CommitLocal(ctx, shard, key, change)
+		return local(ctx, shard, key, change)
 	}
 	body, err := cbor.Marshal(commitAsk{Shard: shard, Key: key, Change: change})
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "assembler: encode commit"), committer.ErrNotExecuted)
 	}
-	answer, err := i.links.Call(ctx, w.Address, kindCommit, body)
+	answer, err := i.links.Call(ctx, w.Address, kind, body)
 	if errors.IsAny(err, linker.ErrUnreachable, linker.ErrQueueFull, linker.ErrTooLarge) {
-		return i.claimer.CommitLocal(ctx, shard, key, change)
+		return local(ctx, shard, key, change)
 	}
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "assembler: forward commit"), committer.ErrUnknown)
@@ -124,21 +132,23 @@
 	}
 }
 
-// serveCommit applies a change that a peer has forwarded.
-func (i *Instance) serveCommit(ctx context.Context, e linker.Envelope) ([]byte, error) {
-	var q commitAsk
-	if err := cbor.Unmarshal(e.Body, &q); err != nil {
-		return nil, errors.Wrap(err, "assembler: decode commit")
-	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
-	value, err := i.claimer.CommitLocal(ctx, q.Shard, q.Key, q.Change)
-	r := commitReply{Value: value}
-	if err != nil {
-		r.Error = err.Error()
-		r.NotExecuted = errors.IsAny(err, committer.ErrNotExecuted, committer.ErrRefused)
-	}
-	return cbor.Marshal(r)
+// handleCommit serves the changes that peers forward.
+func (i *Instance) handleCommit(kind string, local commitLocal) {
+	i.links.Handle(kind, func(ctx context.Context, e linker.Envelope) ([]byte, error) {
+		var q commitAsk
+		if err := cbor.Unmarshal(e.Body, &q); err != nil {
+			return nil, errors.Wrap(err, "assembler: decode commit")
+		}
+		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+		defer cancel()
+		value, err := local(ctx, q.Shard, q.Key, q.Change)
+		r := commitReply{Value: value}
+		if err != nil {
+			r.Error = err.Error()
+			r.NotExecuted = errors.IsAny(err, committer.ErrNotExecuted, committer.ErrRefused)
+		}
+		return cbor.Marshal(r)
+	})
 }
 
 // askAttempt asks the instance that made an attempt what became of it.
@@ -270,7 +280,7 @@
 }
 
 // pin records the version of a session and returns its token.
-func (i *Instance) pin(_ context.Context, workspace, session, version string) string {
+func (i *Instance) pin(_ context.Context, workspace, session, version, displaced string) string {
 	model, _, _ := strings.Cut(version, "@")
 	token, err := i.policy.current().signer.Sign(signer.Token{
 		Workspace: workspace, Session: session, Model: model, Version: version, IssuedAt: i.clock.Now(),
@@ -278,7 +288,7 @@
 	if err != nil && !errors.Is(err, signer.ErrNoKey) {
 		klog.Errorf("assembler: sign session token: %v", err)
 	}
-	i.storePin(workspace, session, version)
+	i.storePin(workspace, session, version, displaced)
 	return token
 }
 
--- a/router/chain.go
+++ b/router/chain.go
@@ -18,6 +18,8 @@
 	versions []string
 	reason   string
 	pinned   bool // the session keeps its version
+	// displaced is the version that the session had to leave, or "".
+	displaced string
 }
 
 // expectedTokens is the length of an answer that prices are compared at.
@@ -33,7 +35,13 @@
 			if v.usable(w, s, pinned) && matches(q.Model, pinned) {
 				return chain{versions: []string{pinned}, reason: "session", pinned: true}, nil
 			}
+			if v.usable(w, s, pinned) { // the caller asks for another model this time
+				return r.newChain(v, w, s, q)
+			}
 			r.o.Meter.Event("session_moved_" + v.whyNot(pinned))
+			c, err := r.newChain(v, w, s, q)
+			c.displaced = pinned
+			return c, err
 		}
 	}
 	return r.newChain(v, w, s, q)
--- a/router/chat.go
+++ b/router/chat.go
@@ -80,7 +80,7 @@
 	t.out = delivery{start: q.Arrived, text: sink.Text, begin: func(version string) (Head, error) {
 		h := Head{Version: version}
 		if q.Session != "" {
-			h.Token = r.o.Pin(ctx, w.Name, q.Session, version)
+			h.Token = r.o.Pin(ctx, w.Name, q.Session, version, c.displaced)
 		}
 		return h, sink.Begin(h)
 	}}
--- a/router/router.go
+++ b/router/router.go
@@ -51,8 +51,9 @@
 	Rate func(ctx context.Context, requestID, version, prompt, answer string) (float64, error)
 	// Pinned returns the version that a session keeps, "" if none is known.
 	Pinned func(ctx context.Context, workspace, session, token string) (version string)
-	// Pin records the version of a session and returns its token.
-	Pin func(ctx context.Context, workspace, session, version string) (token string)
+	// Pin records the version of a session and returns its token. Displaced is
+	// the version that the session had to leave, or "".
+	Pin func(ctx context.Context, workspace, session, version, displaced string) (token string)
 	// Bill takes over the bill of a request.
 	Bill func(ctx context.Context, b Bill)
 	// Once runs a call that may not be repeated at most once.
--- a/server/chat.go
+++ b/server/chat.go
@@ -30,7 +30,7 @@
 const (
 	maxTokensLimit  = 32_768
 	defaultTokens   = 1024
-	maxHeaderBytes  = 200
+	maxHeaderBytes  = 100 // of ids and keys, which become parts of stored keys
 	chunkObjectName = "chat.completion"
 )
 
