--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -62,6 +62,7 @@
 	demands   map[permitter.Process]*demand
 	asking    map[string]bool // granters with an open call
 	confirmed clock.Millis    // instant of the last confirmation, 0 if none
+	joined    bool            // has been a member of a settled assignment
 	drained   []string
 	keeper    keeper
 	open      sync.WaitGroup // asks under way
@@ -124,6 +125,14 @@
 	}
 }
 
+// Joined reports whether this instance has become a member of an assignment, so
+// that it can get permits.
+func (a *Allocator) Joined() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.joined
+}
+
 // Wait returns when no ask is under way.
 func (a *Allocator) Wait() { a.open.Wait() }
 
--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -135,9 +135,11 @@
 	before := a.holder.Assignment()
 	a.holder.Adopt(n)
 	a.granter.Adopt(a.clock.Now(), n)
-	if after := a.holder.Assignment(); after.Epoch != before.Epoch {
+	after := a.holder.Assignment()
+	if after.Epoch != before.Epoch {
 		a.confirmed = 0
 	}
+	a.joined = a.joined || after.Settled() && slices.Contains(after.Members, a.self)
 }
 
 // confirm records a confirmation at the instant asked.
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -87,9 +87,11 @@
 	supervisor *supervisor.Supervisor
 	spreader   *spreader.Spreader
 	committer  *committer.Committer
+	ledger     *committer.Committer // of bills
 	claimer    *claimer.Claimer
 	biller     *biller.Biller
 	pinner     *pinner.Pinner
+	pinsDown   atomic.Int64    // instant until which pins are not read
 	pinning    chan struct{}   // one element for each pin that is being committed
 	buried     map[string]bool // members whose death the biller knows of
 	gate       *router.Gate
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -26,6 +26,9 @@
 // kindEntry asks a peer for the address that callers use.
 const kindEntry = "entry"
 
+// errNotJoined tells that the instance gets no permits yet.
+var errNotJoined = errors.New("assembler: instance has not joined yet")
+
 // entryReply describes an instance towards callers.
 type entryReply struct {
 	Address string `cbor:"address"`
@@ -72,6 +75,9 @@
 	i.allocator.Processes = func() []permitter.Process { return i.tracker.Processes() }
 	i.allocator.Connect(i.links)
 	i.links.Handle(kindEntry, func(context.Context, linker.Envelope) ([]byte, error) {
+		if !i.allocator.Joined() {
+			return nil, errNotJoined
+		}
 		return cbor.Marshal(entryReply{Address: i.settings.Listen})
 	})
 	i.buildReviser()
--- a/assembler/policy.go
+++ b/assembler/policy.go
@@ -124,7 +124,7 @@
 // open reports whether callers should send new work here.
 func (i *Instance) open() bool {
 	c := i.policy.current()
-	return !i.drain.leaving() && c.outSince == 0 && i.confirmed() == nil
+	return !i.drain.leaving() && c.outSince == 0 && i.allocator.Joined() && i.confirmed() == nil
 }
 
 // ready tells why this instance may not take new work, or returns nil. After a
--- a/assembler/records.go
+++ b/assembler/records.go
@@ -26,8 +26,12 @@
 )
 
 const (
-	billInterval = 250 * clock.Millis(1)
-	pinTimeout   = 5 * time.Second
+	billInterval = clock.Second
+	// ledgerInterval is the least time between two commits of one shard of bills.
+	ledgerInterval = 2 * clock.Second
+	// pinPause is how long pins are not read after the store did not answer.
+	pinPause   = clock.Second
+	pinTimeout = 5 * time.Second
 	// lookTimeout bounds the search for the pin of a session that came without
 	// its token.
 	lookTimeout = 300 * time.Millisecond
@@ -50,7 +54,7 @@
 }
 
 func (i *Instance) buildRecords() {
-	i.biller = biller.New(i.committer, i.clock)
+	i.biller = biller.New(i.ledger, i.clock)
 	i.biller.Commit = i.commitBills
 	i.biller.Hold = i.holdBill
 	i.biller.Release = i.releaseBills
@@ -103,7 +107,7 @@
 func (i *Instance) commitBills(ctx context.Context, shard string, bills []biller.Bill) error {
 	w := i.writer(shard)
 	if w.ID != i.settings.Instance && w.ID != "" {
-		forward, cancel := context.WithTimeout(ctx, peerTimeout)
+		forward, cancel := context.WithTimeout(ctx, forwardTimeout)
 		err := i.sendBills(forward, w, kindBillCommit, billMessage{Shard: shard, Bills: bills})
 		cancel()
 		if err == nil || errors.Is(err, linker.ErrRefused) {
@@ -177,10 +181,16 @@
 
 // storedPin returns the version that a session is pinned to, or "".
 func (i *Instance) storedPin(ctx context.Context, workspace, session string) string {
+	now := i.clock.Now()
+	if now < clock.Millis(i.pinsDown.Load()) {
+		i.meter.Event("session_pin_unknown")
+		return ""
+	}
 	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 	defer cancel()
 	version, err := i.pinner.Look(ctx, workspace, session)
 	if err != nil {
+		i.pinsDown.Store(int64(now + pinPause))
 		i.meter.Event("session_pin_unknown")
 	}
 	return version
--- a/assembler/state.go
+++ b/assembler/state.go
@@ -63,6 +63,11 @@
 		Instance: i.settings.Instance, Incarnation: i.incarnation, Seed: i.incarnation,
 	})
 	i.committer.Retried = i.meter.Retried
+	// Bills can wait: they are held twice until they are committed.
+	i.ledger = committer.New(i.store, i.clock, committer.Options{
+		Instance: i.settings.Instance + "-bills", Incarnation: i.incarnation, Seed: i.incarnation, Interval: ledgerInterval,
+	})
+	i.ledger.Retried = i.meter.Retried
 	i.claimer = claimer.New(i.committer, i.clock, i.settings.Instance, i.incarnation)
 	i.claimer.Commit = func(ctx context.Context, shard, key string, change []byte) ([]byte, error) {
 		return i.forward(ctx, kindCommit, shard, key, change, i.claimer.CommitLocal)
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -22,6 +22,7 @@
 	"rosemaryarch.example/rosemaryarch/parser"
 	"rosemaryarch.example/rosemaryarch/permitter"
 	"rosemaryarch.example/rosemaryarch/roller"
+	"rosemaryarch.example/rosemaryarch/server"
 )
 
 // ErrViolated tells that a watched property did not hold.
@@ -111,7 +112,8 @@
 		return errors.New("the demonstration needs a fleet with two models")
 	}
 	d.started = clock.System().Now()
-	d.badModel, d.goodModel = d.fleet.Models[0], d.fleet.Models[1]
+	last := len(d.fleet.Models) - 1
+	d.badModel, d.goodModel = d.fleet.Models[last], d.fleet.Models[last-1]
 	d.hoster, err = hoster.New(hoster.Options{
 		Fleet: d.fleet, Models: d.Models, Plain: d.Plain, Instances: d.Instances, Dir: dir,
 		Versions: map[string]float64{
@@ -182,7 +184,7 @@
 	}
 	return d.eventually(ctx, "readiness of all instances", func() bool {
 		for k := range d.instances {
-			if d.caller.get(ctx, "http://"+d.hoster.Settings()[k].Listen+"/readyz", nil) != nil && !d.ready(ctx, k) {
+			if !d.ready(ctx, k) {
 				return false
 			}
 		}
@@ -209,7 +211,15 @@
 // ready reports whether the instance takes new work.
 func (d *Demonstrator) ready(ctx context.Context, k int) bool {
 	s, err := d.admin(k).Status(ctx, administrator.Empty{})
-	return err == nil && s.Fresh && s.Revision > 0
+	return err == nil && s.Fresh && s.Revision > 0 && len(d.entries(ctx, k)) == d.Instances
+}
+
+func (d *Demonstrator) entries(ctx context.Context, k int) []server.Entry {
+	var e server.Entries
+	if d.caller.get(ctx, "http://"+d.hoster.Settings()[k].Listen+"/v1/entries", &e) != nil {
+		return nil
+	}
+	return e.Entries
 }
 
 func (d *Demonstrator) admin(k int) administrator.Administrator {
@@ -291,6 +301,9 @@
 		id: fmt.Sprintf("r%d", n), workspace: s.workspace, model: s.service, session: s.id, token: s.token,
 		prompt: fmt.Sprintf("%s Question %d.", s.topic, n),
 	}
+	if s.single {
+		r.session = ""
+	}
 	o := d.caller.chat(ctx, r)
 	s.token = o.token
 	d.ledger.chat(phase, r, o)
--- a/demonstrator/sessions.go
+++ b/demonstrator/sessions.go
@@ -12,7 +12,8 @@
 type session struct {
 	mu                            sync.Mutex
 	busy                          bool
-	left                          int // requests until the session ends
+	left                          int  // requests until the session ends
+	single                        bool // its requests name no session
 	id, workspace, service, topic string
 	token                         string
 }
@@ -101,7 +102,7 @@
 	s.count++
 	n := &session{
 		id: fmt.Sprintf("s%d", s.count), workspace: w.Name, service: services[s.random.IntN(len(services))],
-		left: 1 + s.random.IntN(2*sessionLength-1),
+		left: 1 + s.random.IntN(2*sessionLength-1), single: s.count%2 == 0,
 	}
 	for len(n.topic) < sessionPrompts {
 		n.topic += fmt.Sprintf("Window %d of house %d is fogged. ", len(n.topic), s.count)
--- a/reviser/reviser.go
+++ b/reviser/reviser.go
@@ -85,13 +85,20 @@
 		}
 	}
 	what := fmt.Sprintf("text %x", sha256.Sum256([]byte(text)))
+	first := make([]byte, sessionKeyBytes)
+	r.Random(first)
 	return r.write(ctx, edit{changeID, what, func(o Object) (func(*Object), error) {
 		if o.Revision != fromRevision {
 			return nil, refuser.ErrRevisionConflict.WithMessage(
 				"the text was edited from revision %d, the stored revision is %d:\n%s",
 				fromRevision, o.Revision, difference(o.Text, text))
 		}
-		return func(n *Object) { n.Text = text }, nil
+		return func(n *Object) {
+			n.Text = text
+			if len(n.SessionKeys) == 0 { // without a key, sessions would get no tokens
+				n.SessionKeys = [][]byte{first}
+			}
+		}, nil
 	}})
 }
 
--- a/router/chain.go
+++ b/router/chain.go
@@ -133,7 +133,9 @@
 	}
 	now := r.o.Now()
 	t = t.With(r.o.Rater, w.Name, s.Name, kinds, now)
-	t.HasCheck = r.checks.healthy(now) && r.mayBuffer(w, t.Version)
+	// A session keeps the version that answers it first, so a chain of two would
+	// bind it to a version whose later answers nobody checks.
+	t.HasCheck = q.Session == "" && r.checks.healthy(now) && r.mayBuffer(w, t.Version)
 	r.mu.Lock()
 	p := r.o.Planner.Plan(&t, r.o.Random)
 	r.mu.Unlock()
