Cover cancel, late pieces after the end and resume counts in tests

Removing each of these rules by hand went unnoticed: the refusal of pieces after the end, CR LF as one line end, the cancel of a stream, the slow-down of a cold engine and the exclusion of resumes from received work. The tests now fail for each of them.

--- a/engineemulator/emulator_test.go
+++ b/engineemulator/emulator_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -119,6 +120,9 @@
 			if err != nil || !s.Whole() || s.Text() != want || s.Tokens() != 20 {
 				t.Errorf("after %s: got %q, whole %t, %v, want %q", step, s.Text(), s.Whole(), err, want)
 			}
+			if got := first.Received(version, 0); got != 1 {
+				t.Errorf("received: got %d, want 1, without the resume", got)
+			}
 		})
 	}
 }
@@ -146,6 +150,18 @@
 			cancel()
 		}
 	}
+	patient, stop := context.WithTimeout(t.Context(), 10*time.Second) // ends a test that fails
+	defer stop()
+	if pieces, err = e.client.Generate(patient, request("c", 20)); err != nil {
+		t.Fatal(err)
+	}
+	if err := e.client.Cancel(t.Context(), "c", "i/1/c"); err != nil {
+		t.Error(err)
+	}
+	err = consume(streamer.New(request("c", 20)), pieces)
+	if !errors.Is(err, streamer.ErrCut) || patient.Err() != nil {
+		t.Errorf("cancelled attempt: got %v, %v, want ErrCut before the deadline", err, patient.Err())
+	}
 	e.SetFaults(Faults{Down: true})
 	if _, err := e.client.Generate(t.Context(), request("b", 20)); !errors.Is(err, engineclient.ErrUnknown) {
 		t.Errorf("dead engine that took the request: got %v, want ErrUnknown", err)
@@ -286,6 +302,9 @@
 				if want := c.options.CommandKey == "" && now >= 1700; err != nil || shown != want {
 					t.Errorf("at %d: got versions %v, %v, want shown: %t", now, l.Versions, err, want)
 				}
+				if want := name == "checks numbers" && now >= 1200; (l.FencingNumber == 7) != want {
+					t.Errorf("at %d: got fencing number %d, want 7: %t", now, l.FencingNumber, want)
+				}
 			}
 			q := request("a", 3)
 			q.Version = "assess@3"
@@ -299,23 +318,29 @@
 	}
 }
 
+// firstToken returns the time to the first token of a long prompt.
+func firstToken(t *testing.T, e engine, id string) clock.Millis {
+	t.Helper()
+	q := request(id, 0)
+	q.Prompt += strings.Repeat(" long", 400)
+	from := e.clock.Now()
+	pieces, err := e.client.Generate(t.Context(), q)
+	if err == nil {
+		err = consume(streamer.New(q), pieces)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e.clock.Now() - from
+}
+
 // TestPrefixCache guards against a cache that does not shorten the first token,
-// an unbounded cache, and events that come early or without their gap.
+// an unbounded cache, events that come early or without their gap, and a cold
+// engine whose first token gives no sign of it.
 func TestPrefixCache(t *testing.T) {
-	e, other := start(t, Options{CacheEntries: 2, CacheEventLag: 5000, Warm: true}), start(t, Options{})
-	first := func(id string) clock.Millis {
-		q := request(id, 0)
-		q.Prompt += strings.Repeat(" long", 400)
-		from := e.clock.Now()
-		pieces, err := e.client.Generate(t.Context(), q)
-		if err == nil {
-			err = consume(streamer.New(q), pieces)
-		}
-		if err != nil {
-			t.Fatal(err)
-		}
-		return e.clock.Now() - from
-	}
+	e := start(t, Options{CacheEntries: 2, CacheEventLag: 5000, Warm: true})
+	other := start(t, Options{})
+	first := func(id string) clock.Millis { return firstToken(t, e, id) }
 	fresh, cached := first("a"), first("a")
 	if cached >= fresh {
 		t.Errorf("first token with a cached prefix: got %d ms, want under %d ms", cached, fresh)
@@ -343,6 +368,10 @@
 	if got := first("a"); got != fresh {
 		t.Errorf("first token after the eviction: got %d ms, want %d ms", got, fresh)
 	}
+	e.TurnCold()
+	if got, want := first("new"), 4*fresh; got < want {
+		t.Errorf("first token while cold: got %d ms, want at least %d ms", got, want)
+	}
 }
 
 // TestBadVersionAndScore guards against a bad version that the rating stand-in
--- a/framer/framer_test.go
+++ b/framer/framer_test.go
@@ -45,7 +45,7 @@
 		want  []string // name=data of each event
 		err   error
 	}{
-		"line ends":       {"data: a\r\rdata: b\r\n\r\ndata: c\n\n", []string{"=a", "=b", "=c"}, io.EOF},
+		"line ends":       {"data: a\r\rdata: b\r\ndata: c\r\n\r\ndata: d\n\n", []string{"=a", "=b\nc", "=d"}, io.EOF},
 		"fields":          {"\xef\xbb\xbfevent: e\ndata:x\ndata\nid: 4\n\n", []string{"e=x\n"}, io.EOF},
 		"no data":         {"event: e\n\n: note\n\ndata: a\n\n", []string{"=a"}, io.EOF},
 		"cut in a line":   {"data: a\n\ndata: b", []string{"=a"}, io.ErrUnexpectedEOF},
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -165,6 +165,10 @@
 			if got := errors.Is(s.Close(nil), ErrCut); got != wantCut {
 				t.Errorf("cut: got %t, want %t", got, wantCut)
 			}
+			text, err = s.Accept(with(func(p *framer.Piece) { p.Index = 1 }))
+			if got := errors.Is(err, ErrCrossed); got == wantCut || (text == "") == wantCut {
+				t.Errorf("next piece: got %q, %v, want it refused only after the end", text, err)
+			}
 		})
 	}
 }
