Bound an answer by its tokens and end a reader at its first error

After a too large event the reader parsed the rest of its line as a new event, which let an endpoint's text forge a piece. An endpoint that ignored max_tokens grew the answer without bound. Both now fail, each with a test.

--- a/engineemulator/emulator_test.go
+++ b/engineemulator/emulator_test.go
@@ -430,3 +430,30 @@
 		t.Errorf("received: got %d, want 0", got)
 	}
 }
+
+// TestLateAndFailing guards against a late first token or an error rate that
+// the emulator does not apply, and against faults that outlast their number.
+func TestLateAndFailing(t *testing.T) {
+	e := start(t, Options{Warm: true, Seed: 1})
+	normal := firstToken(t, e, "a")
+	e.SetFaults(Faults{LateFirst: 700, Times: 1})
+	for i, want := range []clock.Millis{normal + 700, normal} {
+		if got := firstToken(t, e, strings.Repeat("b", i+1)); got < want-1 || got > want+1 {
+			t.Errorf("first token %d: got %d ms, want %d ms", i, got, want)
+		}
+	}
+	e.SetFaults(Faults{ErrorRate: 0.25})
+	failed := 0
+	for range 200 {
+		pieces, err := e.client.Generate(t.Context(), request("c", 0))
+		if err == nil {
+			err = consume(streamer.New(request("c", 0)), pieces)
+		}
+		if err != nil {
+			failed++
+		}
+	}
+	if failed < 35 || failed > 65 {
+		t.Errorf("failed: got %d of 200, want about 50", failed)
+	}
+}
--- a/framer/framer_test.go
+++ b/framer/framer_test.go
@@ -37,8 +37,9 @@
 	})
 }
 
-// TestReader guards against a cut event being taken for a whole one, and
-// against departures from the event-stream format.
+// TestReader guards against a cut event being taken for a whole one, against
+// the rest of a broken event being parsed as a new one, and against departures
+// from the event-stream format.
 func TestReader(t *testing.T) {
 	cases := map[string]struct {
 		input string
@@ -51,6 +52,7 @@
 		"cut in a line":   {"data: a\n\ndata: b", []string{"=a"}, io.ErrUnexpectedEOF},
 		"cut after data":  {"data: a\n\ndata: b\n", []string{"=a"}, io.ErrUnexpectedEOF},
 		"too large":       {"data: " + strings.Repeat("x", 100) + "\n\n", nil, ErrTooLarge},
+		"forged rest":     {strings.Repeat("x", 65) + "data: forged\n\n", nil, ErrTooLarge},
 		"too many lines":  {strings.Repeat(": note\n", 20), nil, ErrTooLarge},
 		"many keep-alive": {strings.Repeat(": note\n\n", 20) + "data: a\n\n", []string{"=a"}, io.EOF},
 	}
@@ -64,6 +66,9 @@
 					if !errors.Is(err, c.err) {
 						t.Errorf("got error %v, want %v", err, c.err)
 					}
+					if _, _, again := r.Next(); !errors.Is(again, c.err) {
+						t.Errorf("call after the error: got %v, want %v", again, c.err)
+					}
 					break
 				}
 				got = append(got, name+"="+string(data))
@@ -116,3 +121,20 @@
 		})
 	}
 }
+
+// BenchmarkPiece measures the parsing of one engine piece.
+func BenchmarkPiece(b *testing.B) {
+	var stream bytes.Buffer
+	for i := range 1000 {
+		_ = WritePiece(&stream, Piece{RequestID: "request-1", AttemptID: "entry-3/17/42", Index: i, Text: "gutter "})
+	}
+	b.ReportAllocs()
+	for n := 0; n < b.N; n += 1000 {
+		r := NewReader(bytes.NewReader(stream.Bytes()), MaxEventBytes)
+		for range 1000 {
+			if _, err := r.Piece(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
--- a/framer/reader.go
+++ b/framer/reader.go
@@ -47,9 +47,11 @@
 	read     int // bytes since the last empty line
 	skipLF   bool
 	started  bool
+	buffer   []byte // the line being read
 	name     string
 	data     []byte
 	haveData bool
+	err      error // ends the stream; the rest of a broken event is never parsed
 }
 
 // NewReader returns a reader of r that bounds each event to limit bytes. It
@@ -63,8 +65,12 @@
 
 // Next returns the next event's name and data. It returns io.EOF at the end of
 // the stream; an event that the end cuts off is discarded, as the format
-// demands, and reported as io.ErrUnexpectedEOF.
+// demands, and reported as io.ErrUnexpectedEOF. Every later call returns the
+// first error.
 func (r *Reader) Next() (string, []byte, error) {
+	if r.err != nil {
+		return "", nil, r.err
+	}
 	r.name, r.data, r.haveData, r.read = "", nil, false, 0
 	for {
 		line, err := r.line()
@@ -72,6 +78,7 @@
 			if errors.Is(err, io.EOF) && (r.haveData || len(line) > 0) {
 				err = io.ErrUnexpectedEOF
 			}
+			r.err = err
 			return "", nil, err
 		}
 		if len(line) > 0 {
@@ -100,9 +107,10 @@
 
 // line returns one line without its end. Lines end in LF, CR or CR LF. The LF
 // after a CR is skipped before the next line, so that a line is complete
-// without waiting for the byte after it.
+// without waiting for the byte after it. The line is valid until the next call.
 func (r *Reader) line() ([]byte, error) {
-	var line []byte
+	line := r.buffer[:0]
+	defer func() { r.buffer = line }()
 	for {
 		b, err := r.r.ReadByte()
 		if err != nil {
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -10,8 +10,8 @@
 
 // Sentinels of a stream that cannot be used as it is.
 var (
-	// ErrCrossed tells that a piece belongs to another request or attempt, or
-	// repeats an index with another text.
+	// ErrCrossed tells that a piece belongs to another request or attempt, is
+	// outside the answer, or repeats an index with another text.
 	ErrCrossed = errors.New("streamer: piece of another answer")
 	// ErrGap tells that a piece is missing.
 	ErrGap = errors.New("streamer: piece is missing")
@@ -61,7 +61,7 @@
 	}
 	next := len(s.starts)
 	switch {
-	case p.Index < 0 || s.whole && p.Index >= next:
+	case p.Index < 0 || p.Index >= next && (s.whole || s.tokens >= s.limit):
 		return "", errors.Wrapf(ErrCrossed, "index %d is outside the answer", p.Index)
 	case p.Index > next:
 		return "", errors.Wrapf(ErrGap, "index %d, expected %d", p.Index, next)
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -206,3 +206,24 @@
 		})
 	}
 }
+
+// TestTokenLimit guards against an endpoint that never stops, and against an
+// attempt that asks for more than remains.
+func TestTokenLimit(t *testing.T) {
+	r := Request{RequestID: "r", AttemptID: "a", MaxTokens: 2}
+	s := New(r)
+	for i, want := range []error{nil, nil, ErrCrossed} {
+		_, err := s.Accept(framer.Piece{RequestID: "r", AttemptID: "a", Index: i, Text: "x"})
+		if !errors.Is(err, want) {
+			t.Errorf("piece %d of 2: got %v, want %v", i, err, want)
+		}
+	}
+	next := s.Next("b")
+	if next.MaxTokens != 0 || next.PriorText != "xx" || s.Whole() {
+		t.Errorf("next attempt: got %+v, whole %t, want 0 tokens after xx, not whole", next, s.Whole())
+	}
+	_, err := s.Accept(framer.Piece{RequestID: "r", AttemptID: "b", End: true, Finish: framer.FinishLength})
+	if err != nil || !s.Whole() || s.Finish() != framer.FinishLength {
+		t.Errorf("end: got %v, whole %t, finish %q, want a whole answer", err, s.Whole(), s.Finish())
+	}
+}
