claimer, committer: share the fault injection of the tests

The random histories use storeemulator.Chaos, which adds older reads to the faults of the claimer's histories. The fault table has one hook per write.

--- a/claimer/fault_test.go
+++ b/claimer/fault_test.go
@@ -24,8 +24,8 @@
 	mu     sync.Mutex
 	puts   int // writes of instance a so far
 	pauses int
-	down   bool     // instance a cannot reach the store
-	late   []func() // writes that land when the fault is over
+	down   bool      // instance a cannot reach the store
+	late   []putFunc // writes that land when the fault is over
 }
 
 // kill ends instance a and the first caller's wait, and does not return.
@@ -48,13 +48,14 @@
 	return w.down
 }
 
+// putFunc makes a write of instance a and returns its result.
+type putFunc func() (uint64, error)
+
 // fault says what befalls instance a. Write 1 is the claim, write 2 the outcome.
 type fault struct {
-	before map[int]func(w *world)                                   // a write
-	after  map[int]func(w *world)                                   // a write
-	put    map[int]func(w *world, put func() error) (uint64, error) // in place of a write
-	unsent func(w *world) error                                     // in the run, before the service is called
-	sent   func(w *world) error                                     // in the run, after that
+	write  map[int]func(w *world, put putFunc) (uint64, error)
+	unsent func(w *world) error // in the run, before the service is called
+	sent   func(w *world) error // in the run, after that
 	lookUp bool
 }
 
@@ -66,28 +67,21 @@
 		}
 		return s.Get(ctx, key)
 	}
-	c.Put = func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	c.Put = func(_ context.Context, key string, value []byte, expect uint64) (uint64, error) {
 		w.mu.Lock()
 		w.puts++
-		n := w.puts
+		meet, ok := f.write[w.puts]
 		w.mu.Unlock()
-		if h := f.before[n]; h != nil {
-			h(w)
-		}
-		if w.isDown() {
-			return 0, storer.ErrUnavailable
-		}
-		if h := f.put[n]; h != nil {
-			return h(w, func() error {
-				_, err := s.Put(context.Background(), key, value, expect)
-				return err
-			})
+		put := func() (uint64, error) {
+			if w.isDown() {
+				return 0, storer.ErrUnavailable
+			}
+			return s.Put(context.Background(), key, value, expect)
 		}
-		version, err := s.Put(ctx, key, value, expect)
-		if h := f.after[n]; h != nil {
-			h(w)
+		if ok {
+			return meet(w, put)
 		}
-		return version, err
+		return put()
 	}
 	return c
 }
@@ -149,43 +143,54 @@
 // heal ends the fault and lets late writes land.
 func (w *world) heal() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.down = false
-	for _, land := range w.late {
-		land()
+	late := w.late
+	w.mu.Unlock()
+	for _, land := range late {
+		_, _ = land()
 	}
 }
 
-func lostApplied(_ *world, put func() error) (uint64, error) {
-	if err := put(); err != nil {
-		return 0, err
-	}
+func lostApplied(_ *world, put putFunc) (uint64, error) {
+	_, _ = put()
 	return 0, storer.ErrUnknown
 }
 
-func lostUnapplied(*world, func() error) (uint64, error) { return 0, storer.ErrUnknown }
+func lostUnapplied(*world, putFunc) (uint64, error) { return 0, storer.ErrUnknown }
 
-func late(w *world, put func() error) (uint64, error) {
+func late(w *world, put putFunc) (uint64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.late = append(w.late, func() { _ = put() })
+	w.late = append(w.late, put)
 	return 0, storer.ErrUnknown
 }
 
 // lateInOutage loses the write until the store can be reached again.
-func lateInOutage(w *world, put func() error) (uint64, error) {
+func lateInOutage(w *world, put putFunc) (uint64, error) {
 	defer w.outage()
 	return late(w, put)
 }
 
-func lateAndKill(w *world, put func() error) (uint64, error) {
+func lateAndKill(w *world, put putFunc) (uint64, error) {
 	defer w.kill()
 	return late(w, put)
 }
 
-func pause(d clock.Millis) func(*world) { return func(w *world) { w.clock.Advance(d) } }
+func before(meet func(*world)) func(*world, putFunc) (uint64, error) {
+	return func(w *world, put putFunc) (uint64, error) {
+		meet(w)
+		return put()
+	}
+}
 
-func (w *world) die() error { w.kill(); return nil }
+func after(meet func(*world)) func(*world, putFunc) (uint64, error) {
+	return func(w *world, put putFunc) (uint64, error) {
+		defer meet(w)
+		return put()
+	}
+}
+
+func pause(d clock.Millis) func(*world) { return func(w *world) { w.clock.Advance(d) } }
 
 // leave ends the first caller's wait during the run.
 func (w *world) leave() error {
@@ -194,15 +199,15 @@
 	return nil
 }
 
-func (w *world) loseStore() error { w.outage(); return nil }
-
 // TestFaults guards, for each fault at each step, against a second run, against
 // "not run" for an attempt that ran or runs later, and against an order that
 // can no longer be placed although it is certain that it was not.
 func TestFaults(t *testing.T) {
-	type hooks = map[int]func(*world)
-	type puts = map[int]func(*world, func() error) (uint64, error)
+	type puts = map[int]func(*world, putFunc) (uint64, error)
 	kill, outage := (*world).kill, (*world).outage
+	hours, minutes := pause(2*clock.Hour), pause(2*clock.Minute)
+	die := func(w *world) error { w.kill(); return nil }
+	loseStore := func(w *world) error { w.outage(); return nil }
 	noAnswer := func(*world) error { return errors.New("connection reset") }
 	notSent := func(*world) error { return errors.Mark(errors.New("connection refused"), ErrNotSent) }
 	cases := map[string]struct {
@@ -211,38 +216,38 @@
 		runs         int
 	}{
 		"no fault":                           {fault{}, "ok", "ok", 1},
-		"before the claim: past deadline":    {fault{before: hooks{1: pause(2 * clock.Hour)}}, "deadline_exceeded", "ok", 1},
-		"before the claim: past window":      {fault{before: hooks{1: pause(2 * clock.Minute)}}, "ok", "ok", 1},
-		"before the claim: killed":           {fault{before: hooks{1: kill}}, "killed", "ok", 1},
-		"before the claim: store down":       {fault{before: hooks{1: outage}}, "store_unavailable", "ok", 1},
-		"claim: answer lost":                 {fault{put: puts{1: lostApplied}}, "ok", "ok", 1},
-		"claim: request lost":                {fault{put: puts{1: lostUnapplied}}, "ok", "ok", 1},
-		"claim: late":                        {fault{put: puts{1: late}}, "ok", "ok", 1},
-		"claim: late, store down":            {fault{put: puts{1: lateInOutage}}, "store_unavailable", "ok", 1},
-		"claim: late, killed":                {fault{put: puts{1: lateAndKill}}, "killed", "outcome_unknown", 0},
-		"claim: late, killed, look-up":       {fault{put: puts{1: lateAndKill}, lookUp: true}, "killed", "ok", 1},
-		"before dispatch: past deadline":     {fault{after: hooks{1: pause(2 * clock.Hour)}}, "deadline_exceeded", "ok", 1},
-		"before dispatch: past window":       {fault{after: hooks{1: pause(2 * clock.Minute)}}, "ok", "ok", 1},
-		"before dispatch: killed":            {fault{after: hooks{1: kill}}, "killed", "outcome_unknown", 0},
-		"before dispatch: killed, look-up":   {fault{after: hooks{1: kill}, lookUp: true}, "killed", "ok", 1},
-		"before dispatch: store down":        {fault{after: hooks{1: outage}}, "ok", "ok", 1},
+		"before the claim: past deadline":    {fault{write: puts{1: before(hours)}}, "deadline_exceeded", "ok", 1},
+		"before the claim: past window":      {fault{write: puts{1: before(minutes)}}, "ok", "ok", 1},
+		"before the claim: killed":           {fault{write: puts{1: before(kill)}}, "killed", "ok", 1},
+		"before the claim: store down":       {fault{write: puts{1: before(outage)}}, "store_unavailable", "ok", 1},
+		"claim: answer lost":                 {fault{write: puts{1: lostApplied}}, "ok", "ok", 1},
+		"claim: request lost":                {fault{write: puts{1: lostUnapplied}}, "ok", "ok", 1},
+		"claim: late":                        {fault{write: puts{1: late}}, "ok", "ok", 1},
+		"claim: late, store down":            {fault{write: puts{1: lateInOutage}}, "store_unavailable", "ok", 1},
+		"claim: late, killed":                {fault{write: puts{1: lateAndKill}}, "killed", "outcome_unknown", 0},
+		"claim: late, killed, look-up":       {fault{write: puts{1: lateAndKill}, lookUp: true}, "killed", "ok", 1},
+		"before dispatch: past deadline":     {fault{write: puts{1: after(hours)}}, "deadline_exceeded", "ok", 1},
+		"before dispatch: past window":       {fault{write: puts{1: after(minutes)}}, "ok", "ok", 1},
+		"before dispatch: killed":            {fault{write: puts{1: after(kill)}}, "killed", "outcome_unknown", 0},
+		"before dispatch: killed, look-up":   {fault{write: puts{1: after(kill)}, lookUp: true}, "killed", "ok", 1},
+		"before dispatch: store down":        {fault{write: puts{1: after(outage)}}, "ok", "ok", 1},
 		"run: caller leaves":                 {fault{unsent: (*world).leave}, "still_running", "ok", 1},
-		"run: killed before sending":         {fault{unsent: (*world).die}, "killed", "outcome_unknown", 0},
-		"run: killed after sending":          {fault{sent: (*world).die}, "killed", "outcome_unknown", 1},
-		"run: killed after sending, look-up": {fault{sent: (*world).die, lookUp: true}, "killed", "ok", 1},
+		"run: killed before sending":         {fault{unsent: die}, "killed", "outcome_unknown", 0},
+		"run: killed after sending":          {fault{sent: die}, "killed", "outcome_unknown", 1},
+		"run: killed after sending, look-up": {fault{sent: die, lookUp: true}, "killed", "ok", 1},
 		"run: proven not sent":               {fault{unsent: notSent}, "not sent", "ok", 1},
 		"run: answer lost":                   {fault{sent: noAnswer}, "outcome_unknown", "outcome_unknown", 1},
 		"run: answer lost, look-up":          {fault{sent: noAnswer, lookUp: true}, "ok", "ok", 1},
 		"run: request lost":                  {fault{unsent: noAnswer}, "outcome_unknown", "outcome_unknown", 0},
 		"run: request lost, look-up":         {fault{unsent: noAnswer, lookUp: true}, "not sent", "ok", 1},
-		"run: store down":                    {fault{sent: (*world).loseStore}, "ok", "ok", 1},
-		"outcome: answer lost":               {fault{put: puts{2: lostApplied}}, "ok", "ok", 1},
-		"outcome: request lost":              {fault{put: puts{2: lostUnapplied}}, "ok", "ok", 1},
-		"outcome: late":                      {fault{put: puts{2: late}}, "ok", "ok", 1},
-		"outcome: late, store down":          {fault{put: puts{2: lateInOutage}}, "ok", "ok", 1},
-		"outcome: killed before":             {fault{before: hooks{2: kill}}, "killed", "outcome_unknown", 1},
-		"outcome: killed before, look-up":    {fault{before: hooks{2: kill}, lookUp: true}, "killed", "ok", 1},
-		"outcome: killed after":              {fault{after: hooks{2: kill}}, "killed", "ok", 1},
+		"run: store down":                    {fault{sent: loseStore}, "ok", "ok", 1},
+		"outcome: answer lost":               {fault{write: puts{2: lostApplied}}, "ok", "ok", 1},
+		"outcome: request lost":              {fault{write: puts{2: lostUnapplied}}, "ok", "ok", 1},
+		"outcome: late":                      {fault{write: puts{2: late}}, "ok", "ok", 1},
+		"outcome: late, store down":          {fault{write: puts{2: lateInOutage}}, "ok", "ok", 1},
+		"outcome: killed before":             {fault{write: puts{2: before(kill)}}, "killed", "outcome_unknown", 1},
+		"outcome: killed before, look-up":    {fault{write: puts{2: before(kill)}, lookUp: true}, "killed", "ok", 1},
+		"outcome: killed after":              {fault{write: puts{2: after(kill)}}, "killed", "ok", 1},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/claimer/history_test.go
+++ b/claimer/history_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -13,95 +12,26 @@
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/storeemulator"
-	"rosemaryarch.example/rosemaryarch/storer"
 )
 
 // history is a random run of several instances under faults. Its invariants
 // hold for every interleaving of its goroutines.
 type history struct {
 	*fleet
+	*storeemulator.Chaos
 	service *service
 	lookUp  bool
 
-	mu     sync.Mutex // guards what follows
-	random *rand.Rand
-	rate   float64 // of faults per call
-	late   []func()
-	down   bool
+	mu     sync.Mutex                 // guards what follows
 	ran    map[int]int                // runs, by call of Do
 	told   map[int]error              // by call of Do
 	bodies map[string]map[string]bool // answers told, by key
 	reason map[string]int
 }
 
-func (h *history) hit() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.random.Float64() < h.rate
-}
-
-func (h *history) draw(n int) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.random.IntN(n)
-}
-
-func (h *history) isDown() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.down
-}
-
-func (h *history) landOne() {
-	h.mu.Lock()
-	var land func()
-	if len(h.late) > 0 {
-		land, h.late = h.late[0], h.late[1:]
-	}
-	h.mu.Unlock()
-	if land != nil {
-		land()
-	}
-}
-
-func (h *history) store() storer.Store {
-	s := h.emulator.Store()
-	c := s
-	c.Get = func(ctx context.Context, key string) (storer.Object, error) {
-		if h.isDown() || h.hit() {
-			return storer.Object{}, storer.ErrUnavailable
-		}
-		return s.Get(ctx, key)
-	}
-	c.Put = func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
-		if h.hit() {
-			h.landOne()
-		}
-		if h.isDown() {
-			return 0, storer.ErrUnavailable
-		}
-		if !h.hit() {
-			return s.Put(ctx, key, value, expect)
-		}
-		put := func() { _, _ = s.Put(context.Background(), key, value, expect) }
-		switch h.draw(4) {
-		case 0:
-			return 0, storer.ErrUnavailable
-		case 1:
-			put()
-		case 2:
-			h.mu.Lock()
-			h.late = append(h.late, put)
-			h.mu.Unlock()
-		}
-		return 0, storer.ErrUnknown
-	}
-	return c
-}
-
 func (h *history) startNode(name string, incarnation uint64) {
-	h.start(name, incarnation, h.store(), func(c *Claimer) {
-		c.CommitWait = clock.Millis(h.draw(5))
+	h.start(name, incarnation, h.Store(), func(c *Claimer) {
+		c.CommitWait = clock.Millis(h.IntN(5))
 		if h.lookUp {
 			c.LookUp = h.service.lookUp
 		}
@@ -135,10 +65,10 @@
 func (h *history) run(id int, n *node, key string) Run {
 	return func(_ context.Context, attempt string) (Answer, error) {
 		n.gate()
-		if h.hit() {
+		if h.Hit() {
 			return Answer{}, errors.Mark(errors.New("connection refused"), ErrNotSent)
 		}
-		if h.hit() {
+		if h.Hit() {
 			return Answer{}, errors.New("request lost")
 		}
 		h.count(id, 1)
@@ -147,7 +77,7 @@
 			h.count(id, -1) // refused, since a look-up came first
 		}
 		n.gate()
-		if err == nil && h.hit() {
+		if err == nil && h.Hit() {
 			return Answer{}, errors.New("answer lost")
 		}
 		return answer, err
@@ -163,51 +93,36 @@
 // disturb pauses, kills and replaces instances and takes the store down.
 func (h *history) disturb(names []string) {
 	for i := range 4 {
-		n := h.node(names[h.draw(len(names))])
-		switch h.draw(4) {
+		n := h.node(names[h.IntN(len(names))])
+		switch h.IntN(4) {
 		case 0:
 			resume := make(chan struct{})
 			n.set(func(n *node) { n.cut, n.onGate = true, func() { <-resume } })
-			h.clock.Advance(clock.Millis(h.draw(int(2 * clock.Minute))))
+			h.clock.Advance(clock.Millis(h.IntN(int(2 * clock.Minute))))
 			time.Sleep(2 * time.Millisecond)
-			n.set(func(n *node) { n.cut, n.onGate = h.draw(2) == 0, nil })
+			n.set(func(n *node) { n.cut, n.onGate = h.IntN(2) == 0, nil })
 			close(resume)
 		case 1:
 			n.set(func(n *node) { n.dead = true })
 			h.startNode(n.claimer.instance, uint64(i+2))
 		default:
-			h.mu.Lock()
-			h.down = !h.down
-			h.mu.Unlock()
+			h.SetDown(i%2 == 0)
 		}
 		time.Sleep(time.Millisecond)
 	}
 }
 
-// heal ends all faults and lets late writes land.
-func (h *history) heal(names []string) {
-	h.mu.Lock()
-	h.rate, h.down = 0, false
-	h.mu.Unlock()
-	for _, name := range names {
-		h.node(name).set(func(n *node) { n.cut = false })
-	}
-	for range 100 {
-		h.landOne()
-	}
-}
-
 // TestHistories guards against two runs of one key, against "not run" for a
 // call that ran or runs later, and against two answers for one key.
 func TestHistories(t *testing.T) {
 	reasons := map[string]int{}
 	names, keys := []string{"a", "b", "c"}, []string{"k0", "k1", "k2"}
 	rapid.Check(t, func(t *rapid.T) {
+		e := storeemulator.New()
+		seed, rate := rapid.Uint64().Draw(t, "seed"), rapid.Float64Range(0, 0.5).Draw(t, "rate")
 		h := &history{
-			fleet: newFleet(storeemulator.New()), service: newService(),
+			fleet: newFleet(e), Chaos: storeemulator.NewChaos(e, seed, rate), service: newService(),
 			lookUp: rapid.Bool().Draw(t, "look-up"),
-			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
-			rate:   rapid.Float64Range(0, 0.5).Draw(t, "rate"),
 			ran:    map[int]int{}, told: map[int]error{}, bodies: map[string]map[string]bool{}, reason: reasons,
 		}
 		for _, k := range keys {
@@ -221,14 +136,17 @@
 		for i := range callers {
 			group.Go(func() {
 				for j := range calls {
-					patience := time.Duration(200+h.draw(3000)) * time.Microsecond
-					h.do(i*calls+j, names[h.draw(len(names))], keys[h.draw(len(keys))], patience)
+					patience := time.Duration(200+h.IntN(3000)) * time.Microsecond
+					h.do(i*calls+j, names[h.IntN(len(names))], keys[h.IntN(len(keys))], patience)
 				}
 			})
 		}
 		h.disturb(names)
 		group.Wait()
-		h.heal(names)
+		h.Calm()
+		for _, name := range names {
+			h.node(name).set(func(n *node) { n.cut = false })
+		}
 		for i, k := range keys {
 			for j, name := range names {
 				h.do(1000+10*i+j, name, k, 20*time.Millisecond)
--- a/claimer/storm_test.go
+++ b/claimer/storm_test.go
@@ -14,26 +14,8 @@
 
 	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/storeemulator"
-	"rosemaryarch.example/rosemaryarch/storer"
 )
 
-// losing returns a store that loses a share of the answers to writes.
-func losing(s storer.Store, seed uint64, share float64) storer.Store {
-	random := rand.New(rand.NewPCG(seed, 2))
-	var mu sync.Mutex
-	c := s
-	c.Put = func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
-		version, err := s.Put(ctx, key, value, expect)
-		mu.Lock()
-		defer mu.Unlock()
-		if random.Float64() < share {
-			return 0, storer.ErrUnknown
-		}
-		return version, err
-	}
-	return c
-}
-
 // forward makes every instance commit through the preferred writer of a shard.
 func forward(f *fleet, c *Claimer) {
 	c.Commit = func(ctx context.Context, shard, key string, change []byte) ([]byte, error) {
@@ -54,13 +36,14 @@
 // which a slow handler made the sender deliver each order many times and a
 // claim written after the work let every delivery through: 5,000 deliveries of
 // 100 orders over 9 instances, with callers that leave before the service
-// answers and with lost answers of the store, must run each order once.
+// answers and with faults in 10% of the store calls, must run each order once and refuse a
+// key that comes with another body.
 func TestRetryStorm(t *testing.T) {
 	e := storeemulator.New()
 	e.SetFaults(storeemulator.Faults{Delay: 1})
 	f := newFleet(e)
 	for i := range 9 {
-		f.start(fmt.Sprint("i", i), 1, losing(e.Store(), uint64(i), 0.1), func(c *Claimer) { forward(f, c) })
+		f.start(fmt.Sprint("i", i), 1, storeemulator.NewChaos(e, uint64(i), 0.1).Store(), func(c *Claimer) { forward(f, c) })
 	}
 	s := newService()
 	random := rand.New(rand.NewPCG(7, 7))
@@ -98,6 +81,11 @@
 		if got := s.count(key); got != 1 || err != nil {
 			t.Errorf("%s: got %d runs, %v, want 1", key, got, err)
 		}
+		other := f.call(key)
+		other.BodyHash = []byte("x")
+		if _, err := f.node("i1").claimer.Do(context.Background(), other, run); !errors.Is(err, refuser.ErrKeyReused) {
+			t.Errorf("%s with another body: got %v, want ErrKeyReused", key, err)
+		}
 	}
 	t.Logf("%d deliveries of %d orders: told %v, store calls %+v", deliveries, orders, told, e.Counts())
 }
--- a/committer/fault_test.go
+++ b/committer/fault_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"runtime"
 	"strings"
 	"testing"
@@ -13,71 +12,8 @@
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/storeemulator"
-	"rosemaryarch.example/rosemaryarch/storer"
 )
 
-// chaos injects faults into the calls of a store. Writes whose answer is lost
-// may land at any later call, or when the test ends.
-type chaos struct {
-	inner  storer.Store
-	random *rand.Rand
-	rate   float64 // of faults per call
-	late   []func()
-	other  func() // another writer's work, done beside some writes
-}
-
-func (c *chaos) hit() bool { return c.random.Float64() < c.rate }
-
-func (c *chaos) landOne() {
-	if len(c.late) > 0 && c.hit() {
-		i := c.random.IntN(len(c.late))
-		land := c.late[i]
-		c.late = append(c.late[:i], c.late[i+1:]...)
-		land()
-	}
-}
-
-func (c *chaos) interleave() {
-	if other := c.other; other != nil && c.hit() {
-		c.other = nil
-		other()
-		c.other = other
-	}
-}
-
-func (c *chaos) store(e *storeemulator.Emulator) storer.Store {
-	c.inner = e.Store()
-	s := c.inner
-	s.Get = func(ctx context.Context, key string) (storer.Object, error) {
-		c.landOne()
-		if c.hit() {
-			return storer.Object{}, storer.ErrUnavailable
-		}
-		e.SetFaults(storeemulator.Faults{StaleReads: c.hit()})
-		defer e.SetFaults(storeemulator.Faults{})
-		return c.inner.Get(ctx, key)
-	}
-	s.Put = func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
-		c.landOne()
-		c.interleave()
-		if !c.hit() {
-			return c.inner.Put(ctx, key, value, expect)
-		}
-		put := func() { _, _ = c.inner.Put(context.Background(), key, value, expect) }
-		switch c.random.IntN(4) {
-		case 0:
-			return 0, storer.ErrUnavailable
-		case 1:
-			put()
-			c.interleave()
-		case 2:
-			c.late = append(c.late, put)
-		}
-		return 0, storer.ErrUnknown
-	}
-	return s
-}
-
 // add appends a token to a record unless it is there.
 func add(token string) Change {
 	return Change{Apply: func(old []byte) ([]byte, error) {
@@ -91,7 +27,7 @@
 // history submits changes through several writers under faults. Each submitter
 // leaves after a random number of pauses.
 type history struct {
-	chaos   *chaos
+	*storeemulator.Chaos
 	writers []*Committer
 	told    map[string]error // by token
 	keys    map[string]string
@@ -107,7 +43,7 @@
 
 func (h *history) submit(c *Committer, patience int) {
 	token := fmt.Sprintf("<%d>", len(h.told))
-	key := fmt.Sprint("k", h.chaos.random.IntN(12))
+	key := fmt.Sprint("k", h.IntN(12))
 	h.told[token], h.keys[token] = nil, key
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -133,30 +69,26 @@
 	rapid.Check(t, func(t *rapid.T) {
 		e := storeemulator.New()
 		seed := rapid.Uint64().Draw(t, "seed")
-		x := &chaos{
-			random: rand.New(rand.NewPCG(seed, 0)), rate: rapid.Float64Range(0.05, 0.6).Draw(t, "rate"),
-		}
-		h := &history{chaos: x, told: map[string]error{}, keys: map[string]string{}}
+		x := storeemulator.NewChaos(e, seed, rapid.Float64Range(0.05, 0.6).Draw(t, "rate"))
+		h := &history{Chaos: x, told: map[string]error{}, keys: map[string]string{}}
 		m := clock.NewManual(0)
 		o := Options{Segments: 16, SegmentBytes: 512, KeptCommits: rapid.IntRange(1, 4).Draw(t, "kept"), Seed: seed}
 		for i := range 3 {
 			o.Instance = fmt.Sprint("i", i)
-			c := New(x.store(e), m.Clock(), o)
+			c := New(x.Store(), m.Clock(), o)
 			c.Sleep = h.sleep
 			h.writers = append(h.writers, c)
 		}
 		// The third writer writes while another one's write is under way.
-		x.other = func() {
-			for range 1 + x.random.IntN(4) {
+		x.Beside = func() {
+			for range 1 + x.IntN(4) {
 				h.submit(h.writers[2], 3)
 			}
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "changes") {
-			h.submit(h.writers[x.random.IntN(2)], x.random.IntN(8))
-		}
-		for _, land := range x.late {
-			land()
+			h.submit(h.writers[x.IntN(2)], x.IntN(8))
 		}
+		x.Calm()
 		h.check(t, e, m, outcomes)
 	})
 	t.Logf("outcomes: %v", outcomes)
