--- a/experimenter/cascade.go
+++ b/experimenter/cascade.go
@@ -179,7 +179,7 @@
 	since   [cascadeInstances][cascadeInstances]uint64 // change sent, by sender and receiver
 	tables  [][]planner.Table                          // by instance, then workspace and kind
 	pending map[clock.Millis][]cascadeRating           // by tick of arrival
-	reasons map[string]float64
+	asked   float64
 }
 
 type cascadeRating struct {
@@ -192,7 +192,7 @@
 func newCascadeRun(seed uint64) *cascadeRun {
 	c := &cascadeRun{
 		random: rand.New(rand.NewPCG(seed, 21)), planner: planner.Default(),
-		pending: map[clock.Millis][]cascadeRating{}, reasons: map[string]float64{},
+		pending: map[clock.Millis][]cascadeRating{},
 	}
 	for i := range cascadeInstances {
 		c.raters = append(c.raters, rater.New(fmt.Sprintf("i%d", i), 1, cascadeHalfLife, cascadeCells))
@@ -268,7 +268,6 @@
 		c.refresh(i, now)
 	}
 	plan := c.planner.Plan(t, c.random)
-	c.reasons[plan.Reason]++
 	k, quality := m.serve(q, plan.First, plan.Second)
 	r, pooled := c.raters[i], k
 	pooled.Workspace = planner.AllWorkspaces
@@ -283,6 +282,7 @@
 	if q.rated || plan.Reason == planner.ReasonExplore {
 		r.Ask(k, now, now)
 		r.Ask(pooled, now, now)
+		c.asked++
 		due := (now + q.lag + cascadeTick) / cascadeTick * cascadeTick
 		c.pending[due] = append(c.pending[due], cascadeRating{instance: i, key: k, at: now, quality: quality})
 	}
@@ -298,7 +298,7 @@
 	}
 	result := Result{
 		Columns: []string{"cost_per_request", "cost_share", "steady_cost_share", "paid_twice_share",
-			"workspaces_below", "least_margin"},
+			"workspaces_below", "least_margin", "rated_share"},
 		XAxis: "minutes", YAxis: "cost per request", Curves: []Curve{{}, {}, {}},
 	}
 	for now := clock.Millis(0); now < cascadeLength; now += cascadeTick {
@@ -323,11 +323,12 @@
 			}
 		}
 	}
+	asked := [3]float64{2: run.asked}
 	for i, m := range all {
 		below, margin := m.below()
 		steadyShare := (m.cost - steady[i].cost) / (all[0].cost - steady[0].cost)
 		result.Rows = append(result.Rows, Row{Label: names[i], Values: []float64{
-			m.cost / m.requests, m.cost / all[0].cost, steadyShare, m.twice / m.requests, below, margin}})
+			m.cost / m.requests, m.cost / all[0].cost, steadyShare, m.twice / m.requests, below, margin, asked[i] / m.requests}})
 	}
 	planned := result.Rows[2].Values
 	result.Targets = []Target{
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -7,6 +7,7 @@
 	ReasonBound     = "bound"        // cheapest chain whose lower bound meets the target
 	ReasonBest      = "best_version" // no chain is known to meet the target
 	ReasonExplore   = "explore"      // cheaper chain with unknown quality, within the exploration share
+	ReasonTrial     = "trial"        // cheaper chain that is proven over all workspaces, not yet for this one
 	ReasonForbidden = "none_permitted"
 )
 
@@ -49,8 +50,8 @@
 }
 
 // Plan returns the chain for one request. The result depends only on t and r.
-// If nothing is permitted, First is -1. The answer of an explored chain should be
-// sent to the rating service.
+// If nothing is permitted, First is -1. All answers with ReasonExplore should be
+// sent to the rating service, since they are few; of the others, a sample.
 func (p Planner) Plan(t *Table, r *rand.Rand) Plan {
 	best := t.best()
 	if best < 0 {
@@ -108,6 +109,9 @@
 		return chosen
 	}
 	picked.Reason = ReasonExplore
+	if proven {
+		picked.Reason = ReasonTrial
+	}
 	return picked.Plan
 }
 
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -39,6 +39,11 @@
 		for range n * n {
 			table.Escalated = append(table.Escalated, drawEstimate(t))
 		}
+		if rapid.Bool().Draw(t, "pooled") {
+			pooled := table
+			pooled.Only = []rater.Estimate{drawEstimate(t), drawEstimate(t), drawEstimate(t), drawEstimate(t)}
+			table.Pooled = &pooled
+		}
 		p := Default()
 		plan := p.Plan(&table, rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))))
 		permitted := 0
@@ -58,7 +63,8 @@
 		if plan.Reason == ReasonBound && plan.Lower < table.Target {
 			t.Fatalf("got lower bound %v under the target %v", plan.Lower, table.Target)
 		}
-		if lower, _ := table.Met.Quality(p.Delta); plan.Reason == ReasonExplore && lower <= table.Target {
+		if lower, _ := table.Met.Quality(p.Delta); lower <= table.Target &&
+			(plan.Reason == ReasonExplore || plan.Reason == ReasonTrial) {
 			t.Fatalf("got exploration at met quality %v, target %v", lower, table.Target)
 		}
 	})
