--- a/experimenter/cascade.go
+++ b/experimenter/cascade.go
@@ -20,7 +20,6 @@
 	cascadeHalfLife    = 2 * clock.Hour
 	cascadeCells       = 1 << 16
 	cascadeBytes       = 64 << 10 // largest snapshot
-	cascadeRated       = 0.2      // share of answers sent to the rating service, beside all explored ones
 	cascadeRatingLost  = 0.1      // share of ratings that never arrive
 	cascadeRatingLag   = 60 * clock.Second
 	cascadeCheckCost   = 0.1
@@ -79,12 +78,12 @@
 	workspace, kind int
 	quality         []float64 // by version
 	passes          []bool    // whether the check of that version's answer passes
-	rated           bool
+	rated           float64   // rated if under the plan's probability
 	lag             clock.Millis
 }
 
 func drawCascadeRequest(r *rand.Rand) cascadeRequest {
-	q := cascadeRequest{rated: r.Float64() < cascadeRated}
+	q := cascadeRequest{rated: r.Float64()}
 	for u := r.Float64(); q.workspace < len(cascadeWorkspaces)-1; q.workspace++ {
 		if u -= cascadeWorkspaces[q.workspace].share; u < 0 {
 			break
@@ -279,7 +278,7 @@
 			r.Check(checked, now, now, k.Step == rater.StepFirst)
 		}
 	}
-	if q.rated || plan.Reason == planner.ReasonExplore {
+	if q.rated < plan.Rate {
 		r.Ask(k, now, now)
 		r.Ask(pooled, now, now)
 		c.asked++
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -16,11 +16,12 @@
 	Delta      float64 // error probability of each bound
 	MaxExplore float64 // largest share of requests spent on exploration
 	MaxTrial   float64 // the same for a chain that is proven over all workspaces together
+	Rate       float64 // share of all answers that the rating service can take, roughly
 }
 
 // Default returns the usual parameters.
 func Default() Planner {
-	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.5}
+	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.5, Rate: 0.2}
 }
 
 // Plan is a chain: the index of the first version and that of the version
@@ -30,6 +31,7 @@
 	Second int
 	Lower  float64 // lower bound of the quality
 	Cost   float64 // expected cost per request, at the lower bound of the pass rate
+	Rate   float64 // probability with which the answer should be sent to the rating service
 	Reason string
 }
 
@@ -50,8 +52,8 @@
 }
 
 // Plan returns the chain for one request. The result depends only on t and r.
-// If nothing is permitted, First is -1. All answers with ReasonExplore should be
-// sent to the rating service, since they are few; of the others, a sample.
+// If nothing is permitted, First is -1. Ratings are spent where they decide
+// something: on all explored answers, and on trial answers more than on others.
 func (p Planner) Plan(t *Table, r *rand.Rand) Plan {
 	best := t.best()
 	if best < 0 {
@@ -62,6 +64,7 @@
 		t = &prepared
 	}
 	chosen := cheapest(t, best)
+	chosen.Rate = p.Rate / 2
 	if t.met <= t.Target {
 		return chosen
 	}
@@ -108,9 +111,9 @@
 	if seen == 0 && !proven || r.Float64() >= p.share(t, &picked, proven) {
 		return chosen
 	}
-	picked.Reason = ReasonExplore
+	picked.Reason, picked.Rate = ReasonExplore, 1
 	if proven {
-		picked.Reason = ReasonTrial
+		picked.Reason, picked.Rate = ReasonTrial, min(1, 2*p.Rate)
 	}
 	return picked.Plan
 }
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -114,7 +114,7 @@
 				HasCheck:  true, CheckCost: 0.1, Target: 0.8,
 			}
 			got := Default().Plan(&table, rand.New(rand.NewPCG(1, 2)))
-			got.Lower, got.Cost = 0, 0
+			got.Lower, got.Cost, got.Rate = 0, 0, 0
 			if got != test.want {
 				t.Errorf("got %+v, want %+v", got, test.want)
 			}
