--- a/planner/planner.go
+++ b/planner/planner.go
@@ -7,6 +7,7 @@
 	ReasonBound     = "bound"        // cheapest chain whose lower bound meets the target
 	ReasonBest      = "best_version" // no chain is known to meet the target
 	ReasonExplore   = "explore"      // cheaper chain with unknown quality, within the exploration share
+	ReasonMix       = "mix"          // chain under the target, balanced by better ones of the same kind of request
 	ReasonTrial     = "trial"        // cheaper chain that is proven over all workspaces, not yet for this one
 	ReasonForbidden = "none_permitted"
 )
@@ -17,11 +18,15 @@
 	MaxExplore float64 // largest share of requests spent on exploration
 	MaxTrial   float64 // the same for a chain that is proven over all workspaces together
 	Rate       float64 // share of all answers that the rating service can take, roughly
+	// Shortfall is how far the lower bound of a chain may be under the target if the
+	// chain is mixed with a better one, so that the mean of the lower bounds meets
+	// the target. With 0 every chain must meet the target itself.
+	Shortfall float64
 }
 
 // Default returns the usual parameters.
 func Default() Planner {
-	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.5, Rate: 0.2}
+	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.5, Rate: 0.2, Shortfall: 0.05}
 }
 
 // Plan is a chain: the index of the first version and that of the version
@@ -48,6 +53,8 @@
 func (p Planner) Prepare(t Table) Table {
 	t.options = p.options(&t)
 	t.met, _ = t.Met.Quality(p.Delta)
+	t.chosen = cheapest(&t, t.best())
+	t.mixed, t.mixedShare = p.mix(&t)
 	return t
 }
 
@@ -55,15 +62,17 @@
 // If nothing is permitted, First is -1. Ratings are spent where they decide
 // something: on all explored answers, and on trial answers more than on others.
 func (p Planner) Plan(t *Table, r *rand.Rand) Plan {
-	best := t.best()
-	if best < 0 {
+	if t.best() < 0 {
 		return Plan{First: -1, Second: -1, Reason: ReasonForbidden}
 	}
 	if t.options == nil {
 		prepared := p.Prepare(*t)
 		t = &prepared
 	}
-	chosen := cheapest(t, best)
+	chosen := t.chosen
+	if t.mixedShare > 0 && r.Float64() < t.mixedShare {
+		chosen = t.mixed
+	}
 	chosen.Rate = p.Rate / 2
 	if t.met <= t.Target {
 		return chosen
@@ -88,6 +97,39 @@
 	return chosen
 }
 
+// mix replaces the chosen chain by the cheapest mixture of two chains, one of them
+// under the target, whose mean lower bound meets the target. It returns the one
+// under the target and its share. Cost and lower bound of both become those of
+// the mixture.
+func (p Planner) mix(t *Table) (under Plan, share float64) {
+	if t.chosen.Reason != ReasonBound {
+		return Plan{}, 0
+	}
+	over, cost := t.chosen, t.chosen.Cost
+	for _, a := range t.options {
+		if a.Lower >= t.Target || a.Lower < t.Target-p.Shortfall {
+			continue
+		}
+		for _, b := range t.options {
+			if b.Lower < t.Target {
+				continue
+			}
+			w := (b.Lower - t.Target) / (b.Lower - a.Lower)
+			if c := w*a.Cost + (1-w)*b.Cost; c < cost {
+				under, over, share, cost = a.Plan, b.Plan, w, c
+			}
+		}
+	}
+	if share == 0 {
+		return Plan{}, 0
+	}
+	under.Reason, over.Reason = ReasonMix, ReasonBound
+	under.Cost, under.Lower = cost, t.Target
+	over.Cost, over.Lower = cost, t.Target
+	t.chosen = over
+	return under, share
+}
+
 // explore returns chosen, or at times a chain that may be cheaper and may meet
 // the target: the cheapest that is proven over all workspaces together, else any
 // with equal probability.
@@ -95,7 +137,7 @@
 	var picked option
 	seen, proven := 0, false
 	for _, o := range t.options {
-		if o.cheapest >= chosen.Cost || o.upper < t.Target {
+		if o.cheapest >= chosen.Cost || o.upper < t.Target-p.Shortfall {
 			continue
 		}
 		if o.pooled >= t.Target {
--- a/planner/table.go
+++ b/planner/table.go
@@ -27,8 +27,12 @@
 	// exploration, since workspaces may differ.
 	Pooled *Table
 
-	options []option // set by Planner.Prepare
-	met     float64  // lower bound of the met quality
+	// Set by Planner.Prepare.
+	options    []option
+	met        float64 // lower bound of the met quality
+	chosen     Plan
+	mixed      Plan    // taken instead of chosen for a share of the requests
+	mixedShare float64 // 0 if there is none
 }
 
 // AllWorkspaces is the workspace in whose counts those of all workspaces are
