--- a/planner/planner.go
+++ b/planner/planner.go
@@ -130,14 +130,14 @@
 	return under, share
 }
 
-// explore returns chosen, or at times a chain that may be cheaper and may meet
-// the target: the cheapest that is proven over all workspaces together, else any
+// explore returns chosen, or at times a chain that is not proven yet, may be
+// cheaper and may meet the target: the cheapest that is proven over all workspaces together, else any
 // with equal probability.
 func (p Planner) explore(t *Table, chosen Plan, r *rand.Rand) Plan {
 	var picked option
 	seen, proven := 0, false
 	for _, o := range t.options {
-		if o.cheapest >= chosen.Cost || o.upper < t.Target-p.Shortfall {
+		if o.Lower >= t.Target || o.cheapest >= chosen.Cost || o.upper < t.Target-p.Shortfall {
 			continue
 		}
 		if o.pooled >= t.Target {
