--- a/planner/planner.go
+++ b/planner/planner.go
@@ -12,6 +12,10 @@
 	ReasonForbidden = "none_permitted"
 )
 
+// hopelessWeight is the weight in exploration of a chain that is under the target
+// over all workspaces together. It is above 0 since workspaces differ.
+const hopelessWeight = 0.1
+
 // Planner holds the parameters. Use Default and change fields as needed.
 type Planner struct {
 	Delta      float64 // error probability of each bound
@@ -45,6 +49,7 @@
 	Plan
 	upper    float64
 	pooled   float64 // lower bound over all workspaces together
+	hopeless bool    // over all workspaces together it is under the target
 	cheapest float64 // expected cost at the upper bound of the pass rate
 }
 
@@ -131,11 +136,11 @@
 }
 
 // explore returns chosen, or at times a chain that is not proven yet, may be
-// cheaper and may meet the target: the cheapest that is proven over all workspaces together, else any
-// with equal probability.
+// cheaper and may meet the target: the cheapest that is proven over all workspaces
+// together, else any, those that all workspaces speak against more rarely.
 func (p Planner) explore(t *Table, chosen Plan, r *rand.Rand) Plan {
 	var picked option
-	seen, proven := 0, false
+	seen, proven := 0.0, false
 	for _, o := range t.options {
 		if o.Lower >= t.Target || o.cheapest >= chosen.Cost || o.upper < t.Target-p.Shortfall {
 			continue
@@ -146,7 +151,12 @@
 			}
 			continue
 		}
-		if seen++; !proven && r.IntN(seen) == 0 {
+		weight := 1.0
+		if o.hopeless {
+			weight = hopelessWeight
+		}
+		seen += weight
+		if !proven && r.Float64()*seen < weight {
 			picked = o
 		}
 	}
@@ -183,7 +193,7 @@
 		}
 		o := p.single(t, i)
 		if t.Pooled != nil {
-			o.pooled = p.single(t.Pooled, i).Lower
+			o = p.pool(t, o, p.single(t.Pooled, i))
 		}
 		all = append(all, o)
 		if !t.HasCheck {
@@ -195,7 +205,7 @@
 			}
 			o := p.cascade(t, i, j)
 			if t.Pooled != nil {
-				o.pooled = p.cascade(t.Pooled, i, j).Lower
+				o = p.pool(t, o, p.cascade(t.Pooled, i, j))
 			}
 			all = append(all, o)
 		}
@@ -203,6 +213,13 @@
 	return all
 }
 
+// pool adds to o what is known of the chain over all workspaces together.
+func (p Planner) pool(t *Table, o, pooled option) option {
+	o.pooled = pooled.Lower
+	o.hopeless = pooled.upper < t.Target-p.Shortfall
+	return o
+}
+
 func (p Planner) single(t *Table, i int) option {
 	o := option{Plan: Plan{First: i, Second: -1, Cost: t.Cost[i]}, cheapest: t.Cost[i]}
 	o.Lower, o.upper = t.Only[i].Quality(p.Delta)
