--- a/planner/planner.go
+++ b/planner/planner.go
@@ -16,6 +16,11 @@
 // over all workspaces together. It is above 0 since workspaces differ.
 const hopelessWeight = 0.1
 
+// unknownQuality is the quality that an unknown chain is assumed to have at least,
+// as a share of the target. The met quality is measured, so exploration ends if the
+// assumption is wrong.
+const unknownQuality = 0.5
+
 // Planner holds the parameters. Use Default and change fields as needed.
 type Planner struct {
 	Delta      float64 // error probability of each bound
@@ -171,13 +176,14 @@
 }
 
 // share returns the share of requests that may try o. Even if its quality were at
-// its lower bound, the met quality would stay above the target.
+// its lower bound, or at unknownQuality of the target, the met quality would stay
+// above the target.
 func (p Planner) share(t *Table, o *option, proven bool) float64 {
 	most := p.MaxExplore
 	if proven {
 		most = p.MaxTrial
 	}
-	loss := t.met - max(o.Lower, o.pooled)
+	loss := t.met - max(o.Lower, o.pooled, unknownQuality*t.Target)
 	if loss <= 0 {
 		return most
 	}
