--- a/planner/planner.go
+++ b/planner/planner.go
@@ -35,7 +35,7 @@
 
 // Default returns the usual parameters.
 func Default() Planner {
-	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.5, Rate: 0.2, Shortfall: 0.05}
+	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.8, Rate: 0.2, Shortfall: 0.05}
 }
 
 // Plan is a chain: the index of the first version and that of the version
