--- a/planner/planner.go
+++ b/planner/planner.go
@@ -7,19 +7,35 @@
 	ReasonBound     = "bound"        // cheapest chain whose lower bound meets the target
 	ReasonBest      = "best_version" // no chain is known to meet the target
 	ReasonExplore   = "explore"      // cheaper chain with unknown quality, within the exploration share
+	ReasonMix       = "mix"          // chain under the target, balanced by better ones of the same kind of request
+	ReasonTrial     = "trial"        // cheaper chain that is proven over all workspaces, not yet for this one
 	ReasonForbidden = "none_permitted"
 )
 
+// hopelessWeight is the weight in exploration of a chain that is under the target
+// over all workspaces together. It is above 0 since workspaces differ.
+const hopelessWeight = 0.1
+
+// unknownQuality is the quality that an unknown chain is assumed to have at least,
+// as a share of the target. The met quality is measured, so exploration ends if the
+// assumption is wrong.
+const unknownQuality = 0.5
+
 // Planner holds the parameters. Use Default and change fields as needed.
 type Planner struct {
 	Delta      float64 // error probability of each bound
 	MaxExplore float64 // largest share of requests spent on exploration
 	MaxTrial   float64 // the same for a chain that is proven over all workspaces together
+	Rate       float64 // share of all answers that the rating service can take, roughly
+	// Shortfall is how far the lower bound of a chain may be under the target if the
+	// chain is mixed with a better one, so that the mean of the lower bounds meets
+	// the target. With 0 every chain must meet the target itself.
+	Shortfall float64
 }
 
 // Default returns the usual parameters.
 func Default() Planner {
-	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.5}
+	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.8, Rate: 0.2, Shortfall: 0.05}
 }
 
 // Plan is a chain: the index of the first version and that of the version
@@ -29,6 +45,7 @@
 	Second int
 	Lower  float64 // lower bound of the quality
 	Cost   float64 // expected cost per request, at the lower bound of the pass rate
+	Rate   float64 // probability with which the answer should be sent to the rating service
 	Reason string
 }
 
@@ -37,6 +54,7 @@
 	Plan
 	upper    float64
 	pooled   float64 // lower bound over all workspaces together
+	hopeless bool    // over all workspaces together it is under the target
 	cheapest float64 // expected cost at the upper bound of the pass rate
 }
 
@@ -45,22 +63,27 @@
 func (p Planner) Prepare(t Table) Table {
 	t.options = p.options(&t)
 	t.met, _ = t.Met.Quality(p.Delta)
+	t.chosen = cheapest(&t, t.best())
+	t.mixed, t.mixedShare = p.mix(&t)
 	return t
 }
 
 // Plan returns the chain for one request. The result depends only on t and r.
-// If nothing is permitted, First is -1. The answer of an explored chain should be
-// sent to the rating service.
+// If nothing is permitted, First is -1. Ratings are spent where they decide
+// something: on all explored answers, and on trial answers more than on others.
 func (p Planner) Plan(t *Table, r *rand.Rand) Plan {
-	best := t.best()
-	if best < 0 {
+	if t.best() < 0 {
 		return Plan{First: -1, Second: -1, Reason: ReasonForbidden}
 	}
 	if t.options == nil {
 		prepared := p.Prepare(*t)
 		t = &prepared
 	}
-	chosen := cheapest(t, best)
+	chosen := t.chosen
+	if t.mixedShare > 0 && r.Float64() < t.mixedShare {
+		chosen = t.mixed
+	}
+	chosen.Rate = p.Rate / 2
 	if t.met <= t.Target {
 		return chosen
 	}
@@ -84,14 +107,47 @@
 	return chosen
 }
 
-// explore returns chosen, or at times a chain that may be cheaper and may meet
-// the target: the cheapest that is proven over all workspaces together, else any
-// with equal probability.
+// mix replaces the chosen chain by the cheapest mixture of two chains, one of them
+// under the target, whose mean lower bound meets the target. It returns the one
+// under the target and its share. Cost and lower bound of both become those of
+// the mixture.
+func (p Planner) mix(t *Table) (under Plan, share float64) {
+	if t.chosen.Reason != ReasonBound {
+		return Plan{}, 0
+	}
+	over, cost := t.chosen, t.chosen.Cost
+	for _, a := range t.options {
+		if a.Lower >= t.Target || a.Lower < t.Target-p.Shortfall {
+			continue
+		}
+		for _, b := range t.options {
+			if b.Lower < t.Target {
+				continue
+			}
+			w := (b.Lower - t.Target) / (b.Lower - a.Lower)
+			if c := w*a.Cost + (1-w)*b.Cost; c < cost {
+				under, over, share, cost = a.Plan, b.Plan, w, c
+			}
+		}
+	}
+	if share == 0 {
+		return Plan{}, 0
+	}
+	under.Reason, over.Reason = ReasonMix, ReasonBound
+	under.Cost, under.Lower = cost, t.Target
+	over.Cost, over.Lower = cost, t.Target
+	t.chosen = over
+	return under, share
+}
+
+// explore returns chosen, or at times a chain that is not proven yet, may be
+// cheaper and may meet the target: the cheapest that is proven over all workspaces
+// together, else any, those that all workspaces speak against more rarely.
 func (p Planner) explore(t *Table, chosen Plan, r *rand.Rand) Plan {
 	var picked option
-	seen, proven := 0, false
+	seen, proven := 0.0, false
 	for _, o := range t.options {
-		if o.cheapest >= chosen.Cost || o.upper < t.Target {
+		if o.Lower >= t.Target || o.cheapest >= chosen.Cost || o.upper < t.Target-p.Shortfall {
 			continue
 		}
 		if o.pooled >= t.Target {
@@ -100,25 +156,34 @@
 			}
 			continue
 		}
-		if seen++; !proven && r.IntN(seen) == 0 {
+		weight := 1.0
+		if o.hopeless {
+			weight = hopelessWeight
+		}
+		seen += weight
+		if !proven && r.Float64()*seen < weight {
 			picked = o
 		}
 	}
 	if seen == 0 && !proven || r.Float64() >= p.share(t, &picked, proven) {
 		return chosen
 	}
-	picked.Reason = ReasonExplore
+	picked.Reason, picked.Rate = ReasonExplore, 1
+	if proven {
+		picked.Reason, picked.Rate = ReasonTrial, min(1, 2*p.Rate)
+	}
 	return picked.Plan
 }
 
 // share returns the share of requests that may try o. Even if its quality were at
-// its lower bound, the met quality would stay above the target.
+// its lower bound, or at unknownQuality of the target, the met quality would stay
+// above the target.
 func (p Planner) share(t *Table, o *option, proven bool) float64 {
 	most := p.MaxExplore
 	if proven {
 		most = p.MaxTrial
 	}
-	loss := t.met - max(o.Lower, o.pooled)
+	loss := t.met - max(o.Lower, o.pooled, unknownQuality*t.Target)
 	if loss <= 0 {
 		return most
 	}
@@ -134,7 +199,7 @@
 		}
 		o := p.single(t, i)
 		if t.Pooled != nil {
-			o.pooled = p.single(t.Pooled, i).Lower
+			o = p.pool(t, o, p.single(t.Pooled, i))
 		}
 		all = append(all, o)
 		if !t.HasCheck {
@@ -146,7 +211,7 @@
 			}
 			o := p.cascade(t, i, j)
 			if t.Pooled != nil {
-				o.pooled = p.cascade(t.Pooled, i, j).Lower
+				o = p.pool(t, o, p.cascade(t.Pooled, i, j))
 			}
 			all = append(all, o)
 		}
@@ -154,6 +219,13 @@
 	return all
 }
 
+// pool adds to o what is known of the chain over all workspaces together.
+func (p Planner) pool(t *Table, o, pooled option) option {
+	o.pooled = pooled.Lower
+	o.hopeless = pooled.upper < t.Target-p.Shortfall
+	return o
+}
+
 func (p Planner) single(t *Table, i int) option {
 	o := option{Plan: Plan{First: i, Second: -1, Cost: t.Cost[i]}, cheapest: t.Cost[i]}
 	o.Lower, o.upper = t.Only[i].Quality(p.Delta)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -39,6 +39,11 @@
 		for range n * n {
 			table.Escalated = append(table.Escalated, drawEstimate(t))
 		}
+		if rapid.Bool().Draw(t, "pooled") {
+			pooled := table
+			pooled.Only = []rater.Estimate{drawEstimate(t), drawEstimate(t), drawEstimate(t), drawEstimate(t)}
+			table.Pooled = &pooled
+		}
 		p := Default()
 		plan := p.Plan(&table, rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))))
 		permitted := 0
@@ -58,7 +63,8 @@
 		if plan.Reason == ReasonBound && plan.Lower < table.Target {
 			t.Fatalf("got lower bound %v under the target %v", plan.Lower, table.Target)
 		}
-		if lower, _ := table.Met.Quality(p.Delta); plan.Reason == ReasonExplore && lower <= table.Target {
+		if lower, _ := table.Met.Quality(p.Delta); lower <= table.Target &&
+			(plan.Reason == ReasonExplore || plan.Reason == ReasonTrial) {
 			t.Fatalf("got exploration at met quality %v, target %v", lower, table.Target)
 		}
 	})
@@ -108,7 +114,7 @@
 				HasCheck:  true, CheckCost: 0.1, Target: 0.8,
 			}
 			got := Default().Plan(&table, rand.New(rand.NewPCG(1, 2)))
-			got.Lower, got.Cost = 0, 0
+			got.Lower, got.Cost, got.Rate = 0, 0, 0
 			if got != test.want {
 				t.Errorf("got %+v, want %+v", got, test.want)
 			}
