--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,6 +30,7 @@
 	mean       average
 	virtual    float64
 	workspaces map[string]*workspace
+	order      []*workspace // in order of first use, so that equal inputs give equal results
 	running    map[string]run
 	sequence   uint64
 }
@@ -74,7 +75,7 @@
 // Waiting returns the number of requests that wait.
 func (s *Scheduler) Waiting() int {
 	var n int
-	for _, w := range s.workspaces {
+	for _, w := range s.order {
 		n += w.queue.len()
 	}
 	return n
@@ -165,6 +166,7 @@
 		}
 		w = &workspace{name: name, weight: weight, start: s.virtual, mean: s.mean.fresh()}
 		s.workspaces[name] = w
+		s.order = append(s.order, w)
 	}
 	return w
 }
@@ -173,7 +175,7 @@
 // that have waiting requests, or nil.
 func (s *Scheduler) first() *workspace {
 	var best *workspace
-	for _, w := range s.workspaces {
+	for _, w := range s.order {
 		if w.queue.len() == 0 {
 			continue
 		}
@@ -197,7 +199,7 @@
 	}
 	start += own * w.mean.value / w.weight
 	ahead := own * w.mean.value
-	for _, v := range s.workspaces {
+	for _, v := range s.order {
 		if v == w || v.queue.len() == 0 || v.start > start {
 			continue
 		}
