scheduler: leave room for slow requests before the deadline

Under overload the queue settled where a request starts one mean service time before its deadline, so that those slower than the mean ended late. A request now needs the mean and three mean deviations while others wait for the slot.

--- a/experimenter/overload.go
+++ b/experimenter/overload.go
@@ -123,8 +123,10 @@
 
 func runOverload(seed uint64) Result {
 	result := Result{
-		Columns: []string{"goodput_per_s", "refused_share", "late_share", "small_served", "small_wait_p95_ms", "small_wait_max_ms"},
-		XAxis:   "offered load / capacity", YAxis: "goodput (requests/s)",
+		Columns: []string{
+			"goodput_per_s", "refused_share", "late_share", "small_served", "small_wait_p95_ms", "small_wait_max_ms",
+		},
+		XAxis: "offered load / capacity", YAxis: "goodput (requests/s)",
 	}
 	loads := []float64{0.8, 1, 1.2, 1.5, 2}
 	best := 0.0
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "container/heap"
+import (
+	"container/heap"
+	"math"
+)
 
 // entry is one waiting request with its order of arrival.
 type entry struct {
@@ -83,11 +86,13 @@
 // gain is the weight of a new measurement in an average.
 const gain = 0.1
 
-// average is an exponentially weighted mean. Its first measurement replaces
-// the value with which it starts.
+// average is an exponentially weighted mean with its mean absolute deviation
+// (as in Jacobson 1988). Its first measurement replaces the value with which it
+// starts.
 type average struct {
-	value    float64
-	measured bool
+	value     float64
+	deviation float64
+	measured  bool
 }
 
 func (a *average) add(x float64) {
@@ -95,8 +100,9 @@
 		a.value, a.measured = x, true
 		return
 	}
+	a.deviation += gain * (math.Abs(x-a.value) - a.deviation)
 	a.value += gain * (x - a.value)
 }
 
 // fresh returns an average that starts at the value of a.
-func (a average) fresh() average { return average{value: a.value} }
+func (a average) fresh() average { return average{value: a.value, deviation: a.deviation} }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,6 +7,11 @@
 	"rosemaryarch.example/rosemaryarch/refuser"
 )
 
+// deviations is the number of mean absolute deviations by which a request may
+// exceed its expected service time and still end before the deadline. With 0,
+// a backlogged queue settles where half of the requests end too late.
+const deviations = 3
+
 // Item is one request that waits for a slot.
 type Item struct {
 	ID        string
@@ -87,13 +92,12 @@
 // both cases the request was not run.
 func (s *Scheduler) Enqueue(now clock.Millis, i Item) error {
 	w := s.workspace(i.Workspace)
-	service := w.expected(i)
-	slack := float64(i.Deadline-now) - service
-	if slack < 0 {
-		return refuser.ErrDeadline.WithMessage("the deadline leaves %d ms, the work takes %.0f ms", i.Deadline-now, service)
+	left := float64(i.Deadline - now)
+	if service := w.expected(i); left < service {
+		return refuser.ErrDeadline.WithMessage("the deadline leaves %.0f ms, the work takes %.0f ms", left, service)
 	}
-	wait := s.predict(w, i)
-	if wait > slack {
+	wait, slack := s.predict(w, i), left-w.needed(i)
+	if wait > max(slack, 0) {
 		over := clock.Millis(math.Ceil(wait - slack))
 		return refuser.ErrQueueFull.WithRetryAfter(over).
 			WithMessage("predicted wait %.0f ms exceeds the %.0f ms that are left", wait, slack)
@@ -121,11 +125,12 @@
 			return Item{}, expired, false
 		}
 		i := w.queue.pop()
-		service := w.expected(i)
-		if float64(i.Deadline-now) < service {
+		left := float64(i.Deadline - now)
+		if left < w.expected(i) || left < w.needed(i) && s.Waiting() > 0 {
 			expired = append(expired, i)
 			continue
 		}
+		service := w.expected(i)
 		s.virtual = max(s.virtual, w.start)
 		w.start += service / w.weight
 		s.running[i.ID] = run{workspace: w, began: now, expected: service}
@@ -215,3 +220,9 @@
 	}
 	return w.mean.value
 }
+
+// needed returns the time that the request needs before its deadline while
+// others wait for the slot.
+func (w *workspace) needed(i Item) float64 {
+	return w.expected(i) + deviations*w.mean.deviation
+}
