scheduler: predict the wait from the measured rate of starts

The estimate from virtual time ignores requests of other workspaces that arrive later and start earlier, so a part of the large workspace's requests waited and then expired instead of being refused on arrival.

--- a/experimenter/overload.go
+++ b/experimenter/overload.go
@@ -99,7 +99,8 @@
 	waiting map[string]overloadRequest
 
 	offered, good map[bool]int // by whether the workspace is small
-	refused, late int
+	refused       int          // on arrival
+	expired, late int
 	waits         *hdrhistogram.Histogram // of the small workspaces, ms
 }
 
@@ -124,7 +125,8 @@
 func runOverload(seed uint64) Result {
 	result := Result{
 		Columns: []string{
-			"goodput_per_s", "refused_share", "late_share", "small_served", "small_wait_p95_ms", "small_wait_max_ms",
+			"goodput_per_s", "refused_share", "expired_share", "late_share", "small_served",
+			"small_wait_p95_ms", "small_wait_max_ms",
 		},
 		XAxis: "offered load / capacity", YAxis: "goodput (requests/s)",
 	}
@@ -148,7 +150,7 @@
 				best = max(best, row.Values[0])
 			}
 			if fair {
-				good[load], small = row.Values[0], row.Values[3]
+				good[load], small = row.Values[0], row.Values[4]
 			}
 		}
 		result.Curves = append(result.Curves, curve)
@@ -211,19 +213,15 @@
 	}
 	i := scheduler.Item{ID: r.id, Workspace: workspace, Deadline: r.arrived + overloadPatience}
 	if p.fair.Enqueue(p.agenda.now, i) != nil {
-		p.refuse(r)
+		if p.measured(r) {
+			p.refused++
+		}
 		return
 	}
 	p.waiting[r.id] = r
 	p.dispatch()
 }
 
-func (p *overloadPool) refuse(r overloadRequest) {
-	if p.measured(r) {
-		p.refused++
-	}
-}
-
 func (p *overloadPool) dispatch() {
 	for p.fair == nil && p.running < overloadSlots && len(p.fifo) > 0 {
 		r := p.fifo[0]
@@ -233,7 +231,9 @@
 	for p.fair != nil {
 		i, expired, ok := p.fair.Next(p.agenda.now)
 		for _, x := range expired {
-			p.refuse(p.waiting[x.ID])
+			if p.measured(p.waiting[x.ID]) {
+				p.expired++
+			}
 			delete(p.waiting, x.ID)
 		}
 		if !ok {
@@ -280,6 +280,7 @@
 	return Row{Label: label, Values: []float64{
 		float64(p.good[true]+p.good[false]) / seconds,
 		float64(p.refused) / offered,
+		float64(p.expired) / offered,
 		float64(p.late) / offered,
 		float64(p.good[true]) / float64(p.offered[true]),
 		float64(p.waits.ValueAtQuantile(95)),
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -46,6 +46,9 @@
 	start  float64 // virtual start time of the next request
 	mean   average // service time in ms
 	queue  queue
+
+	interval average // ms between starts while requests waited
+	started  clock.Millis
 }
 
 type run struct {
@@ -130,6 +133,7 @@
 			expired = append(expired, i)
 			continue
 		}
+		w.measure(now)
 		service := w.expected(i)
 		s.virtual = max(s.virtual, w.start)
 		w.start += service / w.weight
@@ -211,7 +215,26 @@
 		turns := math.Floor((start-v.start)*v.weight/v.mean.value) + 1
 		ahead += min(turns, float64(v.queue.len())) * v.mean.value
 	}
-	return (ahead + s.mean.value) / float64(s.slots)
+	shared := (ahead + s.mean.value) / float64(s.slots)
+	if !w.interval.measured {
+		return shared
+	}
+	// The measured rate includes requests of other workspaces that arrive later
+	// and start earlier.
+	return max(shared, own*w.interval.value)
+}
+
+// measure learns how fast the requests of a workspace start while others of it
+// wait. It forgets the rate when none waits: the rate of another time tells
+// nothing.
+func (w *workspace) measure(now clock.Millis) {
+	if w.started > 0 {
+		w.interval.add(float64(now - w.started))
+	}
+	w.started = now
+	if w.queue.len() == 0 {
+		w.started, w.interval = 0, average{}
+	}
 }
 
 func (w *workspace) expected(i Item) float64 {
