breaker: bound the share of endpoints that are taken out

When all endpoints fail a part of their requests, circuits opened at random and the rest got all the load. At most MaxShare of the endpoints is now open.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -21,11 +21,12 @@
 	Window       clock.Millis // length of the sliding window
 	MinRequests  int          // results in the window before the rate counts
 	ErrorRate    float64      // share of errors at which the circuit opens, in (0, 1]
-	OpenFor      clock.Millis // length of the first opening; it doubles up to MaxOpen
-	MaxOpen      clock.Millis
+	OpenFor      clock.Millis // length of the first opening; it doubles up to OpenMax
+	OpenMax      clock.Millis
 	Probes       int          // most probes at the same time
 	Successes    int          // probes that must succeed in a row to close
 	ProbeTimeout clock.Millis // a probe without a result no longer counts as running
+	MaxShare     float64      // share of the endpoints that may be open, in (0, 1]
 }
 
 // Ticket is permission for one request. It goes back with the result.
@@ -54,7 +55,8 @@
 // New returns a breaker whose circuits are closed. It panics if an option is
 // not positive.
 func New(o Options, r *rand.Rand) *Breaker {
-	if min(o.Window, o.OpenFor, o.MaxOpen, o.ProbeTimeout) < 1 || min(o.MinRequests, o.Probes, o.Successes) < 1 {
+	if min(o.Window, o.OpenFor, o.OpenMax, o.ProbeTimeout) < 1 || min(o.MinRequests, o.Probes, o.Successes) < 1 ||
+		o.ErrorRate <= 0 || o.MaxShare <= 0 {
 		panic("breaker: every option must be positive")
 	}
 	return &Breaker{options: o, random: r, circuits: map[string]*circuit{}}
@@ -107,7 +109,10 @@
 	}
 	c.window.add(now, b.options.Window, succeeded)
 	total, failed := c.window.sum()
-	if total >= b.options.MinRequests && float64(failed) >= b.options.ErrorRate*float64(total) {
+	if total < b.options.MinRequests || float64(failed) < b.options.ErrorRate*float64(total) {
+		return
+	}
+	if float64(b.notClosed()+1) <= b.options.MaxShare*float64(len(b.circuits)) {
 		b.open(now, c)
 	}
 }
@@ -115,6 +120,17 @@
 // Forget drops the circuit of an endpoint that has left.
 func (b *Breaker) Forget(endpoint string) { delete(b.circuits, endpoint) }
 
+// notClosed returns the number of circuits that are open or half open.
+func (b *Breaker) notClosed() int {
+	var n int
+	for _, c := range b.circuits {
+		if c.state != Closed {
+			n++
+		}
+	}
+	return n
+}
+
 func (b *Breaker) reportProbe(now clock.Millis, c *circuit, succeeded bool) {
 	if len(c.probes) > 0 {
 		c.probes = c.probes[1:]
@@ -134,7 +150,7 @@
 	c.enter(Open)
 	d := b.options.OpenFor
 	for range c.openings {
-		d = min(2*d, b.options.MaxOpen)
+		d = min(2*d, b.options.OpenMax)
 	}
 	c.openings++
 	half := d / 2
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -8,7 +8,7 @@
 )
 
 var options = Options{
-	Window: 1000, MinRequests: 10, ErrorRate: 0.5, OpenFor: 1000, MaxOpen: 4000,
+	Window: 1000, MinRequests: 10, ErrorRate: 0.5, OpenFor: 1000, OpenMax: 4000, MaxShare: 1,
 	Probes: 2, Successes: 3, ProbeTimeout: 500,
 }
 
@@ -94,3 +94,27 @@
 		t.Errorf("after the last probe: got %s, want %s", got, Closed)
 	}
 }
+
+// TestMaxShare guards against circuits that take out most endpoints at once.
+func TestMaxShare(t *testing.T) {
+	o := options
+	o.MaxShare = 0.5
+	b := New(o, rand.New(rand.NewPCG(1, 2)))
+	endpoints := []string{"a", "b", "c", "d", "e"}
+	for range 20 {
+		for _, e := range endpoints {
+			if k, ok := b.Allow(0, e); ok {
+				b.Report(0, k, false)
+			}
+		}
+	}
+	var got int
+	for _, e := range endpoints {
+		if b.State(0, e) == Open {
+			got++
+		}
+	}
+	if want := 2; got != want {
+		t.Errorf("got %d open circuits of 5, want %d", got, want)
+	}
+}
--- a/experimenter/endpointfailure.go
+++ b/experimenter/endpointfailure.go
@@ -31,8 +31,8 @@
 )
 
 var failureBreaker = breaker.Options{
-	Window: clock.Second, MinRequests: 10, ErrorRate: 0.5, OpenFor: clock.Second, MaxOpen: 4 * clock.Second,
-	Probes: 1, Successes: 3, ProbeTimeout: 2 * clock.Second,
+	Window: clock.Second, MinRequests: 10, ErrorRate: 0.5, OpenFor: clock.Second, OpenMax: 4 * clock.Second,
+	Probes: 1, Successes: 3, ProbeTimeout: 2 * clock.Second, MaxShare: 0.5,
 }
 
 var failureLimiter = limiter.Options{
