--- /dev/null
+++ b/experimenter/overload_test.go
@@ -0,0 +1,33 @@
+package experimenter
+
+import (
+	"fmt"
+	"os"
+	"testing"
+)
+
+// TestOverloadTargets guards against a policy change that misses the stated
+// aims of these experiments, and against runs that differ for the same seed.
+func TestOverloadTargets(t *testing.T) {
+	for _, x := range []Experiment{Overload(), EndpointFailure(), ColdStart()} {
+		t.Run(x.Name, func(t *testing.T) {
+			e := Experimenter{}.With(x)
+			first, err := e.Run(x.Name, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if testing.Verbose() {
+				_ = first.WriteTable(os.Stdout)
+			}
+			for _, g := range first.Targets {
+				if !g.Met() {
+					t.Errorf("seed 1: %s: got %.4g, want the limit %.4g", g.Name, g.Got, g.Limit)
+				}
+			}
+			second, _ := e.Run(x.Name, 1)
+			if got, want := fmt.Sprint(second), fmt.Sprint(first); got != want {
+				t.Errorf("second run with seed 1: got %s, want %s", got, want)
+			}
+		})
+	}
+}
