--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,6 +7,11 @@
 	"rosemaryarch.example/rosemaryarch/refuser"
 )
 
+// deviations is the number of mean absolute deviations by which a request may
+// exceed its expected service time and still end before the deadline. With 0,
+// a backlogged queue settles where half of the requests end too late.
+const deviations = 3
+
 // Item is one request that waits for a slot.
 type Item struct {
 	ID        string
@@ -30,6 +35,7 @@
 	mean       average
 	virtual    float64
 	workspaces map[string]*workspace
+	order      []*workspace // in order of first use, so that equal inputs give equal results
 	running    map[string]run
 	sequence   uint64
 }
@@ -40,6 +46,9 @@
 	start  float64 // virtual start time of the next request
 	mean   average // service time in ms
 	queue  queue
+
+	interval average // ms between starts while requests waited
+	started  clock.Millis
 }
 
 type run struct {
@@ -74,7 +83,7 @@
 // Waiting returns the number of requests that wait.
 func (s *Scheduler) Waiting() int {
 	var n int
-	for _, w := range s.workspaces {
+	for _, w := range s.order {
 		n += w.queue.len()
 	}
 	return n
@@ -86,13 +95,12 @@
 // both cases the request was not run.
 func (s *Scheduler) Enqueue(now clock.Millis, i Item) error {
 	w := s.workspace(i.Workspace)
-	service := w.expected(i)
-	slack := float64(i.Deadline-now) - service
-	if slack < 0 {
-		return refuser.ErrDeadline.WithMessage("the deadline leaves %d ms, the work takes %.0f ms", i.Deadline-now, service)
+	left := float64(i.Deadline - now)
+	if service := w.expected(i); left < service {
+		return refuser.ErrDeadline.WithMessage("the deadline leaves %.0f ms, the work takes %.0f ms", left, service)
 	}
-	wait := s.predict(w, i)
-	if wait > slack {
+	wait, slack := s.predict(w, i), left-w.needed(i)
+	if wait > max(slack, 0) {
 		over := clock.Millis(math.Ceil(wait - slack))
 		return refuser.ErrQueueFull.WithRetryAfter(over).
 			WithMessage("predicted wait %.0f ms exceeds the %.0f ms that are left", wait, slack)
@@ -120,11 +128,13 @@
 			return Item{}, expired, false
 		}
 		i := w.queue.pop()
-		service := w.expected(i)
-		if float64(i.Deadline-now) < service {
+		left := float64(i.Deadline - now)
+		if left < w.expected(i) || left < w.needed(i) && s.Waiting() > 0 {
 			expired = append(expired, i)
 			continue
 		}
+		w.measure(now)
+		service := w.expected(i)
 		s.virtual = max(s.virtual, w.start)
 		w.start += service / w.weight
 		s.running[i.ID] = run{workspace: w, began: now, expected: service}
@@ -165,6 +175,7 @@
 		}
 		w = &workspace{name: name, weight: weight, start: s.virtual, mean: s.mean.fresh()}
 		s.workspaces[name] = w
+		s.order = append(s.order, w)
 	}
 	return w
 }
@@ -173,7 +184,7 @@
 // that have waiting requests, or nil.
 func (s *Scheduler) first() *workspace {
 	var best *workspace
-	for _, w := range s.workspaces {
+	for _, w := range s.order {
 		if w.queue.len() == 0 {
 			continue
 		}
@@ -197,14 +208,33 @@
 	}
 	start += own * w.mean.value / w.weight
 	ahead := own * w.mean.value
-	for _, v := range s.workspaces {
+	for _, v := range s.order {
 		if v == w || v.queue.len() == 0 || v.start > start {
 			continue
 		}
 		turns := math.Floor((start-v.start)*v.weight/v.mean.value) + 1
 		ahead += min(turns, float64(v.queue.len())) * v.mean.value
 	}
-	return (ahead + s.mean.value) / float64(s.slots)
+	shared := (ahead + s.mean.value) / float64(s.slots)
+	if !w.interval.measured {
+		return shared
+	}
+	// The measured rate includes requests of other workspaces that arrive later
+	// and start earlier.
+	return max(shared, own*w.interval.value)
+}
+
+// measure learns how fast the requests of a workspace start while others of it
+// wait. It forgets the rate when none waits: the rate of another time tells
+// nothing.
+func (w *workspace) measure(now clock.Millis) {
+	if w.started > 0 {
+		w.interval.add(float64(now - w.started))
+	}
+	w.started = now
+	if w.queue.len() == 0 {
+		w.started, w.interval = 0, average{}
+	}
 }
 
 func (w *workspace) expected(i Item) float64 {
@@ -213,3 +243,9 @@
 	}
 	return w.mean.value
 }
+
+// needed returns the time that the request needs before its deadline while
+// others wait for the slot.
+func (w *workspace) needed(i Item) float64 {
+	return w.expected(i) + deviations*w.mean.deviation
+}
