Plan with prepared tables, count over all workspaces, and keep cleared endpoints cleared

A granter waited out the quiet time again after every departure, although its own ledger was complete: cold endpoints stayed without permits for a minute after a crash, and 20 requests of the demonstration got no answer. A process is now cleared once per duty, and departed members are dropped after the quiet time.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -64,6 +64,7 @@
 	confirmed clock.Millis    // instant of the last confirmation, 0 if none
 	joined    bool            // has been a member of a settled assignment
 	drained   []string
+	departed  map[string]clock.Millis // when each departed member was first seen as such
 	keeper    keeper
 	open      sync.WaitGroup // asks under way
 }
@@ -80,7 +81,7 @@
 		clock: c, self: self, options: o, random: random,
 		registry: &permitter.Registry{Get: s.Get, Put: s.Put, Key: Key},
 		holder:   permitter.NewHolder(self, o), granter: permitter.NewGranter(self, o),
-		demands: map[permitter.Process]*demand{}, asking: map[string]bool{},
+		demands: map[permitter.Process]*demand{}, asking: map[string]bool{}, departed: map[string]clock.Millis{},
 	}
 }
 
--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -123,10 +123,31 @@
 	return a.holder.Assignment()
 }
 
+// drainedMembers returns the members that have no running requests: those that
+// said so, and those that departed so long ago that all their work has ended.
 func (a *Allocator) drainedMembers() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return slices.Clone(a.drained)
+	all := slices.Clone(a.drained)
+	for m, at := range a.departed {
+		if a.clock.Now() > at+a.options.Quiet() {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// noteDeparted remembers since when the members of an assignment have departed.
+func (a *Allocator) noteDeparted(n permitter.Assignment) {
+	since := make(map[string]clock.Millis, len(n.Departed))
+	for _, m := range n.Departed {
+		at, known := a.departed[m]
+		if !known {
+			at = a.clock.Now()
+		}
+		since[m] = at
+	}
+	a.departed = since
 }
 
 func (a *Allocator) adopt(n permitter.Assignment) {
@@ -137,6 +158,7 @@
 	a.granter.Adopt(a.clock.Now(), n)
 	after := a.holder.Assignment()
 	if after.Epoch != before.Epoch {
+		a.noteDeparted(after)
 		a.confirmed = 0
 	}
 	a.joined = a.joined || after.Settled() && slices.Contains(after.Members, a.self)
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -119,7 +119,8 @@
 
 func (x *testFleet) post(i int, path, key, body string, header map[string]string) answer {
 	x.t.Helper()
-	req, err := http.NewRequest(http.MethodPost, "http://"+x.instances[i].settings.Listen+path, bytes.NewBufferString(body))
+	target := "http://" + x.instances[i].settings.Listen + path
+	req, err := http.NewRequest(http.MethodPost, target, bytes.NewBufferString(body))
 	if err != nil {
 		x.t.Fatal(err)
 	}
@@ -174,7 +175,8 @@
 	header := map[string]string{"Idempotency-Key": "visit-1", "Content-Type": "application/json"}
 	first := x.post(0, "/v1/services/bookings/bookings", key, `{"house":1}`, header)
 	second := x.post(2, "/v1/services/bookings/bookings", key, `{"house":1}`, header)
-	if first.status != http.StatusCreated || second.body != first.body || second.header.Get("X-Answer-Repeated") != "true" {
+	repeated := second.header.Get("X-Answer-Repeated") == "true"
+	if first.status != http.StatusCreated || second.body != first.body || !repeated {
 		t.Errorf("bookings: got %+v and %+v, want the same answer, repeated", first, second)
 	}
 	if got := x.hoster.Platform.Runs("bookings", "booking-desk.visit-1"); got != 1 {
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -187,7 +187,7 @@
 		},
 		Breaker: breaker.Options{
 			Window: 10 * clock.Second, MinRequests: 5, ErrorRate: 0.5, OpenFor: clock.Second,
-			MaxOpen: 10 * clock.Second, Probes: 1, Successes: 2, ProbeTimeout: 10 * clock.Second,
+			OpenMax: 10 * clock.Second, Probes: 1, Successes: 2, ProbeTimeout: 10 * clock.Second, MaxShare: 0.5,
 		},
 	})
 	i.prober = prober.New(prober.Options{
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return errors.Wrap(err, "make directory for keys")
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }() // keys of this run only
 	if err := d.prepare(dir); err != nil {
 		return err
 	}
--- a/demonstrator/report.go
+++ b/demonstrator/report.go
@@ -117,7 +117,7 @@
 func (d *Demonstrator) printMeasures() {
 	bad := d.badModel.Name + "@" + badVersion
 	t := tabwriter.NewWriter(d.Out, 0, 4, 2, ' ', 0)
-	defer t.Flush()
+	defer func() { _ = t.Flush() }()
 	fmt.Fprintln(t, "\nMEASURE\tVALUE\tAGAINST")
 	if d.ledger.best > 0 {
 		fmt.Fprintf(t, "cost of the answers\t%.0f\t%.0f if the best version answered all (%.0f%% less)\n",
--- a/permitter/granter.go
+++ b/permitter/granter.go
@@ -18,6 +18,10 @@
 	until   clock.Millis
 	votes   map[string]clock.Millis // when each member was asked for its newest vote
 	ledgers map[Process]*ledger
+	// cleared holds the start of the duty during which all work of earlier
+	// granters at a process was known to have ended. From then on the ledger is
+	// complete, so members that depart later are counted in it.
+	cleared map[Process]clock.Millis
 	rounds  uint64 // rounds that were begun
 }
 
@@ -35,7 +39,7 @@
 func NewGranter(member string, o Options) *Granter {
 	return &Granter{
 		member: member, options: o,
-		votes: map[string]clock.Millis{}, ledgers: map[Process]*ledger{},
+		votes: map[string]clock.Millis{}, ledgers: map[Process]*ledger{}, cleared: map[Process]clock.Millis{},
 	}
 }
 
@@ -112,7 +116,7 @@
 	if !g.Confirmed(now) {
 		return Permit{}, false
 	}
-	if !l.warm && q.Want > 0 && !g.mayStart(now, q.Endpoint, l) {
+	if !l.warm && q.Want > 0 && !g.mayStart(now, q.Process, l) {
 		return Permit{}, false
 	}
 	units := l.grant(now, q, g.options)
@@ -153,15 +157,27 @@
 	for p, l := range g.ledgers {
 		if l.others(now, "") == 0 && now >= l.used+g.options.Quiet() {
 			delete(g.ledgers, p)
+			delete(g.cleared, p)
 		}
 	}
 }
 
 // mayStart reports whether all work of earlier granters is known or has ended.
-func (g *Granter) mayStart(now clock.Millis, endpoint string, l *ledger) bool {
-	if now >= g.since(endpoint)+g.options.Quiet() {
+func (g *Granter) mayStart(now clock.Millis, p Process, l *ledger) bool {
+	since := g.since(p.Endpoint)
+	if at, ok := g.cleared[p]; ok && at == since {
 		return true
 	}
+	if now < since+g.options.Quiet() && !g.allReported(l) {
+		return false
+	}
+	g.cleared[p] = since
+	return true
+}
+
+// allReported reports whether every member that may have running work has
+// reported it under the present assignment.
+func (g *Granter) allReported(l *ledger) bool {
 	a := g.assignment()
 	if len(a.Departed) > 0 {
 		return false
--- a/router/chain.go
+++ b/router/chain.go
@@ -17,12 +17,14 @@
 type chain struct {
 	versions []string
 	reason   string
-	pinned   bool // the session keeps its version
+	rate     float64 // probability with which the answer should be rated; 0: the service's share
+	pinned   bool    // the session keeps its version
 	// displaced is the version that the session had to leave, or "".
 	displaced string
 }
 
-// expectedTokens is the length of an answer that prices are compared at.
+// expectedTokens is the length of a prompt and of an answer that prices are
+// compared at.
 const expectedTokens = 256
 
 // chain returns the versions for a request, or a refusal.
@@ -121,34 +123,86 @@
 		}
 		return chain{versions: []string{q.Model}, reason: "caller"}, nil
 	}
-	t, err := r.candidates(v, w, s, q)
+	t, err := r.table(v, w, s, q)
 	if err != nil {
 		return chain{}, err
 	}
-	var kinds []string
-	for _, name := range w.Services {
-		if other, ok := v.Fleet.Service(name); ok && other.Kind == parser.KindModel {
-			kinds = append(kinds, name)
-		}
-	}
-	now := r.o.Now()
-	t = t.With(r.o.Rater, w.Name, s.Name, kinds, now)
-	// A session keeps the version that answers it first, so a chain of two would
-	// bind it to a version whose later answers nobody checks.
-	t.HasCheck = q.Session == "" && r.checks.healthy(now) && r.mayBuffer(w, t.Version)
 	r.mu.Lock()
-	p := r.o.Planner.Plan(&t, r.o.Random)
+	p := r.planner(s).Plan(t, r.o.Random)
 	r.mu.Unlock()
 	if p.First < 0 {
 		return chain{}, refuser.ErrForbiddenVersion.WithMessage("no version is permitted")
 	}
-	c := chain{versions: []string{r.rollOut(v, w, s, t.Version[p.First], q)}, reason: p.Reason}
+	c := chain{versions: []string{r.rollOut(v, w, s, t.Version[p.First], q)}, reason: p.Reason, rate: p.Rate}
 	if p.Second >= 0 {
 		c.versions = append(c.versions, r.rollOut(v, w, s, t.Version[p.Second], q))
 	}
 	return c, nil
 }
 
+// planner returns the planner for a service, which may send a share of its
+// answers to the rating service.
+func (r *Router) planner(s *parser.Service) planner.Planner {
+	p := r.o.Planner
+	p.Rate = s.RatingPercent / 100
+	return p
+}
+
+// planKey names the requests that share one planner's table.
+type planKey struct {
+	fleet                     *parser.Fleet
+	workspace, service, model string
+	checked                   bool
+}
+
+type planTable struct {
+	planner.Table
+	stopped int // stop records when the table was made
+	until   clock.Millis
+}
+
+const (
+	// planLifetime is how long a table is used: its bounds take most of the time
+	// of a plan and change slowly.
+	planLifetime = 200 * clock.Millis(1)
+	maxPlans     = 4096
+)
+
+// table returns the planner's table for a request, with the counts of a moment ago.
+func (r *Router) table(v View, w *parser.Workspace, s *parser.Service, q Request) (*planner.Table, error) {
+	now := r.o.Now()
+	// A session keeps the version that answers it first, so a chain of two would
+	// bind it to a version whose later answers nobody checks.
+	checked := q.Session == "" && r.checks.healthy(now)
+	key := planKey{v.Fleet, w.Name, s.Name, q.Model, checked}
+	r.mu.Lock()
+	known, ok := r.plans[key]
+	r.mu.Unlock()
+	if ok && now < known.until && known.stopped == len(v.Stopped) {
+		return &known.Table, nil
+	}
+	t, err := r.candidates(v, w, s, q)
+	if err != nil {
+		return nil, err
+	}
+	var kinds []string
+	for _, name := range w.Services {
+		if other, ok := v.Fleet.Service(name); ok && other.Kind == parser.KindModel {
+			kinds = append(kinds, name)
+		}
+	}
+	t = t.With(r.o.Rater, w.Name, s.Name, kinds, now)
+	t.HasCheck = checked && r.mayBuffer(w, t.Version)
+	made := &planTable{Table: r.planner(s).Prepare(t), stopped: len(v.Stopped), until: now + planLifetime}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.plans) >= maxPlans {
+		clear(r.plans)
+	}
+	r.plans[key] = made
+	return &made.Table, nil
+}
+
 // mayBuffer reports whether a checked first step keeps the workspace's limit on
 // the time to the first token, because the step's answer is held until the check.
 func (r *Router) mayBuffer(w *parser.Workspace, versions []string) bool {
@@ -180,7 +234,7 @@
 		}
 		t.Version = append(t.Version, version)
 		t.Permitted = append(t.Permitted, true)
-		t.Cost = append(t.Cost, float64(v.Fleet.Cost(version, len(q.Prompt)/bytesPerToken, expectedTokens)))
+		t.Cost = append(t.Cost, float64(v.Fleet.Cost(version, expectedTokens, expectedTokens)))
 		t.Prior = append(t.Prior, m.PriorQuality)
 	}
 	switch {
--- a/router/chat.go
+++ b/router/chat.go
@@ -150,7 +150,7 @@
 	now, key := t.r.o.Now(), t.c.key(t.w.Name, t.s.Name, 0)
 	passed := known && score >= t.w.Quality
 	if known {
-		t.r.o.Rater.Check(key, at, now, passed)
+		counted(key, func(k rater.Key) { t.r.o.Rater.Check(k, at, now, passed) })
 		// Ratings of passed answers alone would hide a version that mostly fails.
 		all := rater.Key{Workspace: t.w.Name, Kind: CheckedKind(t.s.Name), Version: u.version}
 		t.r.o.Rater.Serve(all, at, now, false)
@@ -161,8 +161,10 @@
 		t.r.o.Meter.Retried(refuser.RetryEscalate)
 		return nil, nil
 	}
-	t.r.o.Rater.Ask(key, at, now)
-	t.r.o.Rater.Rate(key, at, now, score)
+	counted(key, func(k rater.Key) {
+		t.r.o.Rater.Ask(k, at, now)
+		t.r.o.Rater.Rate(k, at, now, score)
+	})
 	for _, text := range held {
 		if err := t.out.deliver(u.version, text, now); err != nil {
 			return nil, err
@@ -241,7 +243,7 @@
 	now := t.r.o.Now()
 	callerLeft := err != nil && ctx.Err() != nil
 	if !callerLeft && !errors.Is(err, refuser.ErrNoEndpoint) {
-		t.r.o.Rater.Serve(t.c.key(t.w.Name, t.s.Name, step), at, now, err != nil)
+		counted(t.c.key(t.w.Name, t.s.Name, step), func(k rater.Key) { t.r.o.Rater.Serve(k, at, now, err != nil) })
 	}
 	if err == nil {
 		t.r.learnDuration(u.version, now-at)
@@ -281,11 +283,15 @@
 
 // sample sends a share of the answers to the rating service.
 func (t *turn) sample(u *run, step int, at clock.Millis) {
-	if !t.r.chance(t.s.RatingPercent / 100) {
+	share := t.c.rate
+	if share == 0 {
+		share = t.s.RatingPercent / 100
+	}
+	if !t.r.chance(share) {
 		return
 	}
 	key := t.c.key(t.w.Name, t.s.Name, step)
-	t.r.o.Rater.Ask(key, at, t.r.o.Now())
+	counted(key, func(k rater.Key) { t.r.o.Rater.Ask(k, at, t.r.o.Now()) })
 	t.r.enqueueRating(rating{
 		key: key, at: at, request: t.q.ID, version: u.version, prompt: t.q.Prompt, answer: u.stream.Text(),
 	})
--- a/router/rating.go
+++ b/router/rating.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/planner"
 	"rosemaryarch.example/rosemaryarch/rater"
 )
 
@@ -53,7 +54,15 @@
 		r.o.Meter.Event("rating_failed")
 		return
 	}
-	r.o.Rater.Rate(x.key, x.at, r.o.Now(), score)
+	counted(x.key, func(k rater.Key) { r.o.Rater.Rate(k, x.at, r.o.Now(), score) })
+}
+
+// counted calls count for the key and for the key over all workspaces, which
+// guides exploration.
+func counted(k rater.Key, count func(rater.Key)) {
+	count(k)
+	k.Workspace = planner.AllWorkspaces
+	count(k)
 }
 
 // check asks the rating service whether the first step of a cascade is good
--- a/router/router.go
+++ b/router/router.go
@@ -93,15 +93,19 @@
 // Router serves the requests of one instance. It is safe for concurrent use.
 type Router struct {
 	o        Options
-	mu       sync.Mutex // guards limiter, random and duration
+	mu       sync.Mutex // guards limiter, random, duration and plans
 	duration map[string]clock.Millis
+	plans    map[planKey]*planTable
 	ratings  chan rating
 	checks   checkHealth
 }
 
 // New returns a router whose rating calls run until done is closed.
 func New(o Options, done <-chan struct{}) *Router {
-	r := &Router{o: o, duration: map[string]clock.Millis{}, ratings: make(chan rating, ratingQueue)}
+	r := &Router{
+		o: o, duration: map[string]clock.Millis{}, plans: map[planKey]*planTable{},
+		ratings: make(chan rating, ratingQueue),
+	}
 	for range ratingWorkers {
 		go r.rateAnswers(done)
 	}
