--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -108,22 +108,22 @@
 		// gap allows a pause of service until gossip suspects the silent members.
 		gap bool
 	}{
-		"nothing":                          {func(*fleet) {}, all, false},
-		"outage":                           {outage, all, false},
-		"one without store":                {func(w *fleet) { w.noStore["oita"] = true }, all, false},
-		"one cut off, with store":          {func(w *fleet) { w.isolate("oita", true, false) }, all, false},
-		"one cut off, without store":       {func(w *fleet) { w.isolate("oita", true, true) }, "fu ku ka ", false},
-		"one cut off, outage":              {func(w *fleet) { w.isolate("oita", true, true); outage(w) }, "fu ku ka ", false},
-		"split 5 to 4, outage":             {func(w *fleet) { split(w); outage(w) }, "fu ku ", false},
-		"split 5 to 4, store at the four":  {func(w *fleet) { split(w); storeAt(w, "kagoshima", "oita") }, all, true},
-		"split 5 to 4, store at the five":  {func(w *fleet) { split(w); storeAt(w, "fukuoka", "kumamoto") }, "fu ku ", false},
-		"store and peers only by one":      {func(w *fleet) { storeAt(w, "oita") }, all, false},
-		"only one has store, cut off":      {func(w *fleet) { w.isolate("oita", true, false); storeAt(w, "oita") }, all, true},
-		"store unanswered":                 {func(w *fleet) { w.slow = clock.Minute }, all, false},
-		"store slow by 1.5 s":              {func(w *fleet) { w.slow = 1500 }, all, false},
-		"half of the members dead, outage": {func(w *fleet) { stop(w, 5); outage(w) }, "", false},
-		"half of the members dead":         {func(w *fleet) { stop(w, 5) }, all, false},
-		"all cut from each other, outage":  {func(w *fleet) { shatter(w); outage(w) }, "", false},
+		"nothing":                     {func(*fleet) {}, all, false},
+		"outage":                      {outage, all, false},
+		"one without store":           {func(w *fleet) { w.noStore["oita"] = true }, all, false},
+		"one cut off, with store":     {func(w *fleet) { w.isolate("oita", true, false) }, all, false},
+		"one cut off, without store":  {func(w *fleet) { w.isolate("oita", true, true) }, "fu ku ka ", false},
+		"one cut off, outage":         {func(w *fleet) { w.isolate("oita", true, true); outage(w) }, "fu ku ka ", false},
+		"split 5 to 4, outage":        {func(w *fleet) { split(w); outage(w) }, "fu ku ", false},
+		"split 5 to 4, store at four": {func(w *fleet) { split(w); storeAt(w, "kagoshima", "oita") }, all, true},
+		"split 5 to 4, store at five": {func(w *fleet) { split(w); storeAt(w, "fukuoka", "kumamoto") }, "fu ku ", false},
+		"store and peers only by one": {func(w *fleet) { storeAt(w, "oita") }, all, false},
+		"only one has store, cut off": {func(w *fleet) { w.isolate("oita", true, false); storeAt(w, "oita") }, all, true},
+		"store unanswered":            {func(w *fleet) { w.slow = clock.Minute }, all, false},
+		"store slow by 1.5 s":         {func(w *fleet) { w.slow = 1500 }, all, false},
+		"half dead, outage":           {func(w *fleet) { stop(w, 5); outage(w) }, "", false},
+		"half dead":                   {func(w *fleet) { stop(w, 5) }, all, false},
+		"all apart, outage":           {func(w *fleet) { shatter(w); outage(w) }, "", false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
