--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
@@ -53,6 +54,11 @@
 	Timing  router.Timing
 	// HalfLife is that of the quality counts.
 	HalfLife clock.Millis
+	// Listen and Dial open the connections; TCP if nil.
+	Listen func(network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	// Seed makes the random choices repeatable; 0 draws a seed.
+	Seed uint64
 }
 
 const (
@@ -60,6 +66,7 @@
 	maxCells        = 50_000
 	tickInterval    = 50 * time.Millisecond
 	initialService  = 500 * clock.Millis(1)
+	dialTimeout     = 2 * time.Second
 )
 
 // Instance is one entry instance. Start runs it, and Shutdown or Kill ends it.
@@ -115,8 +122,9 @@
 	}
 	i := &Instance{
 		settings: s, options: o.withDefaults(), keys: keys, done: make(chan struct{}),
-		meter: meter.New(), plain: newHTTPClient(), buried: map[string]bool{},
+		meter: meter.New(), buried: map[string]bool{},
 	}
+	i.plain = newHTTPClient(i.options)
 	i.clock = i.options.Clock
 	i.incarnation = uint64(i.clock.Now())
 	i.store = i.counted(storer.NewHTTP(s.Store, i.plain))
@@ -147,27 +155,34 @@
 	if o.HalfLife == 0 {
 		o.HalfLife = defaultHalfLife
 	}
+	if o.Listen == nil {
+		// Keep-alive probes would use a part of the control traffic's budget, and
+		// gossip detects dead peers.
+		quiet := net.ListenConfig{KeepAlive: -1}
+		o.Listen = func(network, address string) (net.Listener, error) {
+			return quiet.Listen(context.Background(), network, address)
+		}
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return o
 }
 
 // newHTTPClient returns a client with enough idle connections for the endpoints
 // of one instance.
-func newHTTPClient() *http.Client {
+func newHTTPClient(o Options) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second,
+		DialContext: o.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second,
 	}}
 }
 
 // seeded returns a generator whose sequence differs between instances and runs.
 func (i *Instance) seeded(stream uint64) *mathrand.Rand {
-	var b [8]byte
-	_, _ = rand.Read(b[:]) // never fails
-	seed := uint64(0)
-	for _, x := range b {
-		seed = seed<<8 | uint64(x)
+	if i.options.Seed != 0 {
+		return mathrand.New(mathrand.NewPCG(i.options.Seed, xxhash.Sum64String(i.settings.Instance)+stream))
 	}
-	return mathrand.New(mathrand.NewPCG(seed, stream))
+	return mathrand.New(mathrand.NewPCG(mathrand.Uint64(), stream))
 }
 
 func (i *Instance) buildPolicy() {
@@ -227,14 +242,11 @@
 // Start opens the listeners and runs the systems. It returns once the instance
 // accepts connections; it may not be ready for new work yet.
 func (i *Instance) Start() error {
-	// Keep-alive probes would use a part of the control traffic's budget, and
-	// gossip detects dead peers.
-	quiet := net.ListenConfig{KeepAlive: -1}
-	peers, err := quiet.Listen(context.Background(), "tcp", i.settings.PeerListen)
+	peers, err := i.options.Listen("tcp", i.settings.PeerListen)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	callers, err := net.Listen("tcp", i.settings.Listen)
+	callers, err := i.options.Listen("tcp", i.settings.Listen)
 	if err != nil {
 		_ = peers.Close()
 		return errors.Wrap(err, "listen for callers")
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -52,7 +52,7 @@
 	}
 	i.links = linker.New(linker.Options{
 		ID: self.ID, Incarnation: self.Incarnation, Address: self.Address, Secrets: i.peerSecrets, TLS: clientTLS,
-		Path: "/", Dropped: func(reason string) { i.meter.Event("peer_message_dropped_" + reason) },
+		Path: "/", Dial: i.options.Dial, Dropped: func(reason string) { i.meter.Event("peer_message_dropped_" + reason) },
 	}, i.done)
 	i.gossip = gossiper.New(self, i.seeded(3))
 	i.follower = follower.New(self, i.seeded(4))
--- a/assembler/records.go
+++ b/assembler/records.go
@@ -167,6 +167,7 @@
 // drainBills commits the bills that are held until none is left or ctx ends.
 func (i *Instance) drainBills(ctx context.Context) bool {
 	for {
+		i.biller.Settle()
 		err := i.biller.Flush(ctx)
 		if _, held := i.biller.Counts(); err == nil && held == 0 {
 			return true
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -35,6 +35,8 @@
 	ListLag  clock.Millis
 	// Dir is where keys and settings are written.
 	Dir string
+	// Listen opens the listeners; TCP if nil.
+	Listen func(network, address string) (net.Listener, error)
 }
 
 // Engine is one model engine.
@@ -73,6 +75,9 @@
 
 // New starts the stand-ins.
 func New(o Options) (*Hoster, error) {
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
 	h := &Hoster{o: o, Store: storeemulator.New()}
 	h.Platform = platformemulator.New(platformemulator.Options{
 		Quality: h.qualities(), ListLag: o.ListLag, Seed: o.Engine.Seed,
@@ -118,7 +123,7 @@
 
 // serve starts one server and returns its address.
 func (h *Hoster) serve(offset int, handler http.Handler) (string, error) {
-	l, err := net.Listen("tcp", h.address(offset))
+	l, err := h.o.Listen("tcp", h.address(offset))
 	if err != nil {
 		return "", errors.Wrap(err, "hoster: listen")
 	}
