Count only work that arrived while the engine was cold

An engine that turns cold with a full batch counted its earlier work as sent to a cold engine, which no sender could have avoided. MaxCold now counts attempts that arrived in the cold period; RefusedCold counts those above the limit.

--- a/engineemulator/emulator.go
+++ b/engineemulator/emulator.go
@@ -36,7 +36,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	ready   chan struct{}
-	cached  int // bytes of the prompt found in the cache
+	cached  int  // bytes of the prompt found in the cache
+	cold    bool // arrived while the engine was cold
 }
 
 // Emulator is one engine. It is safe for concurrent use.
@@ -60,6 +61,7 @@
 
 	arrivals      []arrival
 	maxCold       int
+	refusedCold   int
 	maxRunning    int
 	completed     int
 	staleCommands int
@@ -101,10 +103,21 @@
 func (e *Emulator) TurnCold() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.warm, e.finished = false, 0
+	e.becomeCold()
 	e.report()
 }
 
+// becomeCold starts a cold period. The mutex is held.
+func (e *Emulator) becomeCold() {
+	e.warm, e.finished = false, 0
+	for w := range e.running {
+		w.cold = false
+	}
+	for _, w := range e.queue {
+		w.cold = false
+	}
+}
+
 // Restart cuts every stream, empties the cache, forgets the attempts and comes
 // back cold under a new restart id.
 func (e *Emulator) Restart() {
@@ -112,16 +125,20 @@
 	defer e.mu.Unlock()
 	e.cutAll()
 	e.restarts++
-	e.warm, e.finished = false, 0
+	e.becomeCold()
 	e.attempts, e.order = map[string]streamer.Request{}, nil
 	e.cache.clear()
 	e.report()
 }
 
-// MaxCold returns the most concurrent work that arrived at the engine while it
-// was cold, the refused attempts included.
+// MaxCold returns the most concurrent work that the engine saw while it was
+// cold: attempts that arrived after it became cold, the refused ones included.
 func (e *Emulator) MaxCold() int { return e.count(&e.maxCold) }
 
+// RefusedCold returns the attempts that a cold engine did not take because it
+// was at its limit.
+func (e *Emulator) RefusedCold() int { return e.count(&e.refusedCold) }
+
 // MaxRunning returns the most attempts that ran at once.
 func (e *Emulator) MaxRunning() int { return e.count(&e.maxRunning) }
 
@@ -245,7 +262,7 @@
 	if err := e.refuse(q); err != nil {
 		return nil, err
 	}
-	w := &work{request: q, faults: e.takeFaults(), ready: make(chan struct{})}
+	w := &work{request: q, faults: e.takeFaults(), ready: make(chan struct{}), cold: !e.warm}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	e.keep(q)
 	e.queue = append(e.queue, w)
@@ -261,14 +278,15 @@
 	}
 	present := len(e.running) + len(e.queue)
 	if !e.warm {
-		e.maxCold = max(e.maxCold, present+1)
-		if present >= e.o.ColdLimit && e.o.FailOverfull {
+		e.maxCold = max(e.maxCold, e.coldWork()+1)
+	}
+	if !e.warm && present >= e.o.ColdLimit {
+		e.refusedCold++
+		if e.o.FailOverfull {
 			e.cutAll()
 			return errCut
 		}
-		if present >= e.o.ColdLimit {
-			return refusal(http.StatusServiceUnavailable, engineclient.ReasonCold)
-		}
+		return refusal(http.StatusServiceUnavailable, engineclient.ReasonCold)
 	}
 	if present >= e.o.MaxBatch+e.o.MaxQueue {
 		return refusal(http.StatusTooManyRequests, engineclient.ReasonFull)
@@ -276,6 +294,23 @@
 	return nil
 }
 
+// coldWork returns the present attempts that arrived while the engine was cold.
+// The mutex is held.
+func (e *Emulator) coldWork() int {
+	n := 0
+	for w := range e.running {
+		if w.cold {
+			n++
+		}
+	}
+	for _, w := range e.queue {
+		if w.cold {
+			n++
+		}
+	}
+	return n
+}
+
 // takeFaults returns the faults of one stream. The mutex is held.
 func (e *Emulator) takeFaults() Faults {
 	f := e.faults
