Test the classification of failures beside the clients

The sentinels decide whether an order may be sent again, so each package now has its own table: failed dials, cut connections, refusals with and without a run state, redirects, rate limits and broken engine streams.

--- /dev/null
+++ b/engineclient/client_test.go
@@ -0,0 +1,73 @@
+package engineclient
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/framer"
+	"rosemaryarch.example/rosemaryarch/streamer"
+)
+
+// TestBrokenStreams guards against an engine's broken output that reaches the
+// caller as a piece, takes unbounded memory, or ends like a whole answer.
+func TestBrokenStreams(t *testing.T) {
+	good := `data: {"request_id":"r","attempt_id":"a","index":0,"text":"x"}` + "\n\n"
+	cases := map[string]struct {
+		body       string
+		want       error
+		wantPieces int
+	}{
+		"no end marker":  {good, nil, 1}, // the streamer reports it
+		"cut in a piece": {good + good[:20], ErrUnknown, 1},
+		"not a piece":    {good + "data: [1]\n\n", framer.ErrInvalidPiece, 1},
+		"huge event":     {good + "data: " + strings.Repeat("x", framer.MaxEventBytes), framer.ErrTooLarge, 1},
+		"web page":       {"<html>\n\n</html>\n", nil, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(c.body))
+			}))
+			defer srv.Close()
+			pieces, err := NewHTTP(srv.URL, "", srv.Client()).Generate(t.Context(), streamer.Request{RequestID: "r"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := 0
+			for _, e := range pieces {
+				if e == nil {
+					got++
+				}
+				err = e
+			}
+			if !errors.Is(err, c.want) || err != nil && !errors.Is(err, ErrUnknown) || got != c.wantPieces {
+				t.Errorf("got %d pieces, %v, want %d, %v", got, err, c.wantPieces, c.want)
+			}
+		})
+	}
+}
+
+// TestRefusalReasons guards against a reason of the wire that has no sentinel.
+func TestRefusalReasons(t *testing.T) {
+	cases := map[string]error{
+		ReasonCold: ErrCold, ReasonFull: ErrFull, ReasonNotLoaded: ErrNotLoaded, ReasonNoAttempt: ErrNoAttempt,
+		ReasonFenced: ErrFenced, ReasonForbidden: ErrForbidden, ReasonNoWeights: ErrNoWeights, "other": ErrRefused,
+	}
+	for reason, want := range cases {
+		t.Run(reason, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = w.Write([]byte(`{"run":"no","reason":"` + reason + `"}`))
+			}))
+			defer srv.Close()
+			err := NewHTTP(srv.URL, "", srv.Client()).Command(t.Context(), 1, ActionLoad, "m@1")
+			if !errors.Is(err, want) || !errors.Is(err, ErrRefused) {
+				t.Errorf("got %v, want %v and ErrRefused", err, want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,104 @@
+package exchanger
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/refuser"
+)
+
+// TestClassification guards against "not sent" for a request that left this
+// process, and against "refused" without the other side's word that it did not
+// run.
+func TestClassification(t *testing.T) {
+	write := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "3")
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	cases := map[string]struct {
+		handler   http.HandlerFunc
+		cancelled bool
+		want      error
+		wantRetry clock.Millis
+	}{
+		"success":          {write(200, `{"a":1}`), false, nil, 0},
+		"invalid answer":   {write(200, `{"a":`), false, ErrUnknown, 0},
+		"empty answer":     {write(200, ""), false, ErrUnknown, 0},
+		"refused":          {write(503, `{"reason":"busy","run":"no"}`), false, ErrRefused, 3000},
+		"ran and failed":   {write(500, `{"reason":"x","run":"yes"}`), false, ErrUnknown, 3000},
+		"no word":          {write(503, `{}`), false, ErrUnknown, 3000},
+		"not JSON":         {write(404, "run: no"), false, ErrUnknown, 3000},
+		"wrong type":       {write(503, `{"run":"no","reason":5}`), false, ErrUnknown, 3000},
+		"cut":              {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, false, ErrUnknown, 0},
+		"cancelled before": {write(200, "{}"), true, ErrNotSent, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(c.handler)
+			defer srv.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if c.cancelled {
+				cancel()
+			}
+			var out struct{ A int }
+			err := JSON(ctx, srv.Client(), http.MethodPost, srv.URL, nil, struct{}{}, &out)
+			for _, sentinel := range []error{ErrNotSent, ErrUnknown, ErrRefused} {
+				if got, want := errors.Is(err, sentinel), sentinel == c.want; got != want {
+					t.Errorf("%v is %v: got %t, want %t", err, sentinel, got, want)
+				}
+			}
+			var s *StatusError
+			if errors.As(err, &s) && s.RetryAfter != c.wantRetry {
+				t.Errorf("retry after: got %d, want %d", s.RetryAfter, c.wantRetry)
+			}
+		})
+	}
+}
+
+// TestLostWhileDialling guards against "not sent" for a request whose
+// connection opened and then failed, and "unknown" for one whose dial failed.
+func TestLostWhileDialling(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := "http://" + l.Addr().String()
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			_ = c.Close()
+		}
+	}()
+	client := &http.Client{Transport: &http.Transport{}}
+	err = JSON(t.Context(), client, http.MethodPost, target, nil, struct{}{}, nil)
+	if !errors.Is(err, ErrUnknown) || errors.Is(err, ErrNotSent) {
+		t.Errorf("connection closed: got %v, want ErrUnknown", err)
+	}
+	_ = l.Close()
+	err = JSON(t.Context(), client, http.MethodPost, target, nil, struct{}{}, nil)
+	if !errors.Is(err, ErrNotSent) || errors.Is(err, ErrUnknown) {
+		t.Errorf("closed port: got %v, want ErrNotSent", err)
+	}
+}
+
+// TestRefuse guards against a stand-in's refusal that the client reads otherwise.
+func TestRefuse(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		Refuse(w, StatusError{Status: 429, Reason: "limited", Run: refuser.RunNo, RetryAfter: 1200})
+	}))
+	defer srv.Close()
+	err := JSON(t.Context(), srv.Client(), http.MethodGet, srv.URL, nil, nil, nil)
+	var s *StatusError
+	if !errors.As(err, &s) || s.Reason != "limited" || s.RetryAfter != 2000 || !errors.Is(err, ErrRefused) {
+		t.Errorf("got %+v, want a refusal with 2000 ms, whole seconds rounded up", err)
+	}
+}
--- a/platformemulator/emulator_test.go
+++ b/platformemulator/emulator_test.go
@@ -94,55 +94,6 @@
 	}
 }
 
-// TestServiceAnswers guards against an answer of the service being taken for a
-// failure or the reverse, and against a redirect that sends a call again.
-func TestServiceAnswers(t *testing.T) {
-	refused := `{"reason":"busy","run":"no"}`
-	cases := map[string]struct {
-		status int
-		body   string
-		want   error
-	}{
-		"created":             {201, "{}", nil},
-		"redirect":            {307, "", serviceclient.ErrUnknown},
-		"invalid date":        {422, `{"error":"date"}`, nil},
-		"conflict":            {409, "plain text", nil},
-		"refused with 409":    {409, refused, serviceclient.ErrRefused},
-		"refused with 503":    {503, refused, serviceclient.ErrRefused},
-		"rate limit":          {429, "{}", serviceclient.ErrUnknown},
-		"request timeout":     {408, "{}", serviceclient.ErrUnknown},
-		"server error":        {500, "{}", serviceclient.ErrUnknown},
-		"gateway in between":  {502, "<html>", serviceclient.ErrUnknown},
-		"answer is too large": {200, strings.Repeat("x", 300<<10), serviceclient.ErrUnknown},
-	}
-	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
-			deliveries := 0
-			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				deliveries++
-				w.Header().Set("Location", "/elsewhere")
-				w.WriteHeader(c.status)
-				fmt.Fprint(w, c.body)
-			}))
-			a, err := serviceclient.NewHTTP(srv.URL, srv.Client()).Do(t.Context(), booking("k"))
-			srv.Close()
-			if !errors.Is(err, c.want) {
-				t.Fatalf("got %v, want %v", err, c.want)
-			}
-			if err == nil && (a.Status != c.status || string(a.Body) != c.body) {
-				t.Errorf("got %d %q, want %d %q", a.Status, a.Body, c.status, c.body)
-			}
-			if deliveries != 1 {
-				t.Errorf("deliveries: got %d, want 1", deliveries)
-			}
-			_, err = serviceclient.NewHTTP(srv.URL, srv.Client()).Do(t.Context(), booking("k"))
-			if !errors.Is(err, serviceclient.ErrNotSent) || errors.Is(err, serviceclient.ErrUnknown) {
-				t.Errorf("closed port: got %v, want ErrNotSent only", err)
-			}
-		})
-	}
-}
-
 // TestList guards against a list that shows changes before its lag or never.
 func TestList(t *testing.T) {
 	e, manual, srv := start(t, Options{ListLag: 3000})
--- /dev/null
+++ b/serviceclient/client_test.go
@@ -0,0 +1,60 @@
+package serviceclient
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// TestServiceAnswers guards against an answer of the service being taken for a
+// failure or the reverse, and against a redirect that sends a call again.
+func TestServiceAnswers(t *testing.T) {
+	refused := `{"reason":"busy","run":"no"}`
+	cases := map[string]struct {
+		status int
+		body   string
+		want   error
+	}{
+		"created":             {201, "{}", nil},
+		"redirect":            {307, "", ErrUnknown},
+		"invalid date":        {422, `{"error":"date"}`, nil},
+		"conflict":            {409, "plain text", nil},
+		"refused with 409":    {409, refused, ErrRefused},
+		"refused with 503":    {503, refused, ErrRefused},
+		"rate limit":          {429, "{}", ErrUnknown},
+		"request timeout":     {408, "{}", ErrUnknown},
+		"server error":        {500, "{}", ErrUnknown},
+		"gateway in between":  {502, "<html>", ErrUnknown},
+		"answer is too large": {200, strings.Repeat("x", 300<<10), ErrUnknown},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			deliveries := 0
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				deliveries++
+				w.Header().Set("Location", "/elsewhere")
+				w.WriteHeader(c.status)
+				fmt.Fprint(w, c.body)
+			}))
+			a, err := NewHTTP(srv.URL, srv.Client()).Do(t.Context(), Call{Path: "/bookings", Key: "k"})
+			srv.Close()
+			if !errors.Is(err, c.want) {
+				t.Fatalf("got %v, want %v", err, c.want)
+			}
+			if err == nil && (a.Status != c.status || string(a.Body) != c.body) {
+				t.Errorf("got %d %q, want %d %q", a.Status, a.Body, c.status, c.body)
+			}
+			if deliveries != 1 {
+				t.Errorf("deliveries: got %d, want 1", deliveries)
+			}
+			_, err = NewHTTP(srv.URL, srv.Client()).Do(t.Context(), Call{Path: "/bookings", Key: "k"})
+			if !errors.Is(err, ErrNotSent) || errors.Is(err, ErrUnknown) {
+				t.Errorf("closed port: got %v, want ErrNotSent only", err)
+			}
+		})
+	}
+}
