Tell a watchdog's cancel from a caller who left

Plan gave up on every cancelled attempt, so a watchdog that cancels an attempt with a late piece ended the answer. A watchdog now cancels with ErrLate as its cause, and Plan goes on. Tests run both through the client.

--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -88,7 +88,9 @@
 type Client struct {
 	// Generate starts an attempt and returns its pieces. The caller ranges over
 	// them once, or cancels ctx, to free the connection. A stream that closes
-	// in order ends without an error, whether or not its end marker came.
+	// in order ends without an error, whether or not its end marker came. An
+	// error after a cancel of ctx wraps the cause of the cancel, as net/http
+	// returns it.
 	Generate func(ctx context.Context, r streamer.Request) (iter.Seq2[framer.Piece, error], error)
 	// Resume streams the rest of an attempt from the piece fromIndex on.
 	Resume func(ctx context.Context, requestID, attemptID string, fromIndex int) (
--- a/engineclient/client_test.go
+++ b/engineclient/client_test.go
@@ -1,6 +1,8 @@
 package engineclient
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -71,3 +73,24 @@
 		})
 	}
 }
+
+// TestCancelCause guards against a watchdog's cancel before the first byte that
+// looks like a caller who left.
+func TestCancelCause(t *testing.T) {
+	ctx, cancel := context.WithCancelCause(t.Context())
+	arrived := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		close(arrived)
+		<-r.Context().Done()
+	}))
+	defer srv.Close()
+	go func() {
+		<-arrived
+		cancel(streamer.ErrLate)
+	}()
+	_, err := NewHTTP(srv.URL, "", srv.Client()).Generate(ctx, streamer.Request{})
+	if !errors.Is(err, streamer.ErrLate) || !errors.Is(err, ErrUnknown) {
+		t.Errorf("got %v, want ErrLate and ErrUnknown", err)
+	}
+}
--- a/engineemulator/stream_test.go
+++ b/engineemulator/stream_test.go
@@ -80,8 +80,8 @@
 func TestHangAndDeath(t *testing.T) {
 	e := start(t, Options{})
 	e.SetFaults(Faults{HangAt: 3})
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	defer cancel(nil)
 	s := streamer.New(request("a", 20))
 	pieces, err := e.client.Generate(ctx, request("a", 20))
 	if err != nil {
@@ -89,15 +89,19 @@
 	}
 	for p, err := range pieces {
 		if err != nil {
-			if !errors.Is(err, engineclient.ErrUnknown) {
-				t.Errorf("got %v, want ErrUnknown", err)
+			step, _ := streamer.Plan(s.Close(err), s.Tokens(), false, true)
+			if !errors.Is(err, engineclient.ErrUnknown) || step != streamer.StepContinue {
+				t.Errorf("stopped by a watchdog: got %v and step %q, want ErrUnknown and continue", err, step)
 			}
 			break
 		}
 		if s.Accept(p); s.Tokens() == 2 {
-			cancel()
+			cancel(streamer.ErrLate)
 		}
 	}
+	for l := (engineclient.Load{Running: 1}); l.Running > 0; l, _ = e.client.Load(t.Context()) {
+		continue // an abandoned attempt that kept its place would hold the test here
+	}
 	patient, stop := context.WithTimeout(t.Context(), 10*time.Second) // ends a test that fails
 	defer stop()
 	if pieces, err = e.client.Generate(patient, request("c", 20)); err != nil {
--- a/streamer/plan.go
+++ b/streamer/plan.go
@@ -25,12 +25,13 @@
 // Delivered is the number of tokens that the caller has received. CanResume
 // tells that the endpoint offers resume and is still in use, canContinue that
 // another endpoint of the version is available. With StepGiveUp the error is
-// the refusal for the caller. Plan has no side effects.
+// the refusal for the caller. Plan has no side effects; it knows neither the
+// deadline nor the retry budget.
 func Plan(cause error, delivered int, canResume, canContinue bool) (Step, error) {
 	switch {
 	case cause == nil:
 		return StepDone, nil
-	case errors.Is(cause, context.Canceled):
+	case errors.Is(cause, context.Canceled) && !errors.Is(cause, ErrLate):
 		return StepGiveUp, giveUp(cause, delivered)
 	case canResume && !neverRan(cause):
 		return StepResume, nil
--- a/streamer/streamer.go
+++ b/streamer/streamer.go
@@ -17,6 +17,9 @@
 	ErrGap = errors.New("streamer: piece is missing")
 	// ErrCut tells that the stream closed without its end marker.
 	ErrCut = errors.New("streamer: stream closed without end marker")
+	// ErrLate is the cause with which a watchdog cancels an attempt whose next
+	// piece is late. Without it a cancelled attempt means that the caller left.
+	ErrLate = errors.New("streamer: next piece is late")
 )
 
 // Request asks an endpoint for one attempt at an answer.
--- a/streamer/streamer_test.go
+++ b/streamer/streamer_test.go
@@ -183,16 +183,17 @@
 		resume, anotherOne bool
 		want               Step
 	}{
-		"whole":                    {nil, 5, true, true, StepDone},
-		"cut, resume offered":      {cut, 5, true, true, StepResume},
-		"cut, no resume":           {cut, 5, false, true, StepContinue},
-		"cut, no endpoint left":    {cut, 5, false, false, StepGiveUp},
-		"cut, nothing delivered":   {cut, 0, false, true, StepRestart},
-		"not sent, resume offered": {exchanger.ErrNotSent, 0, true, true, StepRestart},
-		"refused after text":       {exchanger.ErrRefused, 5, true, true, StepContinue},
-		"crossed, one endpoint":    {ErrCrossed, 5, true, false, StepResume},
-		"gap, nothing offered":     {ErrGap, 1, false, false, StepGiveUp},
-		"caller has left":          {context.Canceled, 5, true, true, StepGiveUp},
+		"whole":                       {nil, 5, true, true, StepDone},
+		"cut, resume offered":         {cut, 5, true, true, StepResume},
+		"cut, no resume":              {cut, 5, false, true, StepContinue},
+		"cut, no endpoint left":       {cut, 5, false, false, StepGiveUp},
+		"cut, nothing delivered":      {cut, 0, false, true, StepRestart},
+		"not sent, resume offered":    {exchanger.ErrNotSent, 0, true, true, StepRestart},
+		"refused after text":          {exchanger.ErrRefused, 5, true, true, StepContinue},
+		"crossed, one endpoint":       {ErrCrossed, 5, true, false, StepResume},
+		"gap, nothing offered":        {ErrGap, 1, false, false, StepGiveUp},
+		"late, cancelled by watchdog": {errors.Mark(context.Canceled, ErrLate), 5, false, true, StepContinue},
+		"caller has left":             {context.Canceled, 5, true, true, StepGiveUp},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
