follower, gossiper, reviser: tests for rules that no test guarded

Removing these rules one by one left the tests green: the newer known revision and the majority at a start in the freshness rule, the refusal of lower revisions at each source, evidence that comes without its body, the pause of a prober, and stale reads after a lost answer. Each has a case now.

--- a/follower/doc.go
+++ b/follower/doc.go
@@ -7,13 +7,16 @@
 // An instance adopts an object only if its revision is higher than the one it
 // holds, whatever the source. Two watchers per data centre, the live members
 // with the highest rendezvous hash, read the object's version from the store
-// once a second and hold a watch. An instance that learns of a newer revision
-// or of a fresher confirmation sends a hint to four random members of its data
-// centre; the accepting instance and watchers also send one to a member of each
-// other data centre. Who receives a hint of something newer asks the sender for
-// it, so that a body travels once to each instance. The digest on every gossip
-// probe carries the revision and the confirmation age, which repairs what
-// hints missed.
+// once a second and hold a watch. While confirmations are late, other members
+// also poll, with a probability that keeps the calls per data centre constant.
+// An instance that learns of a newer revision sends a hint to four random
+// members of its data centre, and to two when it learns of fresher evidence; the
+// accepting instance and watchers also send one to a member of each other data
+// centre. Who receives a hint of something newer asks the sender for it, so that
+// a body travels once to each instance. The digest on every gossip probe carries
+// the revision and the confirmation age, which repairs what hints missed, and an
+// instance whose outage observations are late asks a member of the data centre
+// that is behind.
 //
 // # Evidence
 //
--- a/follower/driver.go
+++ b/follower/driver.go
@@ -31,7 +31,7 @@
 	f.Hint = func(address string, body []byte) { _ = l.Send(address, KindHint, body) } // the linker counts drops
 	f.Ask = func(address string, body []byte, done func(clock.Millis, []byte, error)) {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), askTimeout.Duration())
+			ctx, cancel := context.WithTimeout(f.ctx, askTimeout.Duration())
 			defer cancel()
 			answer, err := l.Call(ctx, address, KindAsk, body)
 			done(c.Now(), answer, err)
@@ -39,7 +39,7 @@
 	}
 	f.Version = func(done func(clock.Millis, uint64, error)) {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+			ctx, cancel := context.WithTimeout(f.ctx, pollTimeout)
 			defer cancel()
 			v, err := s.Version(ctx, reviser.Key)
 			done(c.Now(), v, err)
@@ -47,7 +47,7 @@
 	}
 	f.Get = func(done func(clock.Millis, storer.Object, error)) {
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+			ctx, cancel := context.WithTimeout(f.ctx, pollTimeout)
 			defer cancel()
 			o, err := s.Get(ctx, reviser.Key)
 			done(c.Now(), o, err)
@@ -62,11 +62,10 @@
 }
 
 // Run ticks and, while this instance is a watcher, holds the watch, until done
-// is closed. Connect must have been called.
+// is closed. Then it ends the open store calls and questions. Connect must have been called.
 func (f *Follower) Run(s storer.Store, c clock.Clock, done <-chan struct{}) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go f.watch(ctx, s, c)
+	defer f.cancel()
+	go f.watch(f.ctx, s, c)
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 
@@ -65,6 +66,8 @@
 
 	self       string
 	dataCentre string
+	ctx        context.Context // of store calls and questions; ends with Run
+	cancel     context.CancelFunc
 
 	mu      sync.Mutex
 	rand    *rand.Rand
@@ -110,7 +113,10 @@
 
 // New returns a follower that holds nothing.
 func New(self gossiper.Member, r *rand.Rand) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Follower{
+		ctx:        ctx,
+		cancel:     cancel,
 		self:       self.ID,
 		dataCentre: self.DataCentre,
 		rand:       r,
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -254,6 +254,7 @@
 	source.Accepted(start, value, 1, start-400)
 	answer, _ := source.Answer(start, mustQuestion(0))
 	digest := source.Digest(start, 9)
+	newer, _ := cbor.Marshal(news{Revision: 2})
 	cases := map[string]struct {
 		learn func(f *Follower)
 		want  clock.Millis // instant of the confirmation, 0 for none
@@ -263,6 +264,10 @@
 		"answer":    {func(f *Follower) { f.answered(start+2000, start-10, "b", answer, nil) }, start - 410},
 		"hint":      {func(f *Follower) { _ = f.Hinted(start, "b", answer) }, 0},
 		"watch":     {func(f *Follower) { f.Watched(start, stored(value)) }, 0},
+		"answer of a newer revision without its body": {func(f *Follower) {
+			f.Watched(start, stored(value))
+			f.answered(start+10, start, "b", newer, nil)
+		}, 0},
 		"ack": {func(f *Follower) {
 			f.Watched(start, stored(value))
 			f.Heard(start+2000, peer, digest, start-20)
@@ -300,6 +305,66 @@
 	}
 }
 
+// TestRules guards against each condition of the freshness rule being dropped.
+// The base state is fresh by the outage rule, and each case breaks one condition.
+func TestRules(t *testing.T) {
+	now := clock.Hour
+	cases := map[string]struct {
+		change func(f *Follower)
+		want   string
+	}{
+		"outage":               {func(*Follower) {}, ReasonOutage},
+		"confirmed":            {func(f *Follower) { f.confirmed = now - FreshFor + 1 }, ReasonConfirmed},
+		"nothing held":         {func(f *Follower) { f.held.Revision = 0 }, ReasonNoConfiguration},
+		"newer known":          {func(f *Follower) { f.highest = 8 }, ReasonNewerKnown},
+		"never confirmed":      {func(f *Follower) { f.proven = false }, ReasonNoMajority},
+		"exactly half":         {func(f *Follower) { f.view.known = 10 }, ReasonMinority},
+		"old observation":      {func(f *Follower) { f.outages["oita"] = now - FreshFor }, ReasonSilent},
+		"one without evidence": {func(f *Follower) { delete(f.outages, "aluva") }, ReasonSilent},
+		"silent one has no alive member": {func(f *Follower) {
+			delete(f.outages, "aluva")
+			f.view.reachable = []string{"oita"}
+		}, ReasonOutage},
+	}
+	for name, c := range cases {
+		f := New(gossiper.Member{ID: "a", DataCentre: "oita"}, rand.New(rand.NewPCG(1, 1)))
+		f.held.Revision, f.highest, f.proven, f.confirmed = 7, 7, true, now-FreshFor
+		f.view.alive, f.view.known, f.view.reachable = 5, 9, []string{"aluva", "oita"}
+		f.outages["aluva"], f.outages["oita"] = now-1, now-FreshFor+1
+		c.change(f)
+		fresh, got := f.Fresh(now)
+		if wantFresh := c.want == ReasonOutage || c.want == ReasonConfirmed; got != c.want || fresh != wantFresh {
+			t.Errorf("%s: got %v by %s, want %s", name, fresh, got, c.want)
+		}
+	}
+}
+
+// TestNeverLower guards against a lower revision being adopted from any source.
+func TestNeverLower(t *testing.T) {
+	high, _ := reviser.Object{Revision: 5}.Encode()
+	low, _ := reviser.Object{Revision: 3}.Encode()
+	answer, _ := cbor.Marshal(news{Revision: 3, Value: low, Version: 1, Age: noAge})
+	sources := map[string]func(f *Follower, now clock.Millis){
+		"write":  func(f *Follower, now clock.Millis) { f.Accepted(now, low, 1, now) },
+		"watch":  func(f *Follower, now clock.Millis) { f.Watched(now, stored(low)) },
+		"poll":   func(f *Follower, now clock.Millis) { f.got(now, now, stored(low), nil) },
+		"answer": func(f *Follower, now clock.Millis) { f.answered(now, now, "b", answer, nil) },
+		"broken": func(f *Follower, now clock.Millis) { f.Watched(now, stored([]byte("{"))) },
+	}
+	for name, offer := range sources {
+		f := New(gossiper.Member{ID: "a", DataCentre: "oita"}, rand.New(rand.NewPCG(1, 1)))
+		f.Hint = func(string, []byte) {}
+		f.Watched(clock.Hour, storer.Object{Key: reviser.Key, Version: 9, Value: high})
+		offer(f, clock.Hour+1)
+		if got, want := f.Held().Revision, uint64(5); got != want {
+			t.Errorf("%s: got revision %d, want %d", name, got, want)
+		}
+		if f.confirmed != 0 {
+			t.Errorf("%s: a lower revision counts as confirmation", name)
+		}
+	}
+}
+
 // TestHistories guards, over random cuts, pauses, outages and racing operators,
 // against a revision that goes back, work on a replaced configuration, and a
 // fleet that does not converge within the bound once the faults end.
@@ -314,7 +379,7 @@
 		}
 		w.store.SetFaults(storeemulator.Faults{})
 		w.cut, w.noStore, w.slow, w.frozen = map[[2]string]bool{}, map[string]bool{}, 0, false
-		w.settled = w.clock.Now()
+		w.cuts = append(w.cuts, w.clock.Now())
 		for _, n := range w.nodes {
 			if n.paused {
 				w.resume(n)
@@ -347,7 +412,7 @@
 		w.setCut(dc, other, on && dc != other)
 	case 2:
 		w.cut[[2]string{dc, other}] = on && dc != other
-		w.settled = w.clock.Now()
+		w.cuts = append(w.cuts, w.clock.Now())
 	case 3:
 		w.store.SetFaults(storeemulator.Faults{Down: on, LoseWrites: rapid.IntRange(0, 2).Draw(rt, "lost")})
 	case 4:
--- a/follower/harness_test.go
+++ b/follower/harness_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -77,7 +78,7 @@
 	slow    clock.Millis       // time of a store call
 	frozen  bool               // watches deliver nothing
 	writes  map[uint64]clock.Millis
-	settled clock.Millis // last change of a cut
+	cuts    []clock.Millis // changes of cuts
 	changes int
 }
 
@@ -286,7 +287,9 @@
 // outage rule may miss a revision that was written while gossip had not yet
 // shown a cut, or whose writer was cut off right after the write.
 func (w *fleet) allowed(reason string, written clock.Millis) bool {
-	return reason == ReasonOutage && written-w.settled < 15*clock.Second
+	return reason == ReasonOutage && slices.ContainsFunc(w.cuts, func(at clock.Millis) bool {
+		return written-15*clock.Second < at && at < written+clock.Second
+	})
 }
 
 // write makes an operator's change through the instance n.
@@ -341,7 +344,7 @@
 // setCut cuts or heals the path between two data centres, both ways.
 func (w *fleet) setCut(a, b string, on bool) {
 	w.cut[[2]string{a, b}], w.cut[[2]string{b, a}] = on, on
-	w.settled = w.clock.Now()
+	w.cuts = append(w.cuts, w.clock.Now())
 }
 
 // isolate cuts one data centre from all others and, if asked, the store.
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -301,6 +301,27 @@
 	})
 }
 
+// TestPauseBlamesNobody guards against suspicions and removals by an instance
+// that was paused while its probes were open.
+func TestPauseBlamesNobody(t *testing.T) {
+	g := New(testMember(0), rand.New(rand.NewPCG(1, 1)))
+	suspect := testMember(2)
+	suspect.State, suspect.Incarnation = Suspect, 1
+	g.Seed(1, []Member{testMember(1), testMember(2)})
+	g.Receive(1, Packet{Kind: KindPing, From: testMember(1), Updates: []Member{suspect}})
+	now := clock.Second
+	for ; len(g.probes) == 0; now += testTick {
+		g.Tick(now)
+	}
+	g.Tick(now + 30*clock.Second)
+	g.Tick(now + 30*clock.Second + lastChance)
+	for i, want := range []uint8{Alive, Alive, Suspect} {
+		if got := g.members[testMember(i).ID].State; got != want {
+			t.Errorf("member %d after the pause: got state %d, want %d", i, got, want)
+		}
+	}
+}
+
 // TestMoveAfterBriefUpdate guards against a member that stays at its old
 // address because an update without address overtook the one that names the
 // new address.
--- a/reviser/reviser_test.go
+++ b/reviser/reviser_test.go
@@ -131,43 +131,56 @@
 // against a second execution of one that did.
 func TestLostAnswers(t *testing.T) {
 	ctx := context.Background()
+	none, down := storeemulator.Faults{}, storeemulator.Faults{Down: true}
+	stale := storeemulator.Faults{StaleReads: true}
 	cases := map[string]struct {
 		// put replaces the store's write; get its reads after the write.
-		put  func(e *storeemulator.Emulator, s storer.Store, value []byte, expect uint64) (uint64, error)
-		down bool
-		want error
-		out  bool
+		put   func(e *storeemulator.Emulator, s storer.Store, value []byte, expect uint64) (uint64, error)
+		after storeemulator.Faults
+		want  error
+		out   bool
 	}{
 		"took effect": {func(_ *storeemulator.Emulator, s storer.Store, v []byte, x uint64) (uint64, error) {
 			_, _ = s.Put(ctx, Key, v, x)
 			return 0, storer.ErrUnknown
-		}, false, nil, true},
+		}, none, nil, true},
 		"took no effect": {func(_ *storeemulator.Emulator, _ storer.Store, _ []byte, _ uint64) (uint64, error) {
 			return 0, storer.ErrUnknown
-		}, false, nil, true},
+		}, none, nil, true},
 		"took no effect, another write came first": {
 			func(e *storeemulator.Emulator, _ storer.Store, _ []byte, _ uint64) (uint64, error) {
 				_, _ = newReviser(e).SetEndpoint(ctx, "e1", true, "other")
 				return 0, storer.ErrUnknown
-			}, false, nil, true},
+			}, none, nil, true},
 		"took effect, another write followed": {
 			func(e *storeemulator.Emulator, s storer.Store, v []byte, x uint64) (uint64, error) {
 				_, _ = s.Put(ctx, Key, v, x)
 				_, _ = newReviser(e).SetEndpoint(ctx, "e1", true, "other")
 				return 0, storer.ErrUnknown
-			}, false, nil, true},
+			}, none, nil, true},
 		"took effect, then an outage": {
 			func(_ *storeemulator.Emulator, s storer.Store, v []byte, x uint64) (uint64, error) {
 				_, _ = s.Put(ctx, Key, v, x)
 				return 0, storer.ErrUnknown
-			}, true, refuser.ErrChangeUnknown, true},
+			}, down, refuser.ErrChangeUnknown, true},
+		"took effect, then stale reads": {
+			func(_ *storeemulator.Emulator, s storer.Store, v []byte, x uint64) (uint64, error) {
+				_, _ = s.Put(ctx, Key, v, x)
+				return 0, storer.ErrUnknown
+			}, stale, refuser.ErrChangeUnknown, true},
+		"took effect, another write followed, then stale reads": {
+			func(e *storeemulator.Emulator, s storer.Store, v []byte, x uint64) (uint64, error) {
+				_, _ = s.Put(ctx, Key, v, x)
+				_, _ = newReviser(e).SetEndpoint(ctx, "e1", true, "other")
+				return 0, storer.ErrUnknown
+			}, stale, nil, true},
 		"took no effect, then an outage": {
 			func(_ *storeemulator.Emulator, _ storer.Store, _ []byte, _ uint64) (uint64, error) {
 				return 0, storer.ErrUnknown
-			}, true, refuser.ErrChangeUnknown, false},
+			}, down, refuser.ErrChangeUnknown, false},
 		"refused by an outage": {func(_ *storeemulator.Emulator, _ storer.Store, _ []byte, _ uint64) (uint64, error) {
 			return 0, storer.ErrUnavailable
-		}, false, refuser.ErrStoreUnavailable, false},
+		}, none, refuser.ErrStoreUnavailable, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -182,7 +195,7 @@
 				}
 				first = false
 				v, err := c.put(e, store, value, expect)
-				e.SetFaults(storeemulator.Faults{Down: c.down})
+				e.SetFaults(c.after)
 				return v, err
 			}
 			_, err := r.SetDataCentre(ctx, "oita", true, "out")
