Make the bills of replaced processes due; shorten the demonstration

41 answers of a crashed instance had no bill when the demonstration ended: its restart hid its death from the backups, which waited for their grace time. A higher incarnation of a member now counts as the death of the former one.

--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -101,9 +101,11 @@
 	pinsDown   atomic.Int64    // instant until which pins are not read
 	pinning    chan struct{}   // one element for each pin that is being committed
 	buried     map[string]bool // members whose death the biller knows of
-	gate       *router.Gate
-	router     *router.Router
-	list       listclient.Client
+
+	incarnations map[string]uint64 // the newest seen of each member
+	gate         *router.Gate
+	router       *router.Router
+	list         listclient.Client
 
 	plain  *http.Client // towards endpoints and the platform; no timeout of its own
 	policy policy
@@ -122,7 +124,7 @@
 	}
 	i := &Instance{
 		settings: s, options: o.withDefaults(), keys: keys, done: make(chan struct{}),
-		meter: meter.New(), buried: map[string]bool{},
+		meter: meter.New(), buried: map[string]bool{}, incarnations: map[string]uint64{},
 	}
 	i.plain = newHTTPClient(i.options)
 	i.clock = i.options.Clock
--- a/assembler/records.go
+++ b/assembler/records.go
@@ -141,11 +141,16 @@
 	return nil // the backup is gone, and its memory with it
 }
 
-// tickDeaths makes the bills of dead instances due.
+// tickDeaths makes the bills of dead processes due: those of dead members, and
+// those of members that run again under a new incarnation.
 func (i *Instance) tickDeaths(clock.Millis) {
 	for _, m := range i.gossip.Members() {
-		name := allocator.MemberName(m.ID, m.Incarnation)
-		if m.State == gossiper.Dead && !i.buried[name] {
+		last, known := i.incarnations[m.ID]
+		if known && m.Incarnation > last {
+			i.biller.Died(allocator.MemberName(m.ID, last))
+		}
+		i.incarnations[m.ID] = m.Incarnation
+		if name := allocator.MemberName(m.ID, m.Incarnation); m.State == gossiper.Dead && !i.buried[name] {
 			i.buried[name] = true
 			i.biller.Died(name)
 		}
--- a/demonstrator/phases.go
+++ b/demonstrator/phases.go
@@ -36,7 +36,7 @@
 func (d *Demonstrator) phases() []phase {
 	return []phase{
 		{phaseStart, func(ctx context.Context) error { d.wait(ctx, rampSeconds); return nil }},
-		{phaseSteady, func(ctx context.Context) error { d.wait(ctx, 8); return nil }},
+		{phaseSteady, func(ctx context.Context) error { d.wait(ctx, 6); return nil }},
 		{phaseGood, d.rollOutGood},
 		{phaseBad, d.rollOutBad},
 		{phaseOut, d.takeOut},
@@ -135,7 +135,7 @@
 	if err := d.apply(ctx, d.Text); err != nil {
 		return err
 	}
-	d.wait(ctx, 7)
+	d.wait(ctx, 6)
 	s, err := d.admin(0).Status(ctx, administrator.Empty{})
 	if err != nil {
 		return err
@@ -168,6 +168,7 @@
 					stopped = v.Stopped
 					d.say("%s was stopped by the test (%s) after %v", bad, v.Stopped,
 						time.Since(d.badSince).Round(100*time.Millisecond))
+					end = time.Now().Add(time.Second)
 				}
 			}
 		}
@@ -244,7 +245,7 @@
 	if err := d.setDataCentre(ctx, true); err != nil {
 		return err
 	}
-	d.wait(ctx, 7)
+	d.wait(ctx, 6)
 	if n := d.workIn(d.removed(), asked+noneBound); n > 0 {
 		d.ledger.fault("data centre %s got %d requests more than 3 s after its removal", d.removed(), n)
 	}
@@ -262,7 +263,7 @@
 	if err := d.setDataCentre(ctx, false); err != nil {
 		return err
 	}
-	d.wait(ctx, 7)
+	d.wait(ctx, 6)
 	d.say("%s has had %d requests since its return", d.removed(), d.workIn(d.removed(), back))
 	return nil
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -18,9 +18,6 @@
 	"rosemaryarch.example/rosemaryarch/tracker"
 )
 
-// errLate tells that an endpoint sent no token in time.
-var errLate = errors.New("router: no token in time")
-
 // run is one version's answer to one request, over all attempts.
 type run struct {
 	r        *Router
@@ -101,7 +98,7 @@
 
 // canResume reports whether the endpoint may still hold the attempt.
 func (u *run) canResume(cause error) bool {
-	return errors.Is(cause, streamer.ErrCut) && !errors.Is(cause, errLate) && u.attempt.AttemptID != "" &&
+	return errors.Is(cause, streamer.ErrCut) && !errors.Is(cause, streamer.ErrLate) && u.attempt.AttemptID != "" &&
 		!errors.Is(cause, engineclient.ErrNoAttempt) && !errors.Is(cause, exchanger.ErrNotSent)
 }
 
@@ -111,7 +108,7 @@
 		return refuser.RetryConnect
 	case errors.Is(cause, streamer.ErrCrossed), errors.Is(cause, streamer.ErrGap):
 		return refuser.RetryWrongAnswer
-	case errors.Is(cause, errLate):
+	case errors.Is(cause, streamer.ErrLate):
 		return refuser.RetryFirstToken
 	case errors.Is(cause, exchanger.ErrRefused):
 		return refuser.RetryRefused
@@ -168,7 +165,7 @@
 	defer cancel(nil)
 	engine := u.r.o.Engine(slot.Address)
 	sent := u.r.o.Now()
-	watch := time.AfterFunc(u.firstTokenLimit().Duration(), func() { cancel(errLate) })
+	watch := time.AfterFunc(u.firstTokenLimit().Duration(), func() { cancel(streamer.ErrLate) })
 	defer watch.Stop()
 	seq, err := u.open(ctx, engine, resume)
 	if err != nil {
