--- a/router/chain.go
+++ b/router/chain.go
@@ -133,9 +133,16 @@
 	if p.First < 0 {
 		return chain{}, refuser.ErrForbiddenVersion.WithMessage("no version is permitted")
 	}
-	c := chain{versions: []string{r.rollOut(v, w, s, t.Version[p.First], q)}, reason: p.Reason, rate: p.Rate}
-	if p.Second >= 0 {
-		c.versions = append(c.versions, r.rollOut(v, w, s, t.Version[p.Second], q))
+	c := chain{reason: p.Reason, rate: p.Rate}
+	for _, step := range []int{p.First, p.Second} {
+		if step < 0 {
+			continue
+		}
+		version := r.rollOut(v, w, s, t.Version[step], q)
+		c.versions = append(c.versions, version)
+		if version != t.Version[step] {
+			c.rate = 1 // the test of the new version learns from every answer
+		}
 	}
 	return c, nil
 }
--- a/server/chat.go
+++ b/server/chat.go
@@ -197,7 +197,8 @@
 	answer, err := r.run(sink)
 	switch {
 	case err == nil:
-		return out.End(answer.Finish)
+		_ = out.End(answer.Finish) // if this fails, the caller is gone
+		return nil
 	case out == nil:
 		return err
 	default:
