committer: confirm unchanged records by a read, and add the sizing experiment

A round without a write answered from the cache, because the mark of a fresh read stayed on the cached content: a record that another writer had just committed was reported as absent. Contents now carry the round in which they were read.

The reserve of a record is that of its latest change, so a claim with its answer no longer takes the room of the largest answer. The shard used least recently is evicted first.

The sizing experiment runs one shard of each kind at 6,700 requests/s.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -128,6 +128,9 @@
 func (c *Claimer) CommitLocal(ctx context.Context, shard, key string, change []byte) ([]byte, error) {
 	apply := func(old []byte) ([]byte, error) { return Apply(old, change) }
 	reserve := c.AnswerBytes + recordOverhead
+	if final(change) {
+		reserve = 0
+	}
 	return c.committer.Submit(ctx, shard, key, committer.Change{Apply: apply, Reserve: reserve})
 }
 
--- a/claimer/record.go
+++ b/claimer/record.go
@@ -66,6 +66,12 @@
 	return value, errors.Wrap(err, "claimer: encode claim")
 }
 
+// final reports whether the record does not grow after an encoded change.
+func final(encoded []byte) bool {
+	var h change
+	return cbor.Unmarshal(encoded, &h) == nil && h.Verb == verbFinish
+}
+
 func (h change) apply(r claim) (claim, bool) {
 	held := r.Phase == phaseClaimed && r.Attempt == h.Attempt
 	switch h.Verb {
--- a/committer/committer.go
+++ b/committer/committer.go
@@ -37,7 +37,8 @@
 	// leave the record as it is, or an error to refuse. It may run several
 	// times and after Submit has returned, so it must only depend on old.
 	Apply func(old []byte) ([]byte, error)
-	// Reserve is the size up to which the record may grow later.
+	// Reserve is the size up to which the record may grow later, for which its
+	// segment keeps room. It replaces the reserve of an earlier change.
 	Reserve int
 }
 
@@ -54,7 +55,8 @@
 	MinBackoff   clock.Millis // first pause after a failed call; default 20 ms
 	MaxBackoff   clock.Millis // longest pause; default 1 s
 	KeptCommits  int          // commit ids kept in a segment; default 64
-	MaxShards    int          // shards whose content is cached; default 256
+	LoadReads    int          // concurrent reads while a shard is loaded; default 16
+	MaxShards    int          // shards whose content is cached; default 48
 	Seed         uint64       // of the jitter
 }
 
@@ -67,7 +69,8 @@
 	o.MinBackoff = orDefault(o.MinBackoff, 20)
 	o.MaxBackoff = orDefault(o.MaxBackoff, clock.Second)
 	o.KeptCommits = orDefault(o.KeptCommits, 64)
-	o.MaxShards = orDefault(o.MaxShards, 256)
+	o.LoadReads = orDefault(o.LoadReads, 16)
+	o.MaxShards = orDefault(o.MaxShards, 48)
 	return o
 }
 
@@ -93,6 +96,7 @@
 
 	mu    sync.Mutex
 	lanes map[string]*lane
+	uses  uint64
 }
 
 // New returns a committer that writes to store.
@@ -119,7 +123,7 @@
 		return nil, errors.Mark(err, ErrNotExecuted)
 	}
 	r := &request{
-		key: key, hash: xxhash.Sum64String(key), change: change, ruledOut: map[uint64]bool{},
+		key: key, hash: xxhash.Sum64String(key), change: change,
 		result: make(chan result, 1),
 	}
 	l := c.enqueue(shard, r)
@@ -144,20 +148,26 @@
 		}
 		c.lanes[shard] = l
 	}
+	c.uses++
+	l.used = c.uses
 	l.add(r)
 	return l
 }
 
-// evict forgets the content of idle shards when too many are cached.
+// evict forgets the idle shard that was used least recently if MaxShards are cached.
 func (c *Committer) evict() {
-	for shard, l := range c.lanes {
-		if len(c.lanes) < c.options.MaxShards {
-			return
-		}
-		if l.idle() {
-			delete(c.lanes, shard)
+	if len(c.lanes) < c.options.MaxShards {
+		return
+	}
+	var oldest *lane
+	for _, l := range c.lanes {
+		if (oldest == nil || l.used < oldest.used) && l.idle() {
+			oldest = l
 		}
 	}
+	if oldest != nil {
+		delete(c.lanes, oldest.shard)
+	}
 }
 
 func (c *Committer) commitID() string {
--- a/committer/lane.go
+++ b/committer/lane.go
@@ -17,11 +17,11 @@
 
 // request is one submitted change.
 type request struct {
-	key      string
-	hash     uint64
-	change   Change
-	ruledOut map[uint64]bool // sealed segments that lack the key in spite of its hash
-	result   chan result
+	key    string
+	hash   uint64
+	change Change
+	lacked uint64 // sealed segments below this number lack the key
+	result chan result
 
 	// Guarded by the lane's mutex.
 	inFlight bool // part of a write that may take effect
@@ -33,6 +33,7 @@
 type lane struct {
 	committer *Committer
 	shard     string
+	used      uint64 // guarded by the committer's mutex
 
 	mu      sync.Mutex
 	pending []*request
@@ -41,6 +42,7 @@
 	random   *rand.Rand
 	ring     *ring    // nil: not yet read
 	seen     []uint64 // highest version seen, by slot
+	rounds   uint64
 	lastSent clock.Millis
 	failures int
 }
--- a/committer/ring.go
+++ b/committer/ring.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/refuser"
@@ -19,7 +20,7 @@
 	doc     document
 	version uint64
 	seenAt  clock.Millis // instant at which the version had been received
-	fresh   bool         // read from the store in this round
+	readIn  uint64       // round in which the store answered with the version
 }
 
 // slot is what a lane knows of a sealed segment.
@@ -63,7 +64,7 @@
 	if err != nil {
 		return cached{}, false, err
 	}
-	return cached{doc: d, version: o.Version, seenAt: l.committer.clock.Now(), fresh: true}, true, nil
+	return cached{doc: d, version: o.Version, seenAt: l.committer.clock.Now(), readIn: l.rounds}, true, nil
 }
 
 func (l *lane) objectKey(number uint64) string {
@@ -75,28 +76,33 @@
 func (l *lane) loadRing(ctx context.Context) (*ring, error) {
 	n := l.segments()
 	g := &ring{slots: make([]slot, n), docs: map[uint64]cached{}}
-	var newest cached
+	contents := make([]cached, n)
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(l.committer.options.LoadReads)
 	for i := range n {
-		c, found, err := l.read(ctx, i)
-		if err != nil {
-			return nil, err
-		}
-		if !found {
-			continue
-		}
-		if c.doc.Sealed {
-			g.slots[i] = slot{known: true, number: c.doc.Number, keys: c.doc.keys()}
-		}
-		if c.doc.Number >= newest.doc.Number {
+		group.Go(func() error {
+			c, _, err := l.read(ctx, i)
+			if c.doc.Sealed {
+				g.slots[i] = slot{known: true, number: c.doc.Number, keys: c.doc.keys()}
+				c.doc.Records = nil // a long ring does not fit in memory
+			}
+			contents[i] = c
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	newest := cached{doc: document{Records: map[string]record{}}, seenAt: l.committer.clock.Now()}
+	for _, c := range contents {
+		if c.version > 0 && c.doc.Number >= newest.doc.Number {
 			newest = c
 		}
 	}
 	g.open = newest.doc.Number
-	if newest.version == 0 {
-		newest.doc = document{Records: map[string]record{}}
-		newest.seenAt = l.committer.clock.Now()
+	if !newest.doc.Sealed {
+		g.docs[g.open] = newest
 	}
-	g.docs[g.open] = newest
 	for m := g.oldest(n); m < g.open; m++ {
 		if s := g.slots[m%n]; !s.known || s.number != m {
 			return nil, errStale
@@ -181,7 +187,7 @@
 		return cached{}, err
 	}
 	if known, ok := g.docs[number]; ok && c.version == known.version {
-		known.fresh = true // also if the segment is prepared and not yet written
+		known.readIn = l.rounds // also if the segment is prepared and not yet written
 		return known, nil
 	}
 	if !found || c.doc.Number != number {
--- a/committer/round.go
+++ b/committer/round.go
@@ -36,6 +36,7 @@
 }
 
 func (l *lane) tryRound(ctx context.Context, waiting []*request) error {
+	l.rounds++
 	if l.ring == nil {
 		g, err := l.loadRing(ctx)
 		if err != nil {
@@ -65,9 +66,9 @@
 // the newest one if no sealed segment holds it.
 func (l *lane) target(r *request) uint64 {
 	g, n := l.ring, l.segments()
-	for m := g.oldest(n); m < g.open; m++ {
-		if g.slots[m%n].keys.has(r.hash) && !r.ruledOut[m] {
-			return m
+	for r.lacked = max(r.lacked, g.oldest(n)); r.lacked < g.open; r.lacked++ {
+		if g.slots[r.lacked%n].keys.has(r.hash) {
+			return r.lacked
 		}
 	}
 	return g.open
@@ -88,14 +89,13 @@
 		d.apply(r)
 	}
 	next, answers := d.document, d.answers
-	if !d.changed && !c.fresh {
+	if !d.changed && c.readIn != l.rounds {
 		fresh, err := l.refresh(ctx, number)
 		if err != nil {
 			return err
 		}
 		return l.commit(ctx, number, fresh, batch)
 	}
-	c.fresh = false
 	if !d.changed {
 		l.settle(answers, nil)
 		return nil
@@ -142,7 +142,7 @@
 	old, ok := d.Records[r.key]
 	switch {
 	case !ok && !d.open:
-		r.ruledOut[d.Number] = true
+		r.lacked = d.Number + 1 // the hash is that of another key
 		return
 	case !ok && d.Sealed && !d.full:
 		return
@@ -156,7 +156,7 @@
 	case !ok && d.full:
 		d.answer(r, nil, ErrFull)
 	default:
-		d.put(r, old, ok, record{Value: value, Reserve: max(old.Reserve, r.change.Reserve)})
+		d.put(r, old, ok, record{Value: value, Reserve: r.change.Reserve})
 	}
 }
 
@@ -255,7 +255,6 @@
 		}
 		v := now.doc.verdict(next.Number, next.Serial, id)
 		if v == committed {
-			now.fresh = false
 			l.adopt(now)
 		}
 		return v, true
--- /dev/null
+++ b/committer/sizing.go
@@ -0,0 +1,186 @@
+package committer
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/experimenter"
+	"rosemaryarch.example/rosemaryarch/storer"
+)
+
+// workload is a kind of record at the load of the size in two years.
+type workload struct {
+	name      string
+	rate      float64 // new records per second, over all shards
+	shards    int
+	options   Options
+	first     int          // bytes of a new record's value
+	reserve   int          // of a new record
+	final     int          // bytes of its value after the update; 0: no update
+	updateLag clock.Millis // from the record to its update
+}
+
+// maxStoreWrites is the store's budget per second for all kinds.
+const maxStoreWrites = 300
+
+// workloads returns the kinds at 6,700 requests/s: a bill for each request, an
+// order for one request in 20, and a pin for one in 10.
+func workloads() []workload {
+	return []workload{
+		{
+			name: "bills", rate: 6700, shards: 16, first: 75,
+			options: Options{Segments: 320, Interval: 5 * clock.Second, Retention: 30 * clock.Minute},
+		},
+		{
+			name: "orders", rate: 335, shards: 16, first: 110, reserve: 2368, final: 450, updateLag: 2 * clock.Second,
+			options: Options{Segments: 320, Interval: 100, Retention: clock.Hour},
+		},
+		{
+			name: "pins", rate: 670, shards: 16, first: 10,
+			options: Options{Segments: 640, Interval: 2 * clock.Second, Retention: 24 * clock.Hour},
+		},
+	}
+}
+
+// Sizing returns the experiment that computes the sizes of objects and the
+// store writes over 15 minutes at the load of the size in two years. One
+// shard of each kind is run and multiplied by the number of shards.
+func Sizing() experimenter.Experiment {
+	return experimenter.Experiment{
+		Name:    "sizing",
+		Summary: "object sizes and store writes at 6,700 requests/s",
+		Run: func(seed uint64) experimenter.Result {
+			return sizing(seed, []clock.Millis{clock.Minute, 5 * clock.Minute, 15 * clock.Minute})
+		},
+	}
+}
+
+func sizing(seed uint64, at []clock.Millis) experimenter.Result {
+	r := experimenter.Result{Columns: []string{
+		"objects", "largest_kb", "total_mb", "store_writes_s", "written_kb_s_writer", "retention_objects_shard",
+	}}
+	var writes, largest float64
+	for _, w := range workloads() {
+		s := newSimulation(w, seed)
+		for _, instant := range at {
+			s.runUntil(instant)
+			values := s.values()
+			r.Rows = append(r.Rows, experimenter.Row{
+				Label: fmt.Sprintf("%s after %d s", w.name, instant/clock.Second), Values: values,
+			})
+			largest = max(largest, values[1])
+		}
+		writes += s.values()[3]
+	}
+	r.Targets = []experimenter.Target{
+		{Name: "largest object, kb", Got: largest, Limit: 512},
+		{Name: "store writes/s", Got: writes, Limit: maxStoreWrites},
+	}
+	return r
+}
+
+// simulation runs one shard on a manual clock.
+type simulation struct {
+	workload
+	clock   *clock.Manual
+	lane    *lane
+	random  *rand.Rand
+	objects map[string]storer.Object
+	largest int
+	writes  int
+	written int
+	due     float64 // new records that have accumulated
+	keys    []string
+	updated int // keys whose update has been submitted
+	lag     []int
+}
+
+func newSimulation(w workload, seed uint64) *simulation {
+	s := &simulation{
+		workload: w, clock: clock.NewManual(0), random: rand.New(rand.NewPCG(seed, 0)),
+		objects: map[string]storer.Object{},
+	}
+	store := storer.Store{Get: s.get, Put: s.put}
+	w.options.Instance = "instance-0123456789"
+	c := New(store, s.clock.Clock(), w.options)
+	s.lane = &lane{committer: c, shard: w.name + "/0", random: s.random, seen: make([]uint64, w.options.Segments)}
+	return s
+}
+
+func (s *simulation) get(_ context.Context, key string) (storer.Object, error) {
+	o, ok := s.objects[key]
+	if !ok {
+		return o, storer.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *simulation) put(_ context.Context, key string, value []byte, expect uint64) (uint64, error) {
+	o := s.objects[key]
+	if o.Version != expect {
+		return 0, storer.ErrConflict
+	}
+	s.objects[key] = storer.Object{Key: key, Version: expect + 1, Value: value}
+	s.largest = max(s.largest, len(value))
+	s.written += len(value)
+	s.writes++
+	return expect + 1, nil
+}
+
+// runUntil submits what accumulates in each interval as one batch.
+func (s *simulation) runUntil(end clock.Millis) {
+	step := s.options.Interval
+	for s.clock.Now() < end {
+		s.clock.Advance(step)
+		s.due += s.rate / float64(s.shards) * float64(step) / float64(clock.Second)
+		for ; s.due >= 1; s.due-- {
+			key := fmt.Sprintf("%024x", s.random.Uint64())
+			s.keys = append(s.keys, key)
+			s.submit(key, s.first, s.reserve)
+		}
+		s.lag = append(s.lag, len(s.keys))
+		if steps := int(s.updateLag / step); s.final > 0 && len(s.lag) > steps {
+			for ; s.updated < s.lag[len(s.lag)-1-steps]; s.updated++ {
+				s.submit(s.keys[s.updated], s.final, 0)
+			}
+		}
+		for waiting := s.lane.waiting(); len(waiting) > 0; waiting = s.lane.waiting() {
+			s.lane.round(context.Background(), waiting)
+		}
+	}
+}
+
+func (s *simulation) submit(key string, size, reserve int) {
+	value := []byte(strings.Repeat("x", size))
+	apply := func([]byte) ([]byte, error) { return value, nil }
+	s.lane.pending = append(s.lane.pending, &request{
+		key: key, hash: xxhash.Sum64String(key), change: Change{Apply: apply, Reserve: reserve},
+		result: make(chan result, 1),
+	})
+}
+
+// values returns the columns of the experiment.
+func (s *simulation) values() []float64 {
+	total := 0
+	for _, o := range s.objects {
+		total += len(o.Value)
+	}
+	seconds := float64(s.clock.Now()) / float64(clock.Second)
+	objects := float64(len(s.objects))
+	newest := s.lane.ring.docs[s.lane.ring.open].doc
+	filled := float64(newest.Number) + float64(newest.load())/float64(s.lane.committer.options.SegmentBytes)
+	shards := float64(s.shards)
+	return []float64{
+		objects * shards,
+		float64(s.largest) / 1024,
+		float64(total) * shards / (1 << 20),
+		float64(s.writes) * shards / seconds,
+		float64(s.written) / 1024 / seconds,
+		filled * float64(s.options.Retention) / float64(s.clock.Now()),
+	}
+}
