committer: keep ErrFull and ErrTooLarge apart from ErrNotExecuted

Both sentinels were marked with ErrNotExecuted, and errors.Is compares marks, so every change that was not executed also looked like ErrFull and ErrTooLarge; the claimer would then have cut an answer for no reason. The mark is now added where the error is returned. TestRefused covers it.

A failed read or a write that was not executed no longer makes a lane read its whole ring again, and a load stops at its first failed read.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -160,6 +160,9 @@
 		return claim{}, err
 	}
 	var r claim
+	if len(value) == 0 {
+		return r, nil // no record: the claim is past retention
+	}
 	if err := cbor.Unmarshal(value, &r); err != nil {
 		return claim{}, errors.Mark(errors.Wrap(err, "claimer: decode claim"), committer.ErrUnknown)
 	}
--- a/committer/committer.go
+++ b/committer/committer.go
@@ -24,11 +24,11 @@
 	ErrNotExecuted = errors.New("committer: change not executed")
 	// ErrUnknown tells that the change may have taken or may yet take effect.
 	ErrUnknown = errors.New("committer: outcome of the change is unknown")
-	// ErrFull tells that every segment is within retention. The change was not executed.
-	ErrFull = errors.Mark(errors.New("committer: shard is full"), ErrNotExecuted)
-	// ErrTooLarge tells that a record exceeds the room of its segment. The
-	// change was not executed.
-	ErrTooLarge = errors.Mark(errors.New("committer: record too large"), ErrNotExecuted)
+	// ErrFull tells that every segment is within retention. It comes with ErrNotExecuted.
+	ErrFull = errors.New("committer: shard is full")
+	// ErrTooLarge tells that a record exceeds the room of its segment. It comes
+	// with ErrNotExecuted.
+	ErrTooLarge = errors.New("committer: record too large")
 )
 
 // Change is a change of one record.
--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 
@@ -69,7 +70,7 @@
 	t.Logf("%d changes by two writers: %+v", 2*each, e.Counts())
 }
 
-// TestRefused guards against a refusal that is mistaken for a failed write.
+// TestRefused guards against outcomes that are mistaken for one another.
 func TestRefused(t *testing.T) {
 	e := storeemulator.New()
 	c := newTest(e.Store(), clock.NewManual(0), Options{Instance: "i"})
@@ -82,6 +83,16 @@
 	if got := e.Counts().Writes; got != 0 {
 		t.Errorf("got %d writes, want 0", got)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = c.Submit(ctx, "s", "k", refuse)
+	if !errors.Is(err, ErrNotExecuted) || errors.IsAny(err, ErrFull, ErrTooLarge, ErrRefused, ErrUnknown) {
+		t.Errorf("ended context: got %v, want ErrNotExecuted only", err)
+	}
+	_, err = c.Submit(context.Background(), "s", "k", set(strings.Repeat("x", c.options.MaxBytes)))
+	if !errors.Is(err, ErrTooLarge) || !errors.Is(err, ErrNotExecuted) || errors.Is(err, ErrFull) {
+		t.Errorf("large record: got %v, want ErrTooLarge and ErrNotExecuted", err)
+	}
 }
 
 // TestSegments guards against objects above the bound, against a record that is
--- a/committer/ring.go
+++ b/committer/ring.go
@@ -81,6 +81,9 @@
 	group.SetLimit(l.committer.options.LoadReads)
 	for i := range n {
 		group.Go(func() error {
+			if ctx.Err() != nil {
+				return ctx.Err() // another read has failed
+			}
 			c, _, err := l.read(ctx, i)
 			if c.doc.Sealed {
 				g.slots[i] = slot{known: true, number: c.doc.Number, keys: c.doc.keys()}
@@ -159,6 +162,7 @@
 		return c, nil
 	}
 	if found && c.doc.Number+l.segments() != number {
+		l.ring = nil
 		return cached{}, errStale
 	}
 	elapsed := sealed.doc.Elapsed + l.committer.clock.Now() - sealed.seenAt
--- a/committer/round.go
+++ b/committer/round.go
@@ -45,7 +45,6 @@
 		l.ring = g
 	}
 	if err := l.advance(ctx); err != nil {
-		l.ring = nil
 		return err
 	}
 	number := l.target(waiting[0])
@@ -114,9 +113,8 @@
 		l.settle(answers, nil)
 		return nil
 	}
-	delete(l.ring.docs, number)
-	if next.Serial == 1 {
-		l.ring = nil
+	if verdict != unavailable {
+		delete(l.ring.docs, number)
 	}
 	if verdict == undecided {
 		l.settle(writing(answers), errors.Mark(err, ErrUnknown))
@@ -154,7 +152,7 @@
 	case value == nil || ok && bytes.Equal(value, old.Value):
 		d.answer(r, old.Value, nil)
 	case !ok && d.full:
-		d.answer(r, nil, ErrFull)
+		d.answer(r, nil, errors.Mark(ErrFull, ErrNotExecuted))
 	default:
 		d.put(r, old, ok, record{Value: value, Reserve: r.change.Reserve})
 	}
@@ -172,7 +170,7 @@
 		d.Sealed, d.SealedAt = true, d.Elapsed
 		d.changed = true
 	case d.load+growth > d.options.MaxBytes-fixedBytes:
-		d.answer(r, nil, ErrTooLarge)
+		d.answer(r, nil, errors.Mark(ErrTooLarge, ErrNotExecuted))
 	default:
 		d.load += growth
 		d.Records[r.key] = grown
