--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -128,6 +128,9 @@
 func (c *Claimer) CommitLocal(ctx context.Context, shard, key string, change []byte) ([]byte, error) {
 	apply := func(old []byte) ([]byte, error) { return Apply(old, change) }
 	reserve := c.AnswerBytes + recordOverhead
+	if final(change) {
+		reserve = 0
+	}
 	return c.committer.Submit(ctx, shard, key, committer.Change{Apply: apply, Reserve: reserve})
 }
 
@@ -157,6 +160,9 @@
 		return claim{}, err
 	}
 	var r claim
+	if len(value) == 0 {
+		return r, nil // no record: the claim is past retention
+	}
 	if err := cbor.Unmarshal(value, &r); err != nil {
 		return claim{}, errors.Mark(errors.Wrap(err, "claimer: decode claim"), committer.ErrUnknown)
 	}
