--- a/planner/planner.go
+++ b/planner/planner.go
@@ -1,6 +1,9 @@
 package planner
 
-import "math/rand/v2"
+import (
+	"math"
+	"math/rand/v2"
+)
 
 // The reasons of a plan.
 const (
@@ -234,23 +237,31 @@
 
 // cascade bounds the quality of "i, and j if the check fails": with pass rate s
 // it is s times the quality of passed answers plus 1-s times that of escalated
-// ones. It is linear in s, so its extremes are at the bounds of s.
+// ones. The three estimates are independent, so their deviations are added as
+// those of independent sub-Gaussian variables (Boucheron, Lugosi, Massart:
+// Concentration Inequalities, 2013, section 2.3).
 func (p Planner) cascade(t *Table, i, j int) option {
-	passLower, passUpper := t.First[i].Pass(p.Delta)
-	firstLower, firstUpper := t.First[i].Quality(p.Delta)
-	nextLower, nextUpper := t.Escalated[i*len(t.Version)+j].Quality(p.Delta)
-	mix := func(s, a, b float64) float64 { return s*a + (1-s)*b }
+	first, next := &t.First[i], &t.Escalated[i*len(t.Version)+j]
+	passLower, passUpper := first.Pass(p.Delta)
+	firstLower, firstUpper := first.Quality(p.Delta)
+	nextLower, nextUpper := next.Quality(p.Delta)
 	cost := func(s float64) float64 { return t.Cost[i] + t.CheckCost + (1-s)*t.Cost[j] }
-	return option{
-		Plan: Plan{
-			First: i, Second: j, Cost: cost(passLower),
-			Lower: min(mix(passLower, firstLower, nextLower), mix(passUpper, firstLower, nextLower)),
-		},
-		upper:    max(mix(passLower, firstUpper, nextUpper), mix(passUpper, firstUpper, nextUpper)),
-		cheapest: cost(passUpper),
+	o := option{Plan: Plan{First: i, Second: j, Cost: cost(passLower)}, cheapest: cost(passUpper)}
+	s := first.PassRate()
+	passed, escalated := first.Mean(), next.Mean()
+	mean := s*passed + (1-s)*escalated
+	gap := math.Abs(passed - escalated)
+	deviation := func(pass, first, next float64) float64 {
+		return math.Sqrt(square(pass*gap) + square(s*first) + square((1-s)*next))
 	}
+	pass := max(s-passLower, passUpper-s)
+	o.Lower = max(0, mean-deviation(pass, passed-firstLower, escalated-nextLower))
+	o.upper = min(1, mean+deviation(pass, firstUpper-passed, nextUpper-escalated))
+	return o
 }
 
+func square(x float64) float64 { return x * x }
+
 // best returns the permitted version of the highest prior, the dearer one at
 // equal priors, or -1.
 func (t *Table) best() int {
