--- a/planner/planner.go
+++ b/planner/planner.go
@@ -73,7 +73,8 @@
 
 // Plan returns the chain for one request. The result depends only on t and r.
 // If nothing is permitted, First is -1. Ratings are spent where they decide
-// something: on all explored answers, and on trial answers more than on others.
+// something: on all explored answers, and on trial answers and while the met quality
+// is not known to have room more than on others.
 func (p Planner) Plan(t *Table, r *rand.Rand) Plan {
 	if t.best() < 0 {
 		return Plan{First: -1, Second: -1, Reason: ReasonForbidden}
@@ -88,6 +89,7 @@
 	}
 	chosen.Rate = p.Rate / 2
 	if t.met <= t.Target {
+		chosen.Rate = min(1, 2*p.Rate)
 		return chosen
 	}
 	return p.explore(t, chosen, r)
