--- a/planner/planner.go
+++ b/planner/planner.go
@@ -27,6 +27,7 @@
 // Planner holds the parameters. Use Default and change fields as needed.
 type Planner struct {
 	Delta      float64 // error probability of each bound
+	PoolDelta  float64 // the same over all workspaces together, which only guides exploration
 	MaxExplore float64 // largest share of requests spent on exploration
 	MaxTrial   float64 // the same for a chain that is proven over all workspaces together
 	Rate       float64 // share of all answers that the rating service can take, roughly
@@ -38,7 +39,7 @@
 
 // Default returns the usual parameters.
 func Default() Planner {
-	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.8, Rate: 0.2, Shortfall: 0.05}
+	return Planner{Delta: 0.05, PoolDelta: 0.3, MaxExplore: 0.1, MaxTrial: 0.8, Rate: 0.2, Shortfall: 0.05}
 }
 
 // Plan is a chain: the index of the first version and that of the version
@@ -198,13 +199,15 @@
 // options returns every permitted chain with its bounds.
 func (p Planner) options(t *Table) []option {
 	var all []option
+	pool := p
+	pool.Delta = p.PoolDelta
 	for i := range t.Version {
 		if !t.Permitted[i] {
 			continue
 		}
 		o := p.single(t, i)
 		if t.Pooled != nil {
-			o = p.pool(t, o, p.single(t.Pooled, i))
+			o = p.guide(t, o, pool.single(t.Pooled, i))
 		}
 		all = append(all, o)
 		if !t.HasCheck {
@@ -216,7 +219,7 @@
 			}
 			o := p.cascade(t, i, j)
 			if t.Pooled != nil {
-				o = p.pool(t, o, p.cascade(t.Pooled, i, j))
+				o = p.guide(t, o, pool.cascade(t.Pooled, i, j))
 			}
 			all = append(all, o)
 		}
@@ -224,8 +227,8 @@
 	return all
 }
 
-// pool adds to o what is known of the chain over all workspaces together.
-func (p Planner) pool(t *Table, o, pooled option) option {
+// guide adds to o what is known of the chain over all workspaces together.
+func (p Planner) guide(t *Table, o, pooled option) option {
 	o.pooled = pooled.Lower
 	o.hopeless = pooled.upper < t.Target-p.Shortfall
 	return o
