--- a/experimenter/cascade.go
+++ b/experimenter/cascade.go
@@ -54,10 +54,11 @@
 // cascadeWorkspaces are the shares of the requests and the target qualities.
 var cascadeWorkspaces = []struct {
 	share, target float64
-	versions      int // first of the permitted versions
+	versions      int     // first of the permitted versions
+	harder        float64 // added to the difficulty of its requests
 }{
-	{0.3, 0.80, 0}, {0.2, 0.82, 0}, {0.15, 0.84, 0}, {0.1, 0.80, 0}, {0.07, 0.85, 0},
-	{0.06, 0.78, 0}, {0.04, 0.82, 1}, {0.03, 0.80, 0}, {0.03, 0.84, 0}, {0.02, 0.80, 0},
+	{0.3, 0.80, 0, 0}, {0.2, 0.82, 0, 0}, {0.15, 0.84, 0, 0}, {0.1, 0.80, 0, 0.15}, {0.07, 0.85, 0, 0},
+	{0.06, 0.78, 0, 0}, {0.04, 0.82, 1, 0}, {0.03, 0.80, 0, 0.15}, {0.03, 0.84, 0, 0}, {0.02, 0.80, 0, 0.15},
 }
 
 // Cascade returns the experiment on the cost at the target quality. Nine
@@ -94,7 +95,7 @@
 			break
 		}
 	}
-	d := beta(r, cascadeKinds[q.kind].a, cascadeKinds[q.kind].b)
+	d := beta(r, cascadeKinds[q.kind].a, cascadeKinds[q.kind].b) + cascadeWorkspaces[q.workspace].harder
 	for _, m := range cascadeModels {
 		quality := min(1, max(0, m.base-m.slope*d+cascadeAnswerNoise*r.NormFloat64()))
 		q.quality = append(q.quality, quality)
@@ -332,6 +333,7 @@
 	planned := result.Rows[2].Values
 	result.Targets = []Target{
 		{Name: "cost_share_of_always_best", Got: planned[1], Limit: 0.4},
+		{Name: "steady_cost_share_of_always_best", Got: planned[2], Limit: 0.4},
 		{Name: "workspaces_below_target", Got: planned[4], Limit: 0},
 		{Name: "cost_share_of_fixed_cascade", Got: planned[0] / result.Rows[1].Values[0], Limit: 1},
 	}
