--- a/experimenter/cascade.go
+++ b/experimenter/cascade.go
@@ -26,6 +26,7 @@
 	cascadeCheckNoise  = 0.05
 	cascadeThreshold   = 0.75 // quality at which the check passes
 	cascadeAnswerNoise = 0.08
+	cascadeKnown       = 300000 // requests from which the planner with known qualities learns
 )
 
 // cascadeModels are the versions, the cheapest first. The quality of an answer
@@ -64,7 +65,8 @@
 // Cascade returns the experiment on the cost at the target quality. Nine
 // instances share counts by gossip; ratings cover a sample, arrive late and are
 // lost at times. The baselines are always the best version, and a fixed cascade
-// from the cheapest permitted version to the best.
+// from the cheapest permitted version to the best. The row known_qualities is the
+// planner with nearly exact means of all chains, which no learning can beat.
 func Cascade() Experiment {
 	return Experiment{
 		Name:    "cascade",
@@ -196,22 +198,27 @@
 	}
 	for i := range cascadeInstances {
 		c.raters = append(c.raters, rater.New(fmt.Sprintf("i%d", i), 1, cascadeHalfLife, cascadeCells))
-		var tables []planner.Table
-		for _, w := range cascadeWorkspaces {
-			for range cascadeKinds {
-				t := planner.Table{HasCheck: true, CheckCost: cascadeCheckCost, Target: w.target}
-				for v, m := range cascadeModels {
-					t.Version = append(t.Version, m.version)
-					t.Permitted = append(t.Permitted, v >= w.versions)
-					t.Cost = append(t.Cost, m.cost)
-					t.Prior = append(t.Prior, m.base)
-				}
-				tables = append(tables, t)
+		c.tables = append(c.tables, newCascadeTables())
+	}
+	return c
+}
+
+// newCascadeTables returns a table without counts for each workspace and kind.
+func newCascadeTables() []planner.Table {
+	var tables []planner.Table
+	for _, w := range cascadeWorkspaces {
+		for range cascadeKinds {
+			t := planner.Table{HasCheck: true, CheckCost: cascadeCheckCost, Target: w.target}
+			for v, m := range cascadeModels {
+				t.Version = append(t.Version, m.version)
+				t.Permitted = append(t.Permitted, v >= w.versions)
+				t.Cost = append(t.Cost, m.cost)
+				t.Prior = append(t.Prior, m.base)
 			}
+			tables = append(tables, t)
 		}
-		c.tables = append(c.tables, tables)
 	}
-	return c
+	return tables
 }
 
 // tick handles what is due before the requests of the tick.
@@ -288,18 +295,58 @@
 	}
 }
 
+// knownTables returns tables whose bounds are close to the true means.
+func knownTables(r *rand.Rand, p planner.Planner) []planner.Table {
+	tables := newCascadeTables()
+	n := len(cascadeModels)
+	for i := range tables {
+		t := &tables[i]
+		t.Only, t.First = make([]rater.Estimate, n), make([]rater.Estimate, n)
+		t.Escalated = make([]rater.Estimate, n*n)
+	}
+	for range cascadeKnown {
+		q := drawCascadeRequest(r)
+		t := &tables[q.workspace*len(cascadeKinds)+q.kind]
+		for i, x := range q.quality {
+			one := rater.Estimate{Rated: 1, Sum: x, Squares: x * x}
+			t.Only[i] = t.Only[i].Plus(one)
+			if q.passes[i] {
+				one.Passed = 1
+				t.First[i] = t.First[i].Plus(one)
+				continue
+			}
+			t.First[i].Failed++
+			for j, y := range q.quality {
+				e := &t.Escalated[i*n+j]
+				*e = e.Plus(rater.Estimate{Rated: 1, Sum: y, Squares: y * y})
+			}
+		}
+	}
+	for i := range tables {
+		for _, list := range [][]rater.Estimate{tables[i].Only, tables[i].First, tables[i].Escalated} {
+			for k := range list {
+				list[k] = list[k].Scale(1000)
+			}
+		}
+		tables[i] = p.Prepare(tables[i])
+	}
+	return tables
+}
+
 func runCascade(seed uint64) Result {
 	r, run := rand.New(rand.NewPCG(seed, 20)), newCascadeRun(seed)
+	choices := rand.New(rand.NewPCG(seed, 23))
+	known := knownTables(rand.New(rand.NewPCG(seed, 22)), run.planner)
 	best := len(cascadeModels) - 1
-	names := []string{"always_best", "fixed_cascade", "planner"}
-	var all, steady [3]*cascadeMeter
+	names := []string{"always_best", "fixed_cascade", "planner", "known_qualities"}
+	var all, steady [4]*cascadeMeter
 	for i := range all {
 		all[i], steady[i] = newCascadeMeter(), newCascadeMeter()
 	}
 	result := Result{
 		Columns: []string{"cost_per_request", "cost_share", "steady_cost_share", "paid_twice_share",
 			"workspaces_below", "least_margin", "rated_share"},
-		XAxis: "minutes", YAxis: "cost per request", Curves: []Curve{{}, {}, {}},
+		XAxis: "minutes", YAxis: "cost per request", Curves: make([]Curve, len(names)),
 	}
 	for now := clock.Millis(0); now < cascadeLength; now += cascadeTick {
 		run.tick(now)
@@ -308,6 +355,8 @@
 			run.request(&q, all[2], now)
 			all[0].serve(&q, best, -1)
 			all[1].serve(&q, cascadeWorkspaces[q.workspace].versions, best)
+			plan := run.planner.Plan(&known[q.workspace*len(cascadeKinds)+q.kind], choices)
+			all[3].serve(&q, plan.First, plan.Second)
 		}
 		if now == cascadeSteady {
 			for i := range all {
@@ -323,7 +372,7 @@
 			}
 		}
 	}
-	asked := [3]float64{2: run.asked}
+	asked := [4]float64{2: run.asked}
 	for i, m := range all {
 		below, margin := m.below()
 		steadyShare := (m.cost - steady[i].cost) / (all[0].cost - steady[0].cost)
