--- a/picker/hints.go
+++ b/picker/hints.go
@@ -48,6 +48,19 @@
 	h.prefix[slot], h.endpoint[slot], h.at[slot] = prefix, e, now
 }
 
+// adopt copies the entries of an older table; place holds the new index of each
+// endpoint, or noEndpoint.
+func (h *hints) adopt(old *hints, place []int32) {
+	for i, e := range old.endpoint {
+		if e != noEndpoint && place[e] != noEndpoint {
+			h.put(old.prefix[i], place[e], old.at[i])
+		}
+	}
+	if len(h.pairs) == len(old.pairs) {
+		copy(h.pairs, old.pairs)
+	}
+}
+
 func (h *hints) remove(prefix uint64, e int32) {
 	first := h.set(prefix)
 	for i := first; i < first+hintWays; i++ {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -152,8 +152,17 @@
 	table.Sent(0)
 	table.Report(0, 5, 1500, 2000)
 	table.Report(0, 9, 1200, 2000)
-	newer := warmTable(2, 1)
+	table.Cached(8, 1, 2000)
+	newer := warmTable(3, 1)
+	newer.ID[1], newer.ID[2] = newer.ID[2], newer.ID[1] // the endpoint has another index now
+	newer.hash[1], newer.hash[2] = newer.hash[2], newer.hash[1]
 	newer.Adopt(table)
+	p, q := Default(), Query{Now: 2000, Prompt: 1000, Prefix: []uint64{8}, Tokens: []int32{1000}}
+	for seed := range uint64(20) {
+		if got, _ := p.Pick(newer, &q, rand.New(rand.NewPCG(seed, 2))); got != 2 {
+			t.Errorf("got endpoint %d, want 2, which holds the prefix", got)
+		}
+	}
 	if got, _ := newer.estimate(0, 0, 1500, 0.001); got != 6 {
 		t.Errorf("got estimated load %v, want 6 (5 reported, half of 2 sent)", got)
 	}
--- a/picker/table.go
+++ b/picker/table.go
@@ -111,8 +111,8 @@
 	return t.serves[e*t.words+v/wordBits]&(1<<(v%wordBits)) != 0
 }
 
-// Adopt copies state, loads, permits and requests in flight from an older table
-// for the endpoints that both hold. Hints are not copied.
+// Adopt copies state, loads, permits, requests in flight and hints from an older
+// table for the endpoints that both hold.
 func (t *Table) Adopt(old *Table) {
 	index := make(map[string]int, len(old.ID))
 	for o, id := range old.ID {
@@ -126,6 +126,16 @@
 		t.State[e], t.Permit[e], t.InFlight[e] = old.State[o], old.Permit[o], old.InFlight[o]
 		t.reported[e], t.reportedAt[e], t.change[e] = old.reported[o], old.reportedAt[o], old.change[o]
 	}
+	place := make([]int32, len(old.ID))
+	for o := range place {
+		place[o] = noEndpoint
+	}
+	for e, id := range t.ID {
+		if o, ok := index[id]; ok {
+			place[o] = int32(e)
+		}
+	}
+	t.hints.adopt(&old.hints, place)
 }
 
 // Sent counts a request of this instance that starts at e.
@@ -140,7 +150,8 @@
 	t.change[e]--
 }
 
-// Report adopts a load, in requests, that e measured at the instant at. Of the
+// Report adopts a load, in requests, that e measured at the instant at, by the
+// clock of this instance. Of the
 // requests sent since the earlier report, the part that falls after at is kept,
 // as if they were sent evenly. Reports that are not newer are ignored.
 func (t *Table) Report(e int, load float64, at, now clock.Millis) {
