--- /dev/null
+++ b/experimenter/decisions_test.go
@@ -0,0 +1,39 @@
+package experimenter
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// Guards against results that differ between runs with the same seed.
+func TestExperimentsRepeat(t *testing.T) {
+	cost := func() [2]float64 {
+		r, run, m := rand.New(rand.NewPCG(1, 2)), newCascadeRun(1), newCascadeMeter()
+		for now := clock.Millis(0); now < 3*clock.Minute; now += cascadeTick {
+			run.tick(now)
+			for range cascadeRate {
+				q := drawCascadeRequest(r)
+				run.request(&q, m, now)
+			}
+		}
+		return [2]float64{m.cost, run.asked}
+	}
+	if got, want := cost(), cost(); got != want {
+		t.Errorf("cascade: got cost and ratings %v, want %v", got, want)
+	}
+	stop := func() rolloutOutcome { return newRolloutRun(rolloutCases[2], 1, 1).run() }
+	if got, want := stop(), stop(); got != want || !got.stopped {
+		t.Errorf("rollout: got %+v, want %+v, stopped", got, want)
+	}
+	trace := newTrace(1, 0.02)
+	first := func() float64 {
+		c := newChoiceRun(trace, chooseLeast, 1)
+		c.run()
+		return c.first.Mean()
+	}
+	if got, want := first(), first(); got != want || got == 0 {
+		t.Errorf("endpoint_choice: got mean %v, want %v", got, want)
+	}
+}
--- a/rater/cell.go
+++ b/rater/cell.go
@@ -33,6 +33,12 @@
 	return changed
 }
 
+func (c *counts) add(o counts) {
+	for i, v := range o {
+		c[i] += v
+	}
+}
+
 // valid reports whether the counters fit together. Counts of more than 2^40
 // would need centuries of requests.
 func (c *counts) valid() bool {
--- a/rater/rater.go
+++ b/rater/rater.go
@@ -123,13 +123,23 @@
 	return len(r.order)
 }
 
-// Estimate returns the aged counts of one key.
+// Estimate returns the aged counts of one key. It adds whole numbers by bucket
+// first, so that the result does not depend on the order of the cells.
 func (r *Rater) Estimate(k Key, now clock.Millis) Estimate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var e Estimate
+	var buckets [bucketsKept + 1]counts
+	floor := r.floor(now)
 	for o, c := range r.keys[k] {
-		e = e.Plus(c.counts.weighted(r.weight(o.bucket, now)))
+		if i := o.bucket - floor; i >= 0 && i < int64(len(buckets)) {
+			buckets[i].add(c.counts)
+		}
+	}
+	var e Estimate
+	for i := range buckets {
+		if buckets[i] != (counts{}) {
+			e = e.Plus(buckets[i].weighted(r.weight(floor+int64(i), now)))
+		}
 	}
 	return e
 }
@@ -141,17 +151,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	first := max(r.bucket(since), r.floor(now))
-	totals := make([]Estimate, max(0, r.bucket(now)-first+1))
+	sums := make([]counts, max(0, r.bucket(now)-first+1))
 	for k, cells := range r.keys {
 		if !match(k) {
 			continue
 		}
 		for o, c := range cells {
-			if i := o.bucket - first; i >= 0 && i < int64(len(totals)) {
-				totals[i] = totals[i].Plus(c.counts.weighted(1))
+			if i := o.bucket - first; i >= 0 && i < int64(len(sums)) {
+				sums[i].add(c.counts)
 			}
 		}
 	}
+	totals := make([]Estimate, len(sums))
+	for i := range sums {
+		totals[i] = sums[i].weighted(1)
+	}
 	return totals
 }
 
