--- a/planner/planner.go
+++ b/planner/planner.go
@@ -1,6 +1,9 @@
 package planner
 
-import "math/rand/v2"
+import (
+	"math"
+	"math/rand/v2"
+)
 
 // The reasons of a plan.
 const (
@@ -24,6 +27,7 @@
 // Planner holds the parameters. Use Default and change fields as needed.
 type Planner struct {
 	Delta      float64 // error probability of each bound
+	PoolDelta  float64 // the same over all workspaces together, which only guides exploration
 	MaxExplore float64 // largest share of requests spent on exploration
 	MaxTrial   float64 // the same for a chain that is proven over all workspaces together
 	Rate       float64 // share of all answers that the rating service can take, roughly
@@ -35,7 +39,7 @@
 
 // Default returns the usual parameters.
 func Default() Planner {
-	return Planner{Delta: 0.05, MaxExplore: 0.1, MaxTrial: 0.8, Rate: 0.2, Shortfall: 0.05}
+	return Planner{Delta: 0.05, PoolDelta: 0.3, MaxExplore: 0.1, MaxTrial: 0.8, Rate: 0.2, Shortfall: 0.05}
 }
 
 // Plan is a chain: the index of the first version and that of the version
@@ -70,7 +74,8 @@
 
 // Plan returns the chain for one request. The result depends only on t and r.
 // If nothing is permitted, First is -1. Ratings are spent where they decide
-// something: on all explored answers, and on trial answers more than on others.
+// something: on all explored answers, and on trial answers and while the met quality
+// is not known to have room more than on others.
 func (p Planner) Plan(t *Table, r *rand.Rand) Plan {
 	if t.best() < 0 {
 		return Plan{First: -1, Second: -1, Reason: ReasonForbidden}
@@ -85,6 +90,7 @@
 	}
 	chosen.Rate = p.Rate / 2
 	if t.met <= t.Target {
+		chosen.Rate = min(1, 2*p.Rate)
 		return chosen
 	}
 	return p.explore(t, chosen, r)
@@ -193,13 +199,15 @@
 // options returns every permitted chain with its bounds.
 func (p Planner) options(t *Table) []option {
 	var all []option
+	pool := p
+	pool.Delta = p.PoolDelta
 	for i := range t.Version {
 		if !t.Permitted[i] {
 			continue
 		}
 		o := p.single(t, i)
 		if t.Pooled != nil {
-			o = p.pool(t, o, p.single(t.Pooled, i))
+			o = p.guide(t, o, pool.single(t.Pooled, i))
 		}
 		all = append(all, o)
 		if !t.HasCheck {
@@ -211,7 +219,7 @@
 			}
 			o := p.cascade(t, i, j)
 			if t.Pooled != nil {
-				o = p.pool(t, o, p.cascade(t.Pooled, i, j))
+				o = p.guide(t, o, pool.cascade(t.Pooled, i, j))
 			}
 			all = append(all, o)
 		}
@@ -219,8 +227,8 @@
 	return all
 }
 
-// pool adds to o what is known of the chain over all workspaces together.
-func (p Planner) pool(t *Table, o, pooled option) option {
+// guide adds to o what is known of the chain over all workspaces together.
+func (p Planner) guide(t *Table, o, pooled option) option {
 	o.pooled = pooled.Lower
 	o.hopeless = pooled.upper < t.Target-p.Shortfall
 	return o
@@ -234,23 +242,31 @@
 
 // cascade bounds the quality of "i, and j if the check fails": with pass rate s
 // it is s times the quality of passed answers plus 1-s times that of escalated
-// ones. It is linear in s, so its extremes are at the bounds of s.
+// ones. The three estimates are independent, so their deviations are added as
+// those of independent sub-Gaussian variables (Boucheron, Lugosi, Massart:
+// Concentration Inequalities, 2013, section 2.3).
 func (p Planner) cascade(t *Table, i, j int) option {
-	passLower, passUpper := t.First[i].Pass(p.Delta)
-	firstLower, firstUpper := t.First[i].Quality(p.Delta)
-	nextLower, nextUpper := t.Escalated[i*len(t.Version)+j].Quality(p.Delta)
-	mix := func(s, a, b float64) float64 { return s*a + (1-s)*b }
+	first, next := &t.First[i], &t.Escalated[i*len(t.Version)+j]
+	passLower, passUpper := first.Pass(p.Delta)
+	firstLower, firstUpper := first.Quality(p.Delta)
+	nextLower, nextUpper := next.Quality(p.Delta)
 	cost := func(s float64) float64 { return t.Cost[i] + t.CheckCost + (1-s)*t.Cost[j] }
-	return option{
-		Plan: Plan{
-			First: i, Second: j, Cost: cost(passLower),
-			Lower: min(mix(passLower, firstLower, nextLower), mix(passUpper, firstLower, nextLower)),
-		},
-		upper:    max(mix(passLower, firstUpper, nextUpper), mix(passUpper, firstUpper, nextUpper)),
-		cheapest: cost(passUpper),
+	o := option{Plan: Plan{First: i, Second: j, Cost: cost(passLower)}, cheapest: cost(passUpper)}
+	s := first.PassRate()
+	passed, escalated := first.Mean(), next.Mean()
+	mean := s*passed + (1-s)*escalated
+	gap := math.Abs(passed - escalated)
+	deviation := func(pass, first, next float64) float64 {
+		return math.Sqrt(square(pass*gap) + square(s*first) + square((1-s)*next))
 	}
+	pass := max(s-passLower, passUpper-s)
+	o.Lower = max(0, mean-deviation(pass, passed-firstLower, escalated-nextLower))
+	o.upper = min(1, mean+deviation(pass, firstUpper-passed, nextUpper-escalated))
+	return o
 }
 
+func square(x float64) float64 { return x * x }
+
 // best returns the permitted version of the highest prior, the dearer one at
 // equal priors, or -1.
 func (t *Table) best() int {
