permitter: let departed members report, keep cold marks for an hour

An assignment written from an incomplete view made every new granter wait for Quiet(), although the missing members were alive and could report.

--- a/permitter/assignment.go
+++ b/permitter/assignment.go
@@ -15,7 +15,8 @@
 	// Awaiting lists the members of the earlier epochs that may still be in use.
 	// The assignment is settled when it is empty.
 	Awaiting [][]string `json:"awaiting,omitempty"`
-	// Departed lists the former members whose requests may still be running.
+	// Departed lists the former members whose requests may still be running. One
+	// that is alive, because the writer's view was incomplete, still gets permits.
 	Departed []string `json:"departed,omitempty"`
 }
 
@@ -41,7 +42,8 @@
 func (a Assignment) Settled() bool { return a.Epoch > 0 && len(a.Awaiting) == 0 }
 
 // Next returns the assignment that follows a. Members that are missing from
-// members depart; those in drained have no running requests.
+// members depart. Drained names those that have stopped for good and whose
+// requests have all ended.
 func (a Assignment) Next(writer string, members, drained []string) Assignment {
 	n := Assignment{Epoch: a.Epoch + 1, Writer: writer, Members: slices.Clone(members)}
 	slices.Sort(n.Members)
@@ -79,6 +81,9 @@
 	return n
 }
 
+// holders returns everyone who may have permits.
+func (a Assignment) holders() []string { return append(slices.Clone(a.Members), a.Departed...) }
+
 // newer reports whether a replaces b.
 func (a Assignment) newer(b Assignment) bool {
 	return a.Epoch > b.Epoch || a.Epoch == b.Epoch && a.Settled() && !b.Settled()
--- a/permitter/doc.go
+++ b/permitter/doc.go
@@ -44,8 +44,8 @@
 // and a majority and a half of the same members share one, so no granter of an
 // older epoch is confirmed afterwards. A new granter then waits until confirmations,
 // permits and work of the older epochs must have ended. It waits less if every
-// member has reported its running work under the new epoch and no member departed
-// without having drained.
+// member, and every departed one that has not drained, has reported its running
+// work under the new epoch.
 //
 // Given up: while the store is down, members that have lost contact with half
 // of the others get no new permits; they finish their work and use the permits
--- a/permitter/granter.go
+++ b/permitter/granter.go
@@ -27,6 +27,11 @@
 	at clock.Millis
 }
 
+// markLifetime is how long a granter remembers a sign of cold of a process for
+// which nothing is out. A member that missed the sign may until then report the
+// process as warm.
+const markLifetime = clock.Hour
+
 // keptAdoptions bounds the history in which a granter looks for the start of
 // its uninterrupted duty. A shorter history only makes it wait longer.
 const keptAdoptions = 32
@@ -102,7 +107,7 @@
 	if q.Epoch != a.Epoch || !a.Settled() || a.Granter(q.Endpoint) != g.member {
 		return Permit{}, false
 	}
-	if !slices.Contains(a.Members, q.Holder) {
+	if !slices.Contains(a.Members, q.Holder) && !slices.Contains(a.Departed, q.Holder) {
 		return Permit{}, false
 	}
 	l := g.ledger(q.Process)
@@ -123,7 +128,7 @@
 }
 
 // Cold records that a process is cold. A member that is not the granter now
-// keeps the mark until every permit from before it must have run out.
+// keeps the mark too.
 func (g *Granter) Cold(now clock.Millis, p Process) {
 	l := g.ledger(p)
 	l.used = now
@@ -151,7 +156,11 @@
 // Tick forgets the processes for which nothing is out and nobody asks.
 func (g *Granter) Tick(now clock.Millis) {
 	for p, l := range g.ledgers {
-		if l.others(now, "") == 0 && now >= l.used+g.options.Quiet() {
+		idle := g.options.Quiet()
+		if l.doubted {
+			idle = max(idle, markLifetime)
+		}
+		if l.others(now, "") == 0 && now >= l.used+idle {
 			delete(g.ledgers, p)
 		}
 	}
@@ -162,11 +171,7 @@
 	if now >= g.since(endpoint)+g.options.Quiet() {
 		return true
 	}
-	a := g.assignment()
-	if len(a.Departed) > 0 {
-		return false
-	}
-	for _, m := range a.Members {
+	for _, m := range g.assignment().holders() {
 		if !l.reported[m] {
 			return false
 		}
--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -327,6 +327,13 @@
 	if _, ok := h.Start(100, p); ok || g.Limit(p) != o.ColdLimit {
 		t.Errorf("after a sign of cold: start %v, limit %d, want false and %d", ok, g.Limit(p), o.ColdLimit)
 	}
+	later := 100 + o.Quiet()
+	g.Tick(later)
+	g.Confirm(later, a.Epoch)
+	g.Grant(later, Ask{Process: p, Holder: "a/1", Epoch: 1, Sequence: 1000, Want: 1, Held: Unlimited})
+	if got := g.Limit(p); got != o.ColdLimit {
+		t.Errorf("a member that missed the sign reports the process as warm: got limit %d, want %d", got, o.ColdLimit)
+	}
 }
 
 // TestLostAnswer guards against an assignment that is taken for unwritten, or
