--- a/experimenter/coldstart.go
+++ b/experimenter/coldstart.go
@@ -186,6 +186,11 @@
 	case 1, 2:
 		delay = clock.Millis(f.random.IntN(4000))
 	}
+	f.deliver(to, delay, run)
+}
+
+// deliver runs a function at a member, when it is awake.
+func (f *coldFleet) deliver(to *coldMember, delay clock.Millis, run func()) {
 	var deliver func()
 	deliver = func() {
 		if wait := to.paused - f.agenda.now; wait > 0 {
@@ -356,7 +361,7 @@
 		}
 	}
 	f.follow(p)
-	f.send(m, func() { m.holder.Finish(w, alive && !overloaded) })
+	f.deliver(m, 0, func() { m.holder.Finish(w, alive && !overloaded) })
 	if sign {
 		f.sign(m, w.Process)
 	}
--- a/permitter/holder.go
+++ b/permitter/holder.go
@@ -96,7 +96,8 @@
 	return !ok || now >= t.until || 2*(t.until-now) < h.options.lifetime(t.units)
 }
 
-// Start reports whether a request may start, and counts it. P names the process
+// Start reports whether a request may start, and counts it until Finish is
+// called. P names the process
 // that was seen on the connection which will carry the request.
 func (h *Holder) Start(now clock.Millis, p Process) (Work, bool) {
 	if h.Units(now, p) < 1 {
