--- a/experimenter/endpointfailure.go
+++ b/experimenter/endpointfailure.go
@@ -12,20 +12,20 @@
 	"rosemaryarch.example/rosemaryarch/scheduler"
 )
 
-// The endpoint failure experiment: nine instances and 20 endpoints with ten
+// The endpoint failure experiment: nine instances and 20 endpoints with four
 // slots each, at 80% of capacity. For 30 s, some endpoints refuse requests: five
 // of them all requests, or all of them 40%, which opens no circuit.
 const (
 	failureInstances = 9
 	failureEndpoints = 20
-	failureSlots     = 10
+	failureSlots     = 4
 	failureService   = 100 * clock.Millis(1)
 	failureRefusal   = 5 * clock.Millis(1) // time until a broken endpoint refuses
 	failurePatience  = clock.Second
 	failureLoad      = 0.8
 	failureWarmUp    = 5 * clock.Second
-	failureStart     = 15 * clock.Second
-	failureStop      = 45 * clock.Second
+	failureStart     = 20 * clock.Second
+	failureStop      = 50 * clock.Second
 	failureEnd       = 85 * clock.Second
 	failureRetries   = 3 // of the baseline
 )
