--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -21,6 +21,7 @@
 	Window       clock.Millis // length of the sliding window
 	MinRequests  int          // results in the window before the rate counts
 	ErrorRate    float64      // share of errors at which the circuit opens, in (0, 1]
+	Consecutive  int          // errors in a row that open the circuit, whatever the window holds
 	OpenFor      clock.Millis // length of the first opening; it doubles up to OpenMax
 	OpenMax      clock.Millis
 	Probes       int          // most probes at the same time
@@ -46,6 +47,7 @@
 	state      State
 	generation uint64 // increases with each change of state
 	window     window
+	failures   int            // in a row
 	until      clock.Millis   // end of the opening
 	openings   int            // openings since the circuit was last closed
 	probes     []clock.Millis // start of each running probe
@@ -55,7 +57,7 @@
 // New returns a breaker whose circuits are closed. It panics if an option is
 // not positive.
 func New(o Options, r *rand.Rand) *Breaker {
-	if min(o.Window, o.OpenFor, o.OpenMax, o.ProbeTimeout) < 1 || min(o.MinRequests, o.Probes, o.Successes) < 1 ||
+	if min(o.Window, o.OpenFor, o.OpenMax, o.ProbeTimeout) < 1 || min(o.MinRequests, o.Consecutive, o.Probes, o.Successes) < 1 ||
 		o.ErrorRate <= 0 || o.MaxShare <= 0 {
 		panic("breaker: every option must be positive")
 	}
@@ -108,8 +110,13 @@
 		return
 	}
 	c.window.add(now, b.options.Window, succeeded)
+	c.failures++
+	if succeeded {
+		c.failures = 0
+	}
 	total, failed := c.window.sum()
-	if total < b.options.MinRequests || float64(failed) < b.options.ErrorRate*float64(total) {
+	rate := total >= b.options.MinRequests && float64(failed) >= b.options.ErrorRate*float64(total)
+	if !rate && c.failures < b.options.Consecutive {
 		return
 	}
 	if float64(b.notClosed()+1) <= b.options.MaxShare*float64(len(b.circuits)) {
@@ -170,6 +177,7 @@
 	c.state = s
 	c.generation++
 	c.window = window{}
+	c.failures = 0
 	c.probes = nil
 	c.successes = 0
 }
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -8,7 +8,7 @@
 )
 
 var options = Options{
-	Window: 1000, MinRequests: 10, ErrorRate: 0.5, OpenFor: 1000, OpenMax: 4000, MaxShare: 1,
+	Window: 1000, MinRequests: 10, ErrorRate: 0.5, Consecutive: 9, OpenFor: 1000, OpenMax: 4000, MaxShare: 1,
 	Probes: 2, Successes: 3, ProbeTimeout: 500,
 }
 
@@ -34,7 +34,8 @@
 		"all fail":                {10, 10, Open},
 		"half fail":               {10, 5, Open},
 		"four of ten fail":        {10, 4, Closed},
-		"too few in the window":   {150, 10, Closed},
+		"too few in the window":   {150, 8, Closed},
+		"nine in a row":           {150, 9, Open},
 		"none fail":               {10, 0, Closed},
 		"just enough in a window": {90, 10, Open},
 	}
--- a/experimenter/endpointfailure.go
+++ b/experimenter/endpointfailure.go
@@ -31,7 +31,7 @@
 )
 
 var failureBreaker = breaker.Options{
-	Window: clock.Second, MinRequests: 10, ErrorRate: 0.5, OpenFor: clock.Second, OpenMax: 4 * clock.Second,
+	Window: clock.Second, MinRequests: 10, ErrorRate: 0.5, Consecutive: 5, OpenFor: clock.Second, OpenMax: 4 * clock.Second,
 	Probes: 1, Successes: 3, ProbeTimeout: 2 * clock.Second, MaxShare: 0.5,
 }
 
