experimenter: let instances send twice their part of the slots

Instances do not share unused slots, so a strict division refused requests that an idle slot could have served.

--- a/experimenter/endpointfailure.go
+++ b/experimenter/endpointfailure.go
@@ -16,18 +16,19 @@
 // slots each, at 80% of capacity. For 30 s, some endpoints refuse requests: five
 // of them all requests, or all of them 40%, which opens no circuit.
 const (
-	failureInstances = 9
-	failureEndpoints = 20
-	failureSlots     = 4
-	failureService   = 100 * clock.Millis(1)
-	failureRefusal   = 5 * clock.Millis(1) // time until a broken endpoint refuses
-	failurePatience  = clock.Second
-	failureLoad      = 0.8
-	failureWarmUp    = 5 * clock.Second
-	failureStart     = 20 * clock.Second
-	failureStop      = 50 * clock.Second
-	failureEnd       = 85 * clock.Second
-	failureRetries   = 3 // of the baseline
+	failureInstances  = 9
+	failureEndpoints  = 20
+	failureSlots      = 4
+	failureService    = 100 * clock.Millis(1)
+	failureRefusal    = 5 * clock.Millis(1) // time until a broken endpoint refuses
+	failurePatience   = clock.Second
+	failureLoad       = 0.8
+	failureWarmUp     = 5 * clock.Second
+	failureStart      = 20 * clock.Second
+	failureStop       = 50 * clock.Second
+	failureEnd        = 85 * clock.Second
+	failureRetries    = 3   // of the baseline
+	failureOvercommit = 200 // percent of the slots
 )
 
 var failureBreaker = breaker.Options{
@@ -159,9 +160,11 @@
 	return f
 }
 
-// share returns an instance's part of the slots of so many endpoints.
+// share returns the attempts that an instance may have under way. It exceeds its
+// part of the slots: the instances do not share their unused slots, and endpoints
+// queue what comes at once.
 func (f *failureFleet) share(endpoints int) int {
-	return max(endpoints*failureSlots/failureInstances, 1)
+	return max(failureOvercommit*endpoints*failureSlots/(100*failureInstances), 1)
 }
 
 func (f *failureFleet) run() {
