--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -64,7 +64,7 @@
 	confirmed clock.Millis    // instant of the last confirmation, 0 if none
 	joined    bool            // has been a member of a settled assignment
 	drained   []string
-	departed  map[string]clock.Millis // when each departed member was first seen as such
+	departed  map[string]clock.Millis // since when each departed member has been gone
 	keeper    keeper
 	open      sync.WaitGroup // asks under way
 }
@@ -249,12 +249,17 @@
 	return d
 }
 
-// grant answers the asks of a holder.
+// grant answers the asks of a holder. A member that is gone from this
+// instance's view gets no permits, so that its work ends with those it has.
 func (a *Allocator) grant(q asks) permits {
+	live := a.live()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var r permits
 	for _, ask := range q.Asks {
+		if _, here := live[ask.Holder]; !here {
+			continue
+		}
 		if p, ok := a.granter.Grant(a.clock.Now(), ask); ok {
 			r.Permits = append(r.Permits, p)
 		}
--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -48,6 +48,7 @@
 	if !slices.Equal(names, a.keeper.seen) {
 		a.keeper.seen, a.keeper.seenAt = names, now
 	}
+	a.noteDeparted(live)
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout.Duration())
 	defer cancel()
 	coordinator := coordinator(names)
@@ -124,25 +125,32 @@
 }
 
 // drainedMembers returns the members that have no running requests: those that
-// said so, and those that departed so long ago that all their work has ended.
+// said so, and those that departed and have been gone from the membership for
+// so long that all their work has ended.
 func (a *Allocator) drainedMembers() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	all := slices.Clone(a.drained)
 	for m, at := range a.departed {
-		if a.clock.Now() > at+a.options.Quiet() {
+		if a.clock.Now() > at+goneFactor*a.options.Quiet() {
 			all = append(all, m)
 		}
 	}
 	return all
 }
 
-// noteDeparted remembers since when the members of an assignment have departed.
-func (a *Allocator) noteDeparted(n permitter.Assignment) {
-	since := make(map[string]clock.Millis, len(n.Departed))
-	for _, m := range n.Departed {
+// goneFactor covers the time that the granters' views of the membership may
+// differ: they give no permits to members that are gone.
+const goneFactor = 2
+
+// noteDeparted remembers since when the departed members have been gone.
+func (a *Allocator) noteDeparted(live map[string]string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	since := map[string]clock.Millis{}
+	for _, m := range a.holder.Assignment().Departed {
 		at, known := a.departed[m]
-		if !known {
+		if _, here := live[m]; here || !known {
 			at = a.clock.Now()
 		}
 		since[m] = at
@@ -158,7 +166,6 @@
 	a.granter.Adopt(a.clock.Now(), n)
 	after := a.holder.Assignment()
 	if after.Epoch != before.Epoch {
-		a.noteDeparted(after)
 		a.confirmed = 0
 	}
 	a.joined = a.joined || after.Settled() && slices.Contains(after.Members, a.self)
