Admit requests by pool, with the workspaces' shares; late first tokens of busy endpoints are no sign of cold

At 250 requests a second the demonstration collapsed: queues made first tokens late, the endpoints were taken for cold and lost their permits, and the queues grew. A late first token now counts only if the endpoint has little work. The single queue ignored the workspaces' shares and let a full model delay all.

--- a/assembler/drain.go
+++ b/assembler/drain.go
@@ -85,7 +85,7 @@
 	defer t.Stop()
 	grace := i.settings.Limits.EntryLifetimeMS + graceMargin
 	for {
-		running, waiting := i.gate.Load()
+		running, waiting := i.admitter.Load()
 		if running+waiting == 0 && i.drain.closed(i.clock.Now(), grace) {
 			return true
 		}
--- a/assembler/endpoints.go
+++ b/assembler/endpoints.go
@@ -158,16 +158,23 @@
 
 const (
 	minSlots    = 4
-	slotsFactor = 1.5 // lets one instance use capacity that others leave unused
+	slotsFactor = 2 // lets one instance use capacity that others leave unused
 )
 
-// tickSlots sets how many requests this instance runs at once: its part of
-// what the endpoints can run.
+// tickSlots sets how many requests this instance runs at once in each pool: its
+// part of what the pool's endpoints can run.
 func (i *Instance) tickSlots(now clock.Millis) {
-	capacity := 0
+	capacity := map[string]int{}
+	f := i.policy.current().fleet
+	for _, m := range f.Models {
+		capacity[m.Name] = 0
+	}
 	for _, r := range i.tracker.Rows(now) {
-		if r.State == tracker.StateServing || r.State == tracker.StateCold {
-			capacity += r.Limit
+		if r.State != tracker.StateServing && r.State != tracker.StateCold {
+			continue
+		}
+		for _, pool := range r.Pools {
+			capacity[pool] += r.Limit
 		}
 	}
 	instances := 0
@@ -176,8 +183,12 @@
 			instances++
 		}
 	}
-	slots := int(slotsFactor * float64(capacity) / float64(max(instances, 1)))
-	i.gate.SetSlots(min(max(slots, minSlots), i.settings.Limits.MaxInFlight))
+	slots := map[string]int{}
+	for pool, n := range capacity {
+		part := int(slotsFactor * float64(n) / float64(max(instances, 1)))
+		slots[pool] = min(max(part, minSlots), i.settings.Limits.MaxInFlight)
+	}
+	i.admitter.SetSlots(slots)
 }
 
 // tickRecords merges the roll-out records with the stored ones. One instance
@@ -205,7 +216,7 @@
 		}
 	}
 	i.meter.Set("members_alive", float64(alive))
-	running, waiting := i.gate.Load()
+	running, waiting := i.admitter.Load()
 	i.meter.Set("requests_running", float64(running))
 	i.meter.Set("requests_waiting", float64(waiting))
 	states := map[string]int{}
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"rosemaryarch.example/rosemaryarch/admitter"
 	"rosemaryarch.example/rosemaryarch/allocator"
 	"rosemaryarch.example/rosemaryarch/biller"
 	"rosemaryarch.example/rosemaryarch/breaker"
@@ -38,7 +39,6 @@
 	"rosemaryarch.example/rosemaryarch/reviser"
 	"rosemaryarch.example/rosemaryarch/roller"
 	"rosemaryarch.example/rosemaryarch/router"
-	"rosemaryarch.example/rosemaryarch/scheduler"
 	"rosemaryarch.example/rosemaryarch/spreader"
 	"rosemaryarch.example/rosemaryarch/storer"
 	"rosemaryarch.example/rosemaryarch/supervisor"
@@ -103,7 +103,7 @@
 	buried     map[string]bool // members whose death the biller knows of
 
 	incarnations map[string]uint64 // the newest seen of each member
-	gate         *router.Gate
+	admitter     *admitter.Admitter
 	router       *router.Router
 	list         listclient.Client
 
@@ -190,9 +190,9 @@
 func (i *Instance) buildPolicy() {
 	i.rater = rater.New(i.settings.Instance, i.incarnation, i.options.HalfLife, maxCells)
 	i.supervisor = supervisor.New(i.store, i.rater, i.options.Roller(i.settings.Instance))
-	i.gate = router.NewGate(scheduler.New(scheduler.Options{
-		Slots: i.settings.Limits.MaxInFlight, InitialService: initialService,
-	}), i.settings.Limits.MaxQueued, i.clock.Now)
+	i.admitter = admitter.New(admitter.Options{
+		Now: i.clock.Now, MaxQueued: i.settings.Limits.MaxQueued, InitialSlots: minSlots, InitialService: initialService,
+	})
 }
 
 func (i *Instance) buildEndpoints() {
@@ -203,8 +203,8 @@
 			Cold: i.allocator.Cold, Wanted: i.allocator.Wanted,
 		},
 		Breaker: breaker.Options{
-			Window: 10 * clock.Second, MinRequests: 5, ErrorRate: 0.5, OpenFor: clock.Second,
-			OpenMax: 10 * clock.Second, Probes: 1, Successes: 2, ProbeTimeout: 10 * clock.Second, MaxShare: 0.5,
+			Window: clock.Second, MinRequests: 10, ErrorRate: 0.5, Consecutive: 5, OpenFor: clock.Second,
+			OpenMax: 4 * clock.Second, Probes: 1, Successes: 3, ProbeTimeout: 2 * clock.Second, MaxShare: 0.5,
 		},
 	})
 	i.prober = prober.New(prober.Options{
@@ -217,9 +217,9 @@
 	i.router = router.New(router.Options{
 		Now: i.clock.Now, View: i.view, Ready: i.ready, Engine: i.engine, Rate: i.rate,
 		Pinned: i.pinned, Pin: i.pin, Bill: i.bill, Once: i.once, Send: i.send, AttemptID: i.attemptID,
-		Gate: i.gate, Tracker: i.tracker, Rater: i.rater, Planner: planner.Default(),
+		Admit: i.admitter, Tracker: i.tracker, Rater: i.rater, Planner: planner.Default(),
 		Limiter: limiter.New(limiter.Options{
-			Share: 0.08, Burst: 20, Initial: 10, Keys: 512, Base: 20, Max: clock.Second,
+			Share: 0.08, Burst: 10, Initial: 2, Keys: 512, Base: 20, Max: clock.Second,
 		}),
 		Meter: i.meter, Random: i.seeded(2), Timing: i.options.Timing,
 	}, i.done)
@@ -338,7 +338,7 @@
 		{every: 50, run: i.tickGossip},
 		{every: 200, run: i.tickPolicy},
 		{every: 50, run: func(now clock.Millis) { i.tracker.Tick(now) }},
-		{every: 50, run: func(clock.Millis) { i.gate.Tick() }},
+		{every: 50, run: func(clock.Millis) { i.admitter.Tick() }},
 		{every: 100, run: i.tickProbes},
 		{every: 250, run: i.tickSlots},
 		{every: spreader.Interval, run: func(clock.Millis) { i.tickSpread(false) }},
--- a/assembler/policy.go
+++ b/assembler/policy.go
@@ -60,6 +60,11 @@
 		}
 	}
 	i.policy.config.Store(n)
+	weights := map[string]float64{}
+	for _, w := range f.Workspaces {
+		weights[w.Name] = w.Share
+	}
+	i.admitter.SetWeights(weights)
 	i.refreshView()
 	i.refreshEndpoints()
 	klog.Infof("assembler: revision %d is in force", o.Revision)
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/engineclient"
@@ -218,8 +219,7 @@
 
 // noteFirst looks at the first token for signs of a cold endpoint.
 func (u *run) noteFirst(took clock.Millis, result *tracker.Result) {
-	result.Cold = permitter.Late(took, u.model.FirstTokenMS, u.r.o.Timing.LateFactor)
-	result.Unusual = result.Cold
+	result.Late = permitter.Late(took, u.model.FirstTokenMS, u.r.o.Timing.LateFactor)
 }
 
 // cause returns why an exchange ended: the watch, the caller, or err.
@@ -244,13 +244,22 @@
 	}()
 }
 
+// longWait is how long a request waits for an endpoint before that is noted.
+const longWait = 2 * clock.Second
+
 // acquire waits until an endpoint has room, at most until the given instant.
 func (r *Router) acquire(ctx context.Context, w tracker.Want, until clock.Millis) (tracker.Slot, error) {
-	for {
+	began := r.o.Now()
+	for noted := false; ; {
 		slot, err := r.o.Tracker.Acquire(w, r.o.Now())
 		if err == nil {
 			return slot, nil
 		}
+		if !noted && r.o.Now() > began+longWait {
+			noted = true
+			r.o.Meter.Event("endpoint_wait_long")
+			klog.V(1).Infof("router: a request has waited %d ms for an endpoint: %v", longWait, err)
+		}
 		if r.o.Now()+r.o.Timing.Poll >= until {
 			return slot, err
 		}
--- a/router/call.go
+++ b/router/call.go
@@ -32,7 +32,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (c.Deadline - r.o.Now()).Duration())
 	defer cancel()
-	leave, err := r.o.Gate.Enter(ctx, scheduler.Item{
+	leave, err := r.o.Admit.Enter(ctx, s.Name, scheduler.Item{
 		ID: r.o.AttemptID(), Workspace: w.Name, Priority: w.Priority, Deadline: c.Deadline,
 	})
 	if err != nil {
--- a/router/chat.go
+++ b/router/chat.go
@@ -44,34 +44,30 @@
 	if err := r.o.Ready(); err != nil {
 		return Answer{}, err
 	}
-	w, _, err := permission(r.o.View().Fleet, q.Workspace, q.Service, parser.KindModel)
+	v := r.o.View()
+	w, s, err := permission(v.Fleet, q.Workspace, q.Service, parser.KindModel)
 	if err != nil {
 		return Answer{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, (q.Deadline - r.o.Now()).Duration())
 	defer cancel()
-	leave, err := r.o.Gate.Enter(ctx, scheduler.Item{
-		ID: r.o.AttemptID(), Workspace: w.Name, Priority: w.Priority, Deadline: q.Deadline,
-	})
-	if err != nil {
-		return Answer{}, err
+	for {
+		answer, err := r.serve(ctx, v, w, s, q, sink)
+		if !errors.Is(err, errStale) {
+			return answer, err
+		}
+		r.o.Meter.Event("version_changed_while_waiting")
+		v = r.o.View()
+		if w, s, err = permission(v.Fleet, q.Workspace, q.Service, parser.KindModel); err != nil {
+			return Answer{}, err
+		}
 	}
-	answer, err := r.serve(ctx, q, sink)
-	leave(err == nil)
-	return answer, err
 }
 
-// serve runs an admitted request under the configuration in force now, which
-// may differ from the one when it arrived.
-func (r *Router) serve(ctx context.Context, q Request, sink Sink) (Answer, error) {
-	if err := r.o.Ready(); err != nil {
-		return Answer{}, err
-	}
-	v := r.o.View()
-	w, s, err := permission(v.Fleet, q.Workspace, q.Service, parser.KindModel)
-	if err != nil {
-		return Answer{}, err
-	}
+// serve chooses the versions for a request and runs them.
+func (r *Router) serve(
+	ctx context.Context, v View, w *parser.Workspace, s *parser.Service, q Request, sink Sink,
+) (Answer, error) {
 	c, err := r.chain(ctx, v, w, s, q)
 	if err != nil {
 		return Answer{}, err
@@ -87,7 +83,7 @@
 	return t.run(ctx)
 }
 
-// turn is one admitted request.
+// turn is one request with its chosen versions.
 type turn struct {
 	r    *Router
 	v    View
@@ -126,6 +122,8 @@
 	switch {
 	case errors.As(err, &refusal):
 		return refusal
+	case errors.Is(err, errStale):
+		return errStale
 	case errors.Is(err, context.DeadlineExceeded):
 		return refuser.ErrDeadline.WithRun(refuser.RunUnknown).WithMessage("the deadline passed during the answer")
 	default:
@@ -138,8 +136,8 @@
 func (t *turn) checkedStep(ctx context.Context) (*run, error) {
 	var held []string
 	u := t.newRun(t.c.versions[0], func(text string) error { held = append(held, text); return nil })
-	at := t.r.o.Now()
-	if err := t.generate(ctx, u, 0, at); err != nil {
+	at, err := t.generate(ctx, u, 0)
+	if err != nil {
 		if ctx.Err() != nil {
 			return nil, err
 		}
@@ -185,8 +183,7 @@
 		if hasOther {
 			u.patience = patience
 		}
-		at := t.r.o.Now()
-		err := t.generate(ctx, u, step, at)
+		at, err := t.generate(ctx, u, step)
 		if err == nil {
 			t.charge(u)
 			t.sample(u, step, at)
@@ -237,9 +234,25 @@
 	}
 }
 
-// generate runs one step and counts it for the version.
-func (t *turn) generate(ctx context.Context, u *run, step int, at clock.Millis) error {
-	err := u.answer(ctx)
+// errStale tells that the configuration no longer lets a version run that was
+// chosen before the request waited.
+var errStale = errors.New("router: the version may no longer be used")
+
+// generate waits for the pool of the step's model, runs the step there and
+// counts it for the version.
+func (t *turn) generate(ctx context.Context, u *run, step int) (at clock.Millis, err error) {
+	leave, err := t.r.o.Admit.Enter(ctx, u.model.Name, scheduler.Item{
+		ID: t.r.o.AttemptID(), Workspace: t.w.Name, Priority: t.w.Priority, Deadline: t.q.Deadline,
+	})
+	if err != nil {
+		return 0, err
+	}
+	defer func() { leave(err == nil) }()
+	if err = t.recheck(u.version); err != nil {
+		return 0, err
+	}
+	at = t.r.o.Now()
+	err = u.answer(ctx)
 	now := t.r.o.Now()
 	callerLeft := err != nil && ctx.Err() != nil
 	if !callerLeft && !errors.Is(err, refuser.ErrNoEndpoint) {
@@ -248,7 +261,23 @@
 	if err == nil {
 		t.r.learnDuration(u.version, now-at)
 	}
-	return err
+	return at, err
+}
+
+// recheck looks at the configuration again after a wait.
+func (t *turn) recheck(version string) error {
+	if err := t.r.o.Ready(); err != nil {
+		return err
+	}
+	v := t.r.o.View()
+	w, s, err := permission(v.Fleet, t.w.Name, t.s.Name, parser.KindModel)
+	if err != nil {
+		return err
+	}
+	if !v.usable(w, s, version) {
+		return errStale
+	}
+	return nil
 }
 
 // charge adds the price of a finished step. Repeated attempts after a failure
--- a/router/router.go
+++ b/router/router.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sync"
 
+	"rosemaryarch.example/rosemaryarch/admitter"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/engineclient"
 	"rosemaryarch.example/rosemaryarch/limiter"
@@ -64,7 +65,7 @@
 	// AttemptID returns an id that is never used again.
 	AttemptID func() string
 
-	Gate    *Gate
+	Admit   *admitter.Admitter
 	Tracker *tracker.Tracker
 	Rater   *rater.Rater
 	Planner planner.Planner
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,10 +49,10 @@
 
 // Result tells how a request ended at an endpoint.
 type Result struct {
-	Failed  bool // the endpoint failed; counts for the circuit breaker
-	Lost    bool // the connection failed, so that the process may have ended
-	Cold    bool // the endpoint showed a sign of being cold
-	Unusual bool // the request ended, but slower than usual
+	Failed bool // the endpoint failed; counts for the circuit breaker
+	Lost   bool // the connection failed, so that the process may have ended
+	Cold   bool // the endpoint refused because it is cold
+	Late   bool // the first token came far later than usual
 }
 
 // Permits are the calls that bound the work at cold endpoints.
@@ -90,6 +92,7 @@
 	versions []string
 	loadAt   clock.Millis
 	warm     bool // as its last report says
+	load     int  // requests that it has, as its last report says
 	// trustFrom is the instant from which on a report names the process that
 	// runs now; earlier ones may describe a process that has ended.
 	trustFrom clock.Millis
@@ -195,8 +198,8 @@
 	if now >= r.trustFrom {
 		r.restart, r.warm = l.RestartID, l.Warm
 	}
-	r.loadAt = now
-	if !equal(r.versions, l.Versions) {
+	r.loadAt, r.load = now, l.Running+l.Queued
+	if !slices.Equal(r.versions, l.Versions) {
 		r.versions = append([]string(nil), l.Versions...)
 		t.table.SetVersions(i, t.classIndices(r.versions))
 	}
@@ -387,8 +390,8 @@
 		// Requests earn a higher limit only once the endpoint itself says that it
 		// is warm; before that it would refuse what exceeds its cold limit.
 		warm := ok && t.rows[i].warm && t.rows[i].restart == s.work.Restart
-		t.o.Permits.Finish(s.work, warm && !r.Failed && !r.Cold && !r.Unusual)
-		if r.Cold {
+		t.o.Permits.Finish(s.work, warm && !r.Failed && !r.Cold && !r.Late)
+		if r.Cold || r.Late && ok && t.idle(i) {
 			t.o.Permits.Cold(s.work.Process)
 		}
 	}
@@ -405,10 +408,19 @@
 	t.refresh(i, now)
 }
 
+// idle reports whether an endpoint has so little work that its queue does not
+// explain a late first token.
+func (t *Tracker) idle(i int) bool {
+	const idleShare = 4
+	limit := t.table.Limit[i]
+	return t.rows[i].load*idleShare < int(limit) && t.table.InFlight[i]*idleShare < limit
+}
+
 // Row is the present state of one endpoint, for operators.
 type Row struct {
 	Endpoint
 	State    string
+	Pools    []string // the plain service, or the models of the loaded versions
 	InFlight int
 	Restart  string
 	LoadAge  clock.Millis // -1 if no report has come
@@ -421,7 +433,7 @@
 	var all []Row
 	for i, r := range t.rows {
 		row := Row{Endpoint: r.Endpoint, State: stateName(t.table.State[i]), Restart: r.restart, LoadAge: -1}
-		row.InFlight = int(t.table.InFlight[i])
+		row.InFlight, row.Pools = int(t.table.InFlight[i]), pools(r.versions)
 		if r.loadAt > 0 {
 			row.LoadAge = now - r.loadAt
 		}
@@ -430,6 +442,18 @@
 	return all
 }
 
+// pools returns the models of versions, each once; a plain service is its own pool.
+func pools(versions []string) []string {
+	var found []string
+	for _, v := range versions {
+		model, _, _ := strings.Cut(v, "@")
+		if !slices.Contains(found, model) {
+			found = append(found, model)
+		}
+	}
+	return found
+}
+
 // The states of an endpoint, as operators see them.
 const (
 	StateServing = "serving"
@@ -472,15 +496,3 @@
 	}
 	return all
 }
-
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
