--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -57,8 +57,9 @@
 // New returns a breaker whose circuits are closed. It panics if an option is
 // not positive.
 func New(o Options, r *rand.Rand) *Breaker {
-	if min(o.Window, o.OpenFor, o.OpenMax, o.ProbeTimeout) < 1 || min(o.MinRequests, o.Consecutive, o.Probes, o.Successes) < 1 ||
-		o.ErrorRate <= 0 || o.MaxShare <= 0 {
+	spans := min(o.Window, o.OpenFor, o.OpenMax, o.ProbeTimeout)
+	counts := min(o.MinRequests, o.Consecutive, o.Probes, o.Successes)
+	if spans < 1 || counts < 1 || min(o.ErrorRate, o.MaxShare) <= 0 {
 		panic("breaker: every option must be positive")
 	}
 	return &Breaker{options: o, random: r, circuits: map[string]*circuit{}}
