--- a/experimenter/coldstart.go
+++ b/experimenter/coldstart.go
@@ -257,12 +257,21 @@
 	}
 }
 
+// settle lets any member settle the assignment, as its writer may be paused.
 func (f *coldFleet) settle(m *coldMember) {
 	a := m.holder.Assignment()
-	if a.Epoch == 0 || a.Settled() || a.Writer != m.id {
+	n, ok := a.Settle(m.votes[a.Epoch])
+	if a.Epoch == 0 || a.Settled() || !ok {
 		return
 	}
-	if n, ok := a.Settle(m.votes[a.Epoch]); ok && m.registry.Save(context.Background(), n) == nil {
+	stored, err := m.registry.Load(context.Background())
+	if err != nil {
+		return
+	}
+	if stored.Epoch == a.Epoch && !stored.Settled() && m.registry.Save(context.Background(), n) != nil {
+		return
+	}
+	if stored.Epoch == a.Epoch {
 		f.adopt(m, n)
 	}
 }
