--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -119,3 +119,11 @@
 		t.Errorf("got %d open circuits of 5, want %d", got, want)
 	}
 }
+
+// BenchmarkRequest measures one request through a closed circuit.
+func BenchmarkRequest(b *testing.B) {
+	k := newBreaker()
+	for now := clock.Millis(0); b.Loop(); now++ {
+		send(k, now, true)
+	}
+}
--- a/experimenter/coldstart.go
+++ b/experimenter/coldstart.go
@@ -44,17 +44,6 @@
 	}
 }
 
-// coldProcess is one endpoint. Its limit follows the work that it has finished.
-type coldProcess struct {
-	name     string
-	restart  int
-	running  int
-	finished int // since it last became cold
-	above    clock.Millis
-	since    clock.Millis // since when it is above its limit, if it is
-	cold     clock.Millis // when it last became cold
-}
-
 type coldMember struct {
 	id       string
 	paused   clock.Millis // until then
@@ -276,36 +265,6 @@
 	}
 }
 
-func (p *coldProcess) id() permitter.Process {
-	return permitter.Process{Endpoint: p.name, Restart: fmt.Sprint(p.restart)}
-}
-
-// limit returns the concurrent requests that the process can handle.
-func (p *coldProcess) limit() int {
-	limit, finished := coldOptions.ColdLimit, p.finished
-	for finished >= coldOptions.StepWork*limit {
-		finished -= coldOptions.StepWork * limit
-		limit *= 2
-		if limit >= coldOptions.WarmLimit {
-			return permitter.Unlimited
-		}
-	}
-	return limit
-}
-
-// cool makes processes cold, by a restart that ends their work, or silently.
-func (f *coldFleet) cool(processes []*coldProcess, silent bool) {
-	for _, p := range processes {
-		f.follow(p)
-		p.finished, p.cold = 0, f.agenda.now
-		if !silent {
-			p.restart++
-			p.running = 0
-		}
-		f.follow(p)
-	}
-}
-
 func (f *coldFleet) arrive(m *coldMember) {
 	if m.paused > f.agenda.now {
 		return
@@ -422,18 +381,6 @@
 	m.granter.Tick(f.agenda.now)
 }
 
-// follow adds up the time for which a process is above its limit. It is called
-// before and after each change.
-func (f *coldFleet) follow(p *coldProcess) {
-	if p.since > 0 {
-		p.above += f.agenda.now - p.since
-		p.since = 0
-	}
-	if p.running > p.limit() {
-		p.since = f.agenda.now
-	}
-}
-
 func (f *coldFleet) sample() {
 	var most float64
 	for _, p := range f.processes {
--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -357,3 +357,15 @@
 		t.Error("confirm of an assignment that has been replaced: got nil, want a conflict")
 	}
 }
+
+// BenchmarkStart measures the permit check on the request path.
+func BenchmarkStart(b *testing.B) {
+	h := NewHolder("a/1", modelOptions)
+	p := Process{Endpoint: "fukuoka-17", Restart: "0f3a"}
+	q := h.Ask(0, p, 1)
+	h.Accept(0, Permit{Process: p, Holder: "a/1", Sequence: q.Sequence, Units: Unlimited, Lifetime: clock.Hour})
+	for b.Loop() {
+		w, _ := h.Start(1, p)
+		h.Finish(w, true)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,7 +14,7 @@
 
 // Item is one request that waits for a slot.
 type Item struct {
-	ID        string
+	ID        string // unique among the waiting and running requests
 	Workspace string
 	Priority  int          // higher values are served first within the workspace
 	Deadline  clock.Millis // the response must be complete by then
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -162,3 +162,17 @@
 		t.Errorf("got %q and expired %v, want low and the expired request", second.ID, expired)
 	}
 }
+
+// BenchmarkRequest measures one request through a scheduler with ten
+// workspaces, nine of which have requests waiting.
+func BenchmarkRequest(b *testing.B) {
+	s := New(Options{Slots: 1, InitialService: 1})
+	for n := range 900 {
+		_ = s.Enqueue(0, Item{ID: fmt.Sprint(n), Workspace: fmt.Sprint(n % 9), Deadline: clock.Hour})
+	}
+	for b.Loop() {
+		_ = s.Enqueue(0, Item{ID: "x", Workspace: "9", Deadline: clock.Hour})
+		i, _, _ := s.Next(0)
+		s.Done(0, i.ID, true)
+	}
+}
