permitter: return the epoch that a write has confirmed

A caller could pass an epoch to Granter.Confirm that is not the one which the registry holds, and so confirm an assignment that has been replaced.

--- a/permitter/model_test.go
+++ b/permitter/model_test.go
@@ -236,8 +236,8 @@
 func (m *model) maintain(b *member) {
 	asked, epoch := m.clock(b), b.holder.Assignment().Epoch
 	if m.random.IntN(4) == 0 && b.side == 0 && !m.down {
-		if b.registry.Confirm(context.Background()) == nil {
-			m.send(b, b, func() { b.granter.Confirm(asked, epoch) })
+		if confirmed, err := b.registry.Confirm(context.Background()); err == nil {
+			m.send(b, b, func() { b.granter.Confirm(asked, confirmed) })
 		} else if a, err := b.registry.Load(context.Background()); err == nil {
 			m.adopt(b, a)
 		}
--- a/permitter/permitter_test.go
+++ b/permitter/permitter_test.go
@@ -353,7 +353,7 @@
 		t.Error("lost answer and stale read: got nil, want an unknown outcome")
 	}
 	e.SetFaults(storeemulator.Faults{})
-	if err := r.Confirm(ctx); err == nil {
+	if _, err := r.Confirm(ctx); err == nil {
 		t.Error("confirm of an assignment that has been replaced: got nil, want a conflict")
 	}
 }
--- a/permitter/registry.go
+++ b/permitter/registry.go
@@ -18,13 +18,14 @@
 
 	version uint64
 	value   []byte
+	epoch   uint64
 }
 
 // Load reads the assignment. A missing object is the assignment of epoch 0.
 func (r *Registry) Load(ctx context.Context) (Assignment, error) {
 	o, err := r.Get(ctx, r.Key)
 	if errors.Is(err, storer.ErrNotFound) {
-		r.version, r.value = 0, nil
+		r.version, r.value, r.epoch = 0, nil, 0
 		return Assignment{}, nil
 	}
 	if err != nil {
@@ -34,7 +35,7 @@
 	if err := json.Unmarshal(o.Value, &a); err != nil {
 		return Assignment{}, errors.Wrap(err, "permitter: decode assignment")
 	}
-	r.version, r.value = o.Version, o.Value
+	r.version, r.value, r.epoch = o.Version, o.Value, a.Epoch
 	return a, nil
 }
 
@@ -51,7 +52,7 @@
 	expect := r.version
 	v, err := r.Put(ctx, r.Key, value, expect)
 	if err == nil {
-		r.version, r.value = v, value
+		r.version, r.value, r.epoch = v, value, a.Epoch
 		return nil
 	}
 	if !errors.Is(err, storer.ErrUnknown) {
@@ -68,14 +69,14 @@
 	return errors.Wrap(storer.ErrConflict, "permitter: write assignment")
 }
 
-// Confirm writes the loaded assignment again without a change. Success shows
-// that no other one was in force when Confirm was called. After an error, the
-// assignment must be loaded again.
-func (r *Registry) Confirm(ctx context.Context) error {
+// Confirm writes the loaded assignment again without a change, and returns its
+// epoch. Success shows that no other one was in force when Confirm was called.
+// After an error, the assignment must be loaded again.
+func (r *Registry) Confirm(ctx context.Context) (uint64, error) {
 	v, err := r.Put(ctx, r.Key, r.value, r.version)
 	if err != nil {
-		return errors.Wrap(err, "permitter: confirm assignment")
+		return 0, errors.Wrap(err, "permitter: confirm assignment")
 	}
 	r.version = v
-	return nil
+	return r.epoch, nil
 }
