--- a/planner/bench_test.go
+++ b/planner/bench_test.go
@@ -15,7 +15,7 @@
 		Version: []string{"small@1", "medium@1", "large@1"}, Permitted: []bool{true, true, true},
 		Cost: []float64{1, 4, 15}, Prior: []float64{0.7, 0.8, 0.9}, Only: []rater.Estimate{e, e, e},
 		First: []rater.Estimate{e, e, e}, Escalated: []rater.Estimate{e, e, e, e, e, e, e, e, e},
-		HasCheck: true, Target: 0.8, Met: rated(10000, 0.85, 0, 0),
+		HasCheck: true, Target: 0.8, Met: []rater.Estimate{rated(10000, 0.85, 0, 0)},
 	})
 	b.ReportAllocs()
 	for b.Loop() {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/rand/v2"
+
+	"rosemaryarch.example/rosemaryarch/rater"
 )
 
 // The reasons of a plan.
@@ -66,7 +68,7 @@
 // after its counts change, since the bounds take most of the time of a plan.
 func (p Planner) Prepare(t Table) Table {
 	t.options = p.options(&t)
-	t.met, _ = t.Met.Quality(p.Delta)
+	t.met = p.metQuality(t.Met)
 	t.chosen = cheapest(&t, t.best())
 	t.mixed, t.mixedShare = p.mix(&t)
 	return t
@@ -265,6 +267,23 @@
 	return o
 }
 
+// metQuality returns a lower bound of the mean quality of all answers. Chains are
+// rated at different rates, so each counts by its answers, not by its ratings. The
+// deviations are added as in cascade; an unrated chain counts as quality 0.
+func (p Planner) metQuality(chains []rater.Estimate) float64 {
+	var served, mean, variation float64
+	for _, e := range chains {
+		lower, _ := e.Quality(p.Delta)
+		served += e.Served
+		mean += e.Served * e.Mean()
+		variation += square(e.Served * (e.Mean() - lower))
+	}
+	if served <= 0 {
+		return 0
+	}
+	return max(0, (mean-math.Sqrt(variation))/served)
+}
+
 func square(x float64) float64 { return x * x }
 
 // best returns the permitted version of the highest prior, the dearer one at
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -27,7 +27,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(0, 4).Draw(t, "versions")
 		table := Table{HasCheck: rapid.Bool().Draw(t, "check"), Target: rapid.Float64Range(0, 1).Draw(t, "target"),
-			Met: drawEstimate(t)}
+			Met: []rater.Estimate{drawEstimate(t), drawEstimate(t)}}
 		for range n {
 			table.Version = append(table.Version, "m@1")
 			table.Permitted = append(table.Permitted, rapid.Bool().Draw(t, "permitted"))
@@ -63,7 +63,7 @@
 		if plan.Reason == ReasonBound && plan.Lower < table.Target {
 			t.Fatalf("got lower bound %v under the target %v", plan.Lower, table.Target)
 		}
-		if lower, _ := table.Met.Quality(p.Delta); lower <= table.Target &&
+		if lower := p.metQuality(table.Met); lower <= table.Target &&
 			(plan.Reason == ReasonExplore || plan.Reason == ReasonTrial) {
 			t.Fatalf("got exploration at met quality %v, target %v", lower, table.Target)
 		}
@@ -122,11 +122,26 @@
 	}
 }
 
+// Guards against a met quality in which chains count by their ratings: a rarely
+// rated poor chain that gives most answers must count by these.
+func TestMetQuality(t *testing.T) {
+	poor, good := rated(1000, 0.5, 0, 0), rated(1000, 0.9, 0, 0)
+	poor.Served = 9000
+	if got := Default().metQuality([]rater.Estimate{poor, good}); got < 0.5 || got > 0.54 {
+		t.Errorf("got met quality %v, want a bound close under 0.54", got)
+	}
+	if got := Default().metQuality(nil); got != 0 {
+		t.Errorf("got met quality %v without answers, want 0", got)
+	}
+}
+
 // Guards against a table that mixes workspaces, kinds or steps.
 func TestTableWith(t *testing.T) {
 	r := rater.New("a", 1, 1000, 100)
 	add := func(workspace, kind, version, from string, step uint8) {
-		r.Rate(rater.Key{Workspace: workspace, Kind: kind, Version: version, From: from, Step: step}, 0, 0, 0.5)
+		k := rater.Key{Workspace: workspace, Kind: kind, Version: version, From: from, Step: step}
+		r.Serve(k, 0, 0, false)
+		r.Rate(k, 0, 0, 0.5)
 	}
 	add("w", "k", "a", "", rater.StepOnly)
 	add("w", "k", "a", "", rater.StepFirst)
@@ -134,8 +149,8 @@
 	add("w", "other", "a", "", rater.StepOnly)
 	add("v", "k", "a", "", rater.StepOnly)
 	got := Table{Version: []string{"a", "b"}}.With(r, "w", "k", []string{"k", "other"}, 0)
-	if got.Only[0].Rated != 1 || got.First[0].Rated != 1 || got.Escalated[1].Rated != 1 || got.Met.Rated != 4 {
+	if got.Only[0].Rated != 1 || got.First[0].Rated != 1 || got.Escalated[1].Rated != 1 || len(got.Met) != 4 {
 		t.Errorf("got only %v, first %v, escalated %v, met %v, want 1, 1, 1, 4",
-			got.Only[0].Rated, got.First[0].Rated, got.Escalated[1].Rated, got.Met.Rated)
+			got.Only[0].Rated, got.First[0].Rated, got.Escalated[1].Rated, len(got.Met))
 	}
 }
--- a/planner/table.go
+++ b/planner/table.go
@@ -21,8 +21,8 @@
 
 	HasCheck  bool
 	CheckCost float64
-	Target    float64        // mean quality that the workspace needs, in [0, 1]
-	Met       rater.Estimate // ratings of everything the workspace received lately
+	Target    float64          // mean quality that the workspace needs, in [0, 1]
+	Met       []rater.Estimate // everything the workspace received lately, by kind and chain
 	// Pooled holds the counts over all workspaces, or is nil. It only guides
 	// exploration, since workspaces may differ.
 	Pooled *Table
@@ -40,13 +40,13 @@
 const AllWorkspaces = ""
 
 // With returns a copy of t whose counts are those of r for one workspace and
-// kind of request. Met is the sum over the kinds in all. Pooled is read from
+// kind of request. Met covers the kinds in all. Pooled is read from
 // AllWorkspaces.
 func (t Table) With(r *rater.Rater, workspace, kind string, all []string, now clock.Millis) Table {
 	pooled := t
 	pooled.read(r, AllWorkspaces, kind, now)
 	t.read(r, workspace, kind, now)
-	t.Met = rater.Estimate{}
+	t.Met = nil
 	for _, k := range all {
 		counts := t
 		if k != kind {
@@ -54,7 +54,9 @@
 		}
 		for _, list := range [][]rater.Estimate{counts.Only, counts.First, counts.Escalated} {
 			for _, e := range list {
-				t.Met = t.Met.Plus(e)
+				if e.Served > 0 {
+					t.Met = append(t.Met, e)
+				}
 			}
 		}
 	}
