Prepare a planner's table again if the permitted versions change

A withdrawal between Prepare and Plan left the withdrawn version in the prepared chains. The property test now also changes the permitted versions after Prepare and fails without the fix.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 
 	"rosemaryarch.example/rosemaryarch/rater"
 )
@@ -65,8 +66,10 @@
 }
 
 // Prepare returns a copy of t with the bounds of all chains. Prepare a table once
-// after its counts change, since the bounds take most of the time of a plan.
+// after its counts change, since the bounds take most of the time of a plan. The
+// time grows with the square of the number of versions.
 func (p Planner) Prepare(t Table) Table {
+	t.prepared = slices.Clone(t.Permitted)
 	t.options = p.options(&t)
 	t.met = p.metQuality(t.Met)
 	t.chosen = cheapest(&t, t.best())
@@ -74,15 +77,16 @@
 	return t
 }
 
-// Plan returns the chain for one request. The result depends only on t and r.
-// If nothing is permitted, First is -1. Ratings are spent where they decide
+// Plan returns the chain for one request. The result depends only on t and r. A
+// table that is not prepared, or of which Permitted has changed since, is prepared
+// for this plan. If nothing is permitted, First is -1. Ratings are spent where they decide
 // something: on all explored answers, and on trial answers and while the met quality
 // is not known to have room more than on others.
 func (p Planner) Plan(t *Table, r *rand.Rand) Plan {
 	if t.best() < 0 {
 		return Plan{First: -1, Second: -1, Reason: ReasonForbidden}
 	}
-	if t.options == nil {
+	if !slices.Equal(t.prepared, t.Permitted) {
 		prepared := p.Prepare(*t)
 		t = &prepared
 	}
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -21,46 +22,53 @@
 	return rated(n, rapid.Float64Range(0, 1).Draw(t, "quality"), passed, failed)
 }
 
-// Guards against a plan with a version that is not permitted or is withdrawn,
-// a dearer plan than a proven one, and exploration without room.
+// drawTable returns a table of up to four versions with any counts.
+func drawTable(t *rapid.T) Table {
+	n := rapid.IntRange(0, 4).Draw(t, "versions")
+	table := Table{HasCheck: rapid.Bool().Draw(t, "check"), Target: rapid.Float64Range(0, 1).Draw(t, "target"),
+		Met: []rater.Estimate{drawEstimate(t), drawEstimate(t)}}
+	for range n {
+		table.Version = append(table.Version, "m@1")
+		table.Permitted = append(table.Permitted, rapid.Bool().Draw(t, "permitted"))
+		table.Cost = append(table.Cost, rapid.Float64Range(0.1, 10).Draw(t, "cost"))
+		table.Prior = append(table.Prior, rapid.Float64Range(0, 1).Draw(t, "prior"))
+		table.Only = append(table.Only, drawEstimate(t))
+		table.First = append(table.First, drawEstimate(t))
+	}
+	for range n * n {
+		table.Escalated = append(table.Escalated, drawEstimate(t))
+	}
+	if rapid.Bool().Draw(t, "pooled") {
+		pooled := table
+		pooled.Only = []rater.Estimate{drawEstimate(t), drawEstimate(t), drawEstimate(t), drawEstimate(t)}
+		table.Pooled = &pooled
+	}
+	return table
+}
+
+// Guards against a plan with a version that is not permitted or is withdrawn, also
+// after the table is prepared, against a chain under the target, and against
+// exploration without room.
 func TestPlanOnlyPermitted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(0, 4).Draw(t, "versions")
-		table := Table{HasCheck: rapid.Bool().Draw(t, "check"), Target: rapid.Float64Range(0, 1).Draw(t, "target"),
-			Met: []rater.Estimate{drawEstimate(t), drawEstimate(t)}}
-		for range n {
-			table.Version = append(table.Version, "m@1")
-			table.Permitted = append(table.Permitted, rapid.Bool().Draw(t, "permitted"))
-			table.Cost = append(table.Cost, rapid.Float64Range(0.1, 10).Draw(t, "cost"))
-			table.Prior = append(table.Prior, rapid.Float64Range(0, 1).Draw(t, "prior"))
-			table.Only = append(table.Only, drawEstimate(t))
-			table.First = append(table.First, drawEstimate(t))
-		}
-		for range n * n {
-			table.Escalated = append(table.Escalated, drawEstimate(t))
-		}
-		if rapid.Bool().Draw(t, "pooled") {
-			pooled := table
-			pooled.Only = []rater.Estimate{drawEstimate(t), drawEstimate(t), drawEstimate(t), drawEstimate(t)}
-			table.Pooled = &pooled
-		}
+		table := drawTable(t)
 		p := Default()
-		plan := p.Plan(&table, rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))))
-		permitted := 0
-		for _, ok := range table.Permitted {
-			if ok {
-				permitted++
+		if rapid.Bool().Draw(t, "prepared") {
+			table = p.Prepare(table)
+			for v := range table.Permitted {
+				table.Permitted[v] = table.Permitted[v] && rapid.Bool().Draw(t, "still permitted")
 			}
 		}
-		if (plan.First < 0) != (permitted == 0) {
-			t.Fatalf("got plan %+v with %d permitted versions", plan, permitted)
+		plan := p.Plan(&table, rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))))
+		if some := slices.Contains(table.Permitted, true); (plan.First >= 0) != some {
+			t.Fatalf("got plan %+v, want a version: %v", plan, some)
 		}
 		for _, v := range []int{plan.First, plan.Second} {
 			if v >= 0 && !table.Permitted[v] {
 				t.Fatalf("got forbidden version %d in %+v", v, plan)
 			}
 		}
-		if plan.Reason == ReasonBound && plan.Lower < table.Target {
+		if (plan.Reason == ReasonBound || plan.Reason == ReasonMix) && plan.Lower < table.Target {
 			t.Fatalf("got lower bound %v under the target %v", plan.Lower, table.Target)
 		}
 		if lower := p.metQuality(table.Met); lower <= table.Target &&
--- a/planner/table.go
+++ b/planner/table.go
@@ -28,6 +28,7 @@
 	Pooled *Table
 
 	// Set by Planner.Prepare.
+	prepared   []bool // copy of Permitted
 	options    []option
 	met        float64 // lower bound of the met quality
 	chosen     Plan
@@ -60,7 +61,7 @@
 			}
 		}
 	}
-	t.Pooled, t.options = &pooled, nil
+	t.Pooled, t.prepared = &pooled, nil
 	return t
 }
 
