--- a/experimenter/plot.go
+++ b/experimenter/plot.go
@@ -28,7 +28,7 @@
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%s (seed %d)", r.Name, r.Seed)
 	p.X.Label.Text, p.Y.Label.Text = r.XAxis, r.YAxis
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.Left = true, true
 	for i, c := range r.Curves {
 		points := make(plotter.XYs, len(c.X))
 		for j := range c.X {
