--- a/planner/planner.go
+++ b/planner/planner.go
@@ -3,6 +3,9 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
+
+	"rosemaryarch.example/rosemaryarch/rater"
 )
 
 // The reasons of a plan.
@@ -63,24 +66,27 @@
 }
 
 // Prepare returns a copy of t with the bounds of all chains. Prepare a table once
-// after its counts change, since the bounds take most of the time of a plan.
+// after its counts change, since the bounds take most of the time of a plan. The
+// time grows with the square of the number of versions.
 func (p Planner) Prepare(t Table) Table {
+	t.prepared = slices.Clone(t.Permitted)
 	t.options = p.options(&t)
-	t.met, _ = t.Met.Quality(p.Delta)
+	t.met = p.metQuality(t.Met)
 	t.chosen = cheapest(&t, t.best())
 	t.mixed, t.mixedShare = p.mix(&t)
 	return t
 }
 
-// Plan returns the chain for one request. The result depends only on t and r.
-// If nothing is permitted, First is -1. Ratings are spent where they decide
+// Plan returns the chain for one request. The result depends only on t and r. A
+// table that is not prepared, or of which Permitted has changed since, is prepared
+// for this plan. If nothing is permitted, First is -1. Ratings are spent where they decide
 // something: on all explored answers, and on trial answers and while the met quality
 // is not known to have room more than on others.
 func (p Planner) Plan(t *Table, r *rand.Rand) Plan {
 	if t.best() < 0 {
 		return Plan{First: -1, Second: -1, Reason: ReasonForbidden}
 	}
-	if t.options == nil {
+	if !slices.Equal(t.prepared, t.Permitted) {
 		prepared := p.Prepare(*t)
 		t = &prepared
 	}
@@ -265,6 +271,23 @@
 	return o
 }
 
+// metQuality returns a lower bound of the mean quality of all answers. Chains are
+// rated at different rates, so each counts by its answers, not by its ratings. The
+// deviations are added as in cascade; an unrated chain counts as quality 0.
+func (p Planner) metQuality(chains []rater.Estimate) float64 {
+	var served, mean, variation float64
+	for _, e := range chains {
+		lower, _ := e.Quality(p.Delta)
+		served += e.Served
+		mean += e.Served * e.Mean()
+		variation += square(e.Served * (e.Mean() - lower))
+	}
+	if served <= 0 {
+		return 0
+	}
+	return max(0, (mean-math.Sqrt(variation))/served)
+}
+
 func square(x float64) float64 { return x * x }
 
 // best returns the permitted version of the highest prior, the dearer one at
