--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -101,10 +101,11 @@
 		return a.save(ctx, settled)
 	case now >= a.keeper.nextRun:
 		a.keeper.nextRun = now + confirmInterval
-		if err := a.registry.Confirm(ctx); err != nil {
+		epoch, err := a.registry.Confirm(ctx)
+		if err != nil {
 			return err
 		}
-		a.confirm(now, current.Epoch)
+		a.confirm(now, epoch)
 	}
 	return nil
 }
