committer: do not let leaving submitters starve a batch

A batch was thrown away if one of its submitters left between the last look and the write. In a retry storm somebody leaves during almost every batch. The requests are now marked before the changes are applied, so that a submitter who leaves during that time is told "unknown" and the batch goes on.

--- a/committer/committer_test.go
+++ b/committer/committer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -95,6 +96,57 @@
 	}
 }
 
+// TestLeavers guards against a batch that starves because some submitter leaves
+// whenever it is built.
+func TestLeavers(t *testing.T) {
+	const leavers = 20
+	store, ready := storeemulator.New().Store(), make(chan struct{})
+	get := store.Get
+	store.Get = func(ctx context.Context, key string) (storer.Object, error) {
+		<-ready
+		return get(ctx, key)
+	}
+	c := newTest(store, clock.NewManual(0), Options{Instance: "i"})
+	var leave []func()
+	for i := range leavers {
+		ctx, cancel := context.WithCancel(context.Background())
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			_, _ = c.Submit(ctx, "s", fmt.Sprint("k", i), set("x"))
+		}()
+		leave = append(leave, func() { cancel(); <-left })
+	}
+	applied := 0
+	patient := Change{Apply: func([]byte) ([]byte, error) {
+		if i := 2 * applied; i < leavers { // one submitter has a batch of its own, so two leave
+			leave[i]()
+			leave[i+1]()
+		}
+		applied++
+		return []byte("x"), nil
+	}}
+	waitFor := func(n int) {
+		for pending := 0; pending < n; runtime.Gosched() {
+			c.mu.Lock()
+			if l := c.lanes["s"]; l != nil {
+				l.mu.Lock()
+				pending = len(l.pending)
+				l.mu.Unlock()
+			}
+			c.mu.Unlock()
+		}
+	}
+	waitFor(leavers)
+	go func() { waitFor(leavers + 1); close(ready) }()
+	if _, err := c.Submit(context.Background(), "s", "k", patient); err != nil || applied > 2 {
+		t.Errorf("got %v after %d batches, want success in at most 2", err, applied)
+	}
+	for _, l := range leave {
+		l()
+	}
+}
+
 // TestSegments guards against objects above the bound, against a record that is
 // forgotten or doubled when its segment is sealed, and against unbounded growth.
 func TestSegments(t *testing.T) {
--- a/committer/lane.go
+++ b/committer/lane.go
@@ -98,29 +98,33 @@
 	return append([]*request(nil), kept...)
 }
 
-// launch marks the requests as part of a write. It does not if one of the
-// submitters no longer waits.
-func (l *lane) launch(batch []*request) bool {
+// launch marks the requests whose submitters still wait as part of a write, and
+// returns them. It comes before the changes are applied: if a submitter could
+// leave a batch that is being built, many that leave would starve the others.
+func (l *lane) launch(batch []*request) []*request {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var launched []*request
 	for _, r := range batch {
-		if r.gone {
-			return false
+		if !r.gone {
+			r.inFlight = true
+			launched = append(launched, r)
 		}
 	}
-	for _, r := range batch {
-		r.inFlight = true
-	}
-	return true
+	return launched
 }
 
-// land marks the requests as part of no write that may still take effect.
-func (l *lane) land(batch []*request) {
+// land marks the requests as part of no write that may still take effect,
+// except those that write.
+func (l *lane) land(batch, writers []*request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range batch {
 		r.inFlight = false
 	}
+	for _, r := range writers {
+		r.inFlight = true
+	}
 }
 
 // deserted reports whether no submitter of the batch waits.
--- a/committer/round.go
+++ b/committer/round.go
@@ -84,10 +84,13 @@
 		document: next, options: o, open: number == l.ring.open, full: number == l.ring.open && l.ring.full,
 		load: next.load(),
 	}
+	batch = l.launch(batch)
 	for _, r := range batch {
 		d.apply(r)
 	}
 	next, answers := d.document, d.answers
+	writers := d.writers()
+	l.land(batch, writers)
 	if !d.changed && c.readIn != l.rounds {
 		fresh, err := l.refresh(ctx, number)
 		if err != nil {
@@ -99,15 +102,6 @@
 		l.settle(answers, nil)
 		return nil
 	}
-	var writers []*request
-	for _, a := range answers {
-		if a.writes {
-			writers = append(writers, a.request)
-		}
-	}
-	if !l.launch(writers) {
-		return nil
-	}
 	verdict, err := l.write(ctx, c, next, id, writers)
 	if verdict == committed {
 		l.settle(answers, nil)
@@ -120,7 +114,7 @@
 		l.settle(writing(answers), errors.Mark(err, ErrUnknown))
 		return nil
 	}
-	l.land(writers)
+	l.land(writers, nil)
 	return err
 }
 
@@ -183,6 +177,17 @@
 	d.answers = append(d.answers, answer{request: r, result: result{value: value, err: err}})
 }
 
+// writers returns the requests that the write would carry out.
+func (d *draft) writers() []*request {
+	var w []*request
+	for _, a := range d.answers {
+		if a.writes {
+			w = append(w, a.request)
+		}
+	}
+	return w
+}
+
 // settle hands out the answers, or err to each if it is not nil.
 func (l *lane) settle(answers []answer, err error) {
 	for _, a := range answers {
--- a/committer/sizing_test.go
+++ b/committer/sizing_test.go
@@ -1,7 +1,6 @@
 package committer
 
 import (
-	"os"
 	"testing"
 
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -16,11 +15,6 @@
 			t.Errorf("%s: got %v, want at most %v", g.Name, g.Got, g.Limit)
 		}
 	}
-	if testing.Verbose() {
-		if err := r.WriteTable(os.Stdout); err != nil {
-			t.Error(err)
-		}
-	}
 }
 
 // BenchmarkCommit measures the work of one commit to a segment at its bound.
