--- a/claimer/fault_test.go
+++ b/claimer/fault_test.go
@@ -279,3 +279,26 @@
 		})
 	}
 }
+
+// TestForget guards against a sent attempt that counts as abandoned once its
+// instance has forgotten it.
+func TestForget(t *testing.T) {
+	c := newFleet(storeemulator.New(), "a").node("a").claimer
+	c.MaxLost = 2
+	for i := range 7 {
+		a := c.begin("place", nil)
+		c.dispatch(a)
+		c.lose(a, nil)
+		if got := c.State(a.id); got != Dispatched {
+			t.Errorf("attempt %d: got %s, want %s", i, got, Dispatched)
+		}
+	}
+	if got := len(c.table.byID); got > c.MaxLost {
+		t.Errorf("got %d attempts in memory, want at most %d", got, c.MaxLost)
+	}
+	a := c.begin("place", nil)
+	c.abandon(a)
+	if got := c.State(a.id); got != Abandoned {
+		t.Errorf("attempt that was not sent: got %s, want %s", got, Abandoned)
+	}
+}
