--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -3,10 +3,19 @@
 import (
 	"bytes"
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
+	"io"
+	"log"
+	"math/big"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -331,6 +340,104 @@
 	}
 }
 
+// TestMutualTLS guards against a link that opens without a client certificate
+// when the instance requires one.
+func TestMutualTLS(t *testing.T) {
+	certificate, pool := selfSigned(t)
+	acceptor := New(Options{ID: "b", Address: "b:1", Secrets: func() [][]byte { return [][]byte{testSecret} }}, nil)
+	defer acceptor.Close()
+	acceptor.Handle("echo", func(_ context.Context, e Envelope) ([]byte, error) { return e.Body, nil })
+	server := httptest.NewUnstartedServer(acceptor)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.TLS = &tls.Config{
+		Certificates: []tls.Certificate{certificate}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool,
+	}
+	server.StartTLS()
+	defer server.Close()
+	cases := map[string]struct {
+		config *tls.Config
+		want   error
+	}{
+		"both certificates": {&tls.Config{RootCAs: pool, Certificates: []tls.Certificate{certificate}}, nil},
+		"no client's":       {&tls.Config{RootCAs: pool}, ErrUnreachable},
+		"unknown server's":  {&tls.Config{Certificates: []tls.Certificate{certificate}}, ErrUnreachable},
+		"no TLS":            {nil, ErrUnreachable},
+	}
+	for name, c := range cases {
+		l := New(Options{
+			ID: "a", Address: "a:1", TLS: c.config, Secrets: func() [][]byte { return [][]byte{testSecret} },
+		}, nil)
+		_, err := l.Call(within(t), server.Listener.Addr().String(), "echo", nil)
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", name, err, c.want)
+		}
+		l.Close()
+	}
+}
+
+func selfSigned(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		NotBefore:   time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
+
+// BenchmarkCall measures a call with a small body over an open link, and the
+// memory of one end of an idle link.
+func BenchmarkCall(b *testing.B) {
+	secrets := func() [][]byte { return [][]byte{testSecret} }
+	acceptor := New(Options{ID: "b", Address: "b:1", Secrets: secrets}, nil)
+	defer acceptor.Close()
+	acceptor.Handle("echo", func(_ context.Context, e Envelope) ([]byte, error) { return e.Body, nil })
+	server := httptest.NewServer(acceptor)
+	defer server.Close()
+	const links = 200
+	before := memory()
+	var diallers []*Linker
+	for i := range links {
+		l := New(Options{ID: fmt.Sprint("a", i), Address: fmt.Sprintf("a%d:1", i), Secrets: secrets}, nil)
+		defer l.Close()
+		if _, err := l.Call(context.Background(), server.Listener.Addr().String(), "echo", nil); err != nil {
+			b.Fatal(err)
+		}
+		diallers = append(diallers, l)
+	}
+	ends := float64(memory()-before) / (2 * links) / 1024
+	body := make([]byte, 100)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := diallers[0].Call(context.Background(), server.Listener.Addr().String(), "echo", body); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(ends, "KB/link_end")
+}
+
+func memory() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
 // FuzzDecode guards against input that crashes the decoder or that decodes to
 // an envelope without a kind or sender.
 func FuzzDecode(f *testing.F) {
