follower: state ages conservatively to the millisecond

Ages are differences of whole milliseconds, so that each relay could make evidence look up to 1 ms younger. Each stated age is 1 ms larger now.

--- a/follower/digest.go
+++ b/follower/digest.go
@@ -20,7 +20,7 @@
 	var d [gossiper.DigestBytes]byte
 	age := uint32(noDigestAge)
 	if a := now - f.confirmed; f.confirmed != 0 && a >= 0 && a < FreshFor {
-		age = uint32(a)
+		age = uint32(a + rounding)
 	}
 	binary.BigEndian.PutUint64(d[:], f.held.Revision)
 	binary.BigEndian.PutUint32(d[8:], age)
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -10,8 +10,12 @@
 	"rosemaryarch.example/rosemaryarch/gossiper"
 )
 
-// noAge stands for "never confirmed" in messages.
-const noAge = -1
+const (
+	noAge = -1 // stands for "never confirmed" in messages
+	// rounding is added to each stated age, because the difference of two
+	// instants in whole milliseconds may be up to one too small.
+	rounding = 1
+)
 
 // news is the body of a hint and, with the object, of an answer.
 type news struct {
@@ -32,7 +36,7 @@
 func (f *Follower) news(now clock.Millis) news {
 	n := news{Revision: f.held.Revision, Age: noAge}
 	if f.confirmed != 0 && now-f.confirmed < FreshFor {
-		n.Age = now - f.confirmed
+		n.Age = now - f.confirmed + rounding
 	}
 	if n.Age != noAge && n.Age < lateAge {
 		return n // a young confirmation makes outage observations useless
@@ -40,7 +44,7 @@
 	n.Outages = map[string]clock.Millis{}
 	for dc, at := range f.outages {
 		if now-at < FreshFor {
-			n.Outages[dc] = now - at
+			n.Outages[dc] = now - at + rounding
 		}
 	}
 	return n
