--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -229,11 +230,16 @@
 	}
 }
 
-// live returns the addresses of the members that may grant, by member name.
+// live returns the addresses of the members that may grant, by member name. A
+// leaving member may stop at any moment and is not one of them.
 func (a *Allocator) live() map[string]string {
+	return a.addresses(gossiper.Alive, gossiper.Suspect)
+}
+
+func (a *Allocator) addresses(states ...uint8) map[string]string {
 	found := map[string]string{}
 	for _, m := range a.Members() {
-		if m.State == gossiper.Alive || m.State == gossiper.Suspect || m.State == gossiper.Leaving {
+		if slices.Contains(states, m.State) {
 			found[MemberName(m.ID, m.Incarnation)] = m.Address
 		}
 	}
@@ -252,7 +258,7 @@
 // grant answers the asks of a holder. A member that is gone from this
 // instance's view gets no permits, so that its work ends with those it has.
 func (a *Allocator) grant(q asks) permits {
-	live := a.live()
+	live := a.addresses(gossiper.Alive, gossiper.Suspect, gossiper.Leaving)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var r permits
--- a/assembler/policy.go
+++ b/assembler/policy.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"sync/atomic"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -192,8 +191,5 @@
 	if i.policy.config.Load() == nil {
 		return nil // the first text of a new fleet
 	}
-	if !i.follower.MayAccept() {
-		return errors.WithStack(refuser.ErrNotReady.WithMessage("most instances cannot be reached from here"))
-	}
-	return nil
+	return i.follower.MayAccept(i.clock)
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -145,12 +145,20 @@
 	return d[i%len(d)].Name
 }
 
-// startEngines gives the models engines in turn, so that every data centre has
-// engines of every model if there are enough.
+// modelOf returns the model of a group of engines, one in each data centre.
+// Larger models, which stand last, get more groups, since their answers take longer.
+func (h *Hoster) modelOf(group int) parser.Model {
+	models := h.o.Fleet.Models
+	last := len(models) - 1
+	order := []int{last, 0, last, last / 2, (last + 1) / 2}
+	return models[order[group%len(order)]]
+}
+
+// startEngines gives every data centre engines of every model if there are enough.
 func (h *Hoster) startEngines() error {
-	models, centres := h.o.Fleet.Models, len(h.o.Fleet.DataCentres)
+	centres := len(h.o.Fleet.DataCentres)
 	for i := range h.o.Models {
-		model := models[(i/centres)%len(models)]
+		model := h.modelOf(i / centres)
 		o := h.o.Engine
 		o.ID = fmt.Sprintf("engine-%02d", i+1)
 		o.Seed += uint64(i)
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"iter"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -166,8 +167,8 @@
 	defer cancel(nil)
 	engine := u.r.o.Engine(slot.Address)
 	sent := u.r.o.Now()
-	watch := time.AfterFunc(u.firstTokenLimit().Duration(), func() { cancel(streamer.ErrLate) })
-	defer watch.Stop()
+	watch := u.newWatch(slot.Endpoint, func() { cancel(streamer.ErrLate) })
+	defer watch.stop()
 	seq, err := u.open(ctx, engine, resume)
 	if err != nil {
 		return u.cause(ctx, err)
@@ -187,7 +188,7 @@
 			first = false
 			u.noteFirst(u.r.o.Now()-sent, result)
 		}
-		watch.Reset(u.r.o.Timing.Stall.Duration())
+		watch.token(u.r.o.Timing.Stall)
 		if err := u.pass(text); err != nil {
 			u.abandon(engine)
 			return errors.Mark(err, context.Canceled)
@@ -196,6 +197,48 @@
 	return u.stream.Close(u.cause(ctx, nil))
 }
 
+// newWatch returns a watch that calls late if no token comes in time. While the
+// first token is awaited, a queue at the endpoint explains the wait, and to try
+// elsewhere would only add work.
+func (u *run) newWatch(endpoint string, late func()) *watch {
+	w := &watch{first: u.firstTokenLimit(), late: late}
+	w.busy = func() bool { return u.r.o.Tracker.Busy(endpoint) }
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.first.Duration(), w.fire)
+	return w
+}
+
+// watch notices an endpoint that sends no tokens.
+type watch struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	started bool // the first token has come
+	first   clock.Millis
+	busy    func() bool
+	late    func()
+}
+
+func (w *watch) fire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.started && w.busy() {
+		w.timer.Reset(w.first.Duration())
+		return
+	}
+	w.late()
+}
+
+// token restarts the watch after a token.
+func (w *watch) token(stall clock.Millis) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.started = true
+	w.timer.Reset(stall.Duration())
+}
+
+func (w *watch) stop() { w.timer.Stop() }
+
 // open starts or resumes the attempt at the endpoint.
 func (u *run) open(
 	ctx context.Context, engine engineclient.Client, resume bool,
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -408,6 +408,15 @@
 	t.refresh(i, now)
 }
 
+// Busy reports whether an endpoint has so much work that its queue may explain a
+// late first token.
+func (t *Tracker) Busy(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i, ok := t.index[id]
+	return ok && !t.idle(i)
+}
+
 // idle reports whether an endpoint has so little work that its queue does not
 // explain a late first token.
 func (t *Tracker) idle(i int) bool {
