--- a/picker/picker.go
+++ b/picker/picker.go
@@ -41,7 +41,7 @@
 // Default returns the usual parameters.
 func Default() Picker {
 	return Picker{
-		MaxAge: 3 * clock.Second, Near: 3, LoadMillis: 100, TokenMillis: 0.2, Guess: 0.5, BoundedLoad: 1.25,
+		MaxAge: 3 * clock.Second, Near: 3, LoadMillis: 150, TokenMillis: 0.2, Guess: 0.5, BoundedLoad: 1.25,
 	}
 }
 
