--- /dev/null
+++ b/archiver/archiver_test.go
@@ -0,0 +1,57 @@
+package archiver
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/rater"
+	"rosemaryarch.example/rosemaryarch/storeemulator"
+	"rosemaryarch.example/rosemaryarch/storer"
+)
+
+// TestCountsSurviveTheFleet guards against counts that are lost when all
+// instances are replaced, against a copy that loses what another instance saved,
+// and against a lost answer of the store that is taken for a failure for good.
+func TestCountsSurviveTheFleet(t *testing.T) {
+	ctx := context.Background()
+	now := 1000 * clock.Hour
+	emulator := storeemulator.New()
+	key := rater.Key{Workspace: "w", Kind: "k", Version: "m@v1"}
+	for i, instance := range []string{"i1", "i2"} {
+		r := rater.New(instance, 1, clock.Hour, 100)
+		for range 10 {
+			r.Serve(key, now, now, false)
+			r.Rate(key, now, now, 0.8)
+		}
+		a := New(emulator.Store(), r)
+		if i == 1 {
+			emulator.SetFaults(storeemulator.Faults{LoseWrites: 1})
+			if err := a.Save(ctx, now); !errors.Is(err, storer.ErrUnknown) {
+				t.Errorf("save with a lost answer: got %v, want ErrUnknown", err)
+			}
+		}
+		if err := a.Save(ctx, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fresh := rater.New("i3", 1, clock.Hour, 100)
+	if err := New(emulator.Store(), fresh).Load(ctx, now); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := fresh.Estimate(key, now).Rated, 20.0; got != want {
+		t.Errorf("ratings after the fleet was replaced: got %v, want %v", got, want)
+	}
+	before := emulator.Counts().Writes
+	a := New(emulator.Store(), fresh)
+	for range 3 {
+		if err := a.Save(ctx, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, want := emulator.Counts().Writes-before, 1; got != want {
+		t.Errorf("writes without a change: got %d, want %d", got, want)
+	}
+}
--- a/assembler/endpoints.go
+++ b/assembler/endpoints.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"rosemaryarch.example/rosemaryarch/archiver"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/gossiper"
 	"rosemaryarch.example/rosemaryarch/listclient"
@@ -207,6 +208,37 @@
 	}()
 }
 
+// archiveInterval is how often the counts are saved.
+const archiveInterval = clock.Minute
+
+// tickRestore merges the stored counts once.
+func (i *Instance) tickRestore(now clock.Millis) {
+	if i.restored.Swap(true) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+		defer cancel()
+		if err := i.archiver.Load(ctx, now); err != nil {
+			i.restored.Store(false) // tried again at the next tick
+		}
+	}()
+}
+
+// tickArchive saves the counts from one instance of the fleet.
+func (i *Instance) tickArchive(now clock.Millis) {
+	if i.writer(archiver.Key).ID != i.settings.Instance || !i.restored.Load() {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+		defer cancel()
+		if err := i.archiver.Save(ctx, now); err != nil {
+			i.meter.Event("counts_not_saved")
+		}
+	}()
+}
+
 func (i *Instance) tickMeter(now clock.Millis) {
 	i.meter.Set("revision", float64(i.policy.current().object.Revision))
 	alive := 0
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -18,6 +18,7 @@
 
 	"rosemaryarch.example/rosemaryarch/admitter"
 	"rosemaryarch.example/rosemaryarch/allocator"
+	"rosemaryarch.example/rosemaryarch/archiver"
 	"rosemaryarch.example/rosemaryarch/biller"
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/claimer"
@@ -61,12 +62,15 @@
 	Seed uint64
 }
 
+// DefaultHalfLife is that of the quality counts: short against the daily pattern
+// of the load, so that versions are compared at the same time of day.
+const DefaultHalfLife = 2 * clock.Hour
+
 const (
-	defaultHalfLife = 6 * clock.Hour
-	maxCells        = 50_000
-	tickInterval    = 50 * time.Millisecond
-	initialService  = 500 * clock.Millis(1)
-	dialTimeout     = 2 * time.Second
+	maxCells       = 50_000
+	tickInterval   = 50 * time.Millisecond
+	initialService = 500 * clock.Millis(1)
+	dialTimeout    = 2 * time.Second
 )
 
 // Instance is one entry instance. Start runs it, and Shutdown or Kill ends it.
@@ -92,6 +96,8 @@
 	prober     *prober.Prober
 	rater      *rater.Rater
 	supervisor *supervisor.Supervisor
+	archiver   *archiver.Archiver
+	restored   atomic.Bool // the stored counts have been merged
 	spreader   *spreader.Spreader
 	committer  *committer.Committer
 	ledger     *committer.Committer // of bills
@@ -150,12 +156,13 @@
 	}
 	if o.Permits == (permitter.Options{}) {
 		o.Permits = permitter.DefaultOptions()
+		o.Permits.StepWork = 1 // requests count only once the engine reports that it is warm
 	}
 	if o.Timing == (router.Timing{}) {
 		o.Timing = router.DefaultTiming()
 	}
 	if o.HalfLife == 0 {
-		o.HalfLife = defaultHalfLife
+		o.HalfLife = DefaultHalfLife
 	}
 	if o.Listen == nil {
 		// Keep-alive probes would use a part of the control traffic's budget, and
@@ -189,6 +196,7 @@
 
 func (i *Instance) buildPolicy() {
 	i.rater = rater.New(i.settings.Instance, i.incarnation, i.options.HalfLife, maxCells)
+	i.archiver = archiver.New(i.store, i.rater)
 	i.supervisor = supervisor.New(i.store, i.rater, i.options.Roller(i.settings.Instance))
 	i.admitter = admitter.New(admitter.Options{
 		Now: i.clock.Now, MaxQueued: i.settings.Limits.MaxQueued, InitialSlots: minSlots, InitialService: initialService,
@@ -344,6 +352,8 @@
 		{every: spreader.Interval, run: func(clock.Millis) { i.tickSpread(false) }},
 		{every: listInterval, run: i.tickList},
 		{every: clock.Second, run: i.tickRecords},
+		{every: clock.Second, run: i.tickRestore},
+		{every: archiveInterval, run: i.tickArchive},
 		{every: clock.Second, run: i.tickPeers},
 		{every: clock.Second, run: i.tickDeaths},
 		{every: clock.Second, run: i.tickMeter},
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -166,6 +166,11 @@
 }
 
 func (d *Demonstrator) launch(ctx context.Context) error {
+	known, err := d.writeHistory(ctx)
+	if err != nil {
+		return err
+	}
+	d.say("the object API holds the counts of %d rated answers of an earlier day", known)
 	var addresses []string
 	for k := range d.hoster.Settings() {
 		i, err := d.newInstance(k)
--- a/demonstrator/phases.go
+++ b/demonstrator/phases.go
@@ -36,7 +36,7 @@
 func (d *Demonstrator) phases() []phase {
 	return []phase{
 		{phaseStart, func(ctx context.Context) error { d.wait(ctx, rampSeconds); return nil }},
-		{phaseSteady, func(ctx context.Context) error { d.wait(ctx, 6); return nil }},
+		{phaseSteady, func(ctx context.Context) error { d.wait(ctx, 5); return nil }},
 		{phaseGood, d.rollOutGood},
 		{phaseBad, d.rollOutBad},
 		{phaseOut, d.takeOut},
@@ -135,7 +135,7 @@
 	if err := d.apply(ctx, d.Text); err != nil {
 		return err
 	}
-	d.wait(ctx, 6)
+	d.wait(ctx, 5)
 	s, err := d.admin(0).Status(ctx, administrator.Empty{})
 	if err != nil {
 		return err
@@ -151,6 +151,10 @@
 	return nil
 }
 
+// badSeconds is the longest time for which the test may let the bad version run.
+// It sees about two answers of that version a second.
+const badSeconds = 15
+
 func (d *Demonstrator) rollOutBad(ctx context.Context) error {
 	bad := d.badModel.Name + "@" + badVersion
 	entry := "{name: " + badVersion + ", state: canary, share_percent: 10}"
@@ -159,7 +163,7 @@
 	if err := d.apply(ctx, text); err != nil {
 		return err
 	}
-	end := time.Now().Add(time.Duration(8 * d.Scale * float64(time.Second)))
+	end := time.Now().Add(time.Duration(badSeconds * d.Scale * float64(time.Second)))
 	stopped := ""
 	for time.Now().Before(end) && ctx.Err() == nil {
 		if s, err := d.admin(0).Status(ctx, administrator.Empty{}); err == nil {
@@ -245,7 +249,7 @@
 	if err := d.setDataCentre(ctx, true); err != nil {
 		return err
 	}
-	d.wait(ctx, 6)
+	d.wait(ctx, 5)
 	if n := d.workIn(d.removed(), asked+noneBound); n > 0 {
 		d.ledger.fault("data centre %s got %d requests more than 3 s after its removal", d.removed(), n)
 	}
@@ -263,7 +267,7 @@
 	if err := d.setDataCentre(ctx, false); err != nil {
 		return err
 	}
-	d.wait(ctx, 6)
+	d.wait(ctx, 5)
 	d.say("%s has had %d requests since its return", d.removed(), d.workIn(d.removed(), back))
 	return nil
 }
@@ -314,6 +318,6 @@
 		d.ledger.fault("the graceful shutdown cut %d streams: %v", cut, err)
 	}
 	d.say("instance entry-%d has left, %d streams cut", replaced+1, cut)
-	d.wait(ctx, 3)
+	d.wait(ctx, 1)
 	return nil
 }
--- a/router/chain.go
+++ b/router/chain.go
@@ -199,7 +199,7 @@
 		}
 	}
 	t = t.With(r.o.Rater, w.Name, s.Name, kinds, now)
-	t.HasCheck = checked && r.mayBuffer(w, t.Version)
+	t.HasCheck = checked && r.mayBuffer(v.Fleet, w, t.Version)
 	made := &planTable{Table: r.planner(s).Prepare(t), stopped: len(v.Stopped), until: now + planLifetime}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -211,15 +211,21 @@
 }
 
 // mayBuffer reports whether a checked first step keeps the workspace's limit on
-// the time to the first token, because the step's answer is held until the check.
-func (r *Router) mayBuffer(w *parser.Workspace, versions []string) bool {
+// the time to the first token: the step's answer is held until the check, and
+// the first token of the second step comes after it.
+func (r *Router) mayBuffer(f *parser.Fleet, w *parser.Workspace, versions []string) bool {
 	if w.FirstTokenMS == 0 {
 		return true
 	}
+	var second clock.Millis
+	for _, version := range versions {
+		v, _ := f.Version(version)
+		second = max(second, f.Models[v.Model].FirstTokenMS)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, v := range versions {
-		if d := r.duration[v]; d > 0 && d <= w.FirstTokenMS {
+	for _, version := range versions {
+		if d := r.duration[version]; d > 0 && d+second <= w.FirstTokenMS {
 			return true
 		}
 	}
