Send a new peer only recent counts, and more of them in a small fleet

After the counts were kept in the store, the bad version of the demonstration ran for 15 s with 35 answers and was not stopped: each instance relayed a thousand restored cells before the new ratings, at 1.2 KB/s. Peers read the old counts from the store themselves. The test holds nine instances with 3,000 old counts and a fifth of the messages lost.

--- a/rater/gossip.go
+++ b/rater/gossip.go
@@ -191,3 +191,11 @@
 	}
 	return d
 }
+
+// Position returns the number of the newest change. A snapshot since it holds
+// what changes from now on.
+func (r *Rater) Position() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seq
+}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -24,11 +24,17 @@
 	Interval = clock.Second
 	// fanOut is the number of peers that one round sends to.
 	fanOut = 2
-	// maxBodyBytes bounds the counts in one message.
-	maxBodyBytes = 1200
-	// maxIdle is the number of turns with nothing to send after which a peer with
-	// other counts is sent everything again, because a message was lost.
-	maxIdle = 3
+	// smallBodyBytes bounds the counts in one message of a large fleet, whose
+	// control traffic has a budget, and largeBodyBytes those in a small one.
+	smallBodyBytes = 1200
+	largeBodyBytes = 16 << 10
+	smallFleet     = 32 // members
+	// recentRounds is how far back a peer's new process is sent the changes. It
+	// has read the older counts from their copy in the store.
+	recentRounds = 120
+	// resyncRounds is after how many turns a peer that still has other counts is
+	// sent everything again, because it missed a message or the copy.
+	resyncRounds = 300
 )
 
 // body is the content of a message.
@@ -41,7 +47,7 @@
 type cursor struct {
 	incarnation uint64
 	sent        uint64
-	idle        int // turns with nothing to send although the counts differ
+	differs     int // turns since the counts were last equal
 }
 
 // Spreader spreads counts and records. It is safe for concurrent use.
@@ -58,6 +64,7 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	cursors map[string]cursor
+	recent  []uint64 // positions of the counts at the last rounds, the newest last
 }
 
 // New returns a spreader for the instance named self.
@@ -91,13 +98,21 @@
 func (s *Spreader) Tick(all bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recent = append(s.recent, s.rater.Position())
+	if len(s.recent) > recentRounds {
+		s.recent = s.recent[1:]
+	}
 	peers := s.peers()
+	limit := largeBodyBytes
+	if len(peers) >= smallFleet {
+		limit = smallBodyBytes
+	}
 	s.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	if !all {
 		peers = peers[:min(len(peers), fanOut)]
 	}
 	for _, p := range peers {
-		if err := s.send(p); err != nil {
+		if err := s.send(p, limit); err != nil {
 			return err
 		}
 	}
@@ -116,23 +131,21 @@
 }
 
 // send sends a peer what it may lack.
-func (s *Spreader) send(p gossiper.Member) error {
+func (s *Spreader) send(p gossiper.Member, limit int) error {
 	c := s.cursors[p.ID]
 	if c.incarnation != p.Incarnation {
-		c = cursor{incarnation: p.Incarnation}
+		c = cursor{incarnation: p.Incarnation, sent: s.recent[0]}
 	}
-	if c.idle > maxIdle {
-		c.sent, c.idle = 0, 0
+	if c.differs++; follower.Counts(p.Digest) == s.rater.Digest() {
+		c.differs = 0
 	}
-	counts, next, err := s.rater.Snapshot(c.sent, maxBodyBytes)
+	if c.differs > resyncRounds {
+		c.sent, c.differs = 0, 0
+	}
+	counts, next, err := s.rater.Snapshot(c.sent, limit)
 	if err != nil {
 		return err
 	}
-	if counts == nil && follower.Counts(p.Digest) != s.rater.Digest() {
-		c.idle++
-	} else {
-		c.idle = 0
-	}
 	message, err := cbor.Marshal(body{Counts: counts, Records: s.supervisor.Records()})
 	if err != nil {
 		return errors.Wrap(err, "spreader: encode message")
--- /dev/null
+++ b/spreader/spreader_test.go
@@ -0,0 +1,78 @@
+package spreader
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/gossiper"
+	"rosemaryarch.example/rosemaryarch/rater"
+	"rosemaryarch.example/rosemaryarch/roller"
+	"rosemaryarch.example/rosemaryarch/storeemulator"
+	"rosemaryarch.example/rosemaryarch/supervisor"
+)
+
+// TestFreshCountsOvertakeOldOnes guards against the ratings of a new version
+// that wait behind thousands of older counts which every instance has read from
+// the store, and against counts that never arrive after lost messages.
+func TestFreshCountsOvertakeOldOnes(t *testing.T) {
+	const instances, oldKeys = 9, 3000
+	now := 1000 * clock.Hour
+	old := rater.New("history", 1, clock.Hour, 10*oldKeys)
+	for k := range oldKeys {
+		key := rater.Key{Workspace: "w" + strconv.Itoa(k), Kind: "k", Version: "m@v1"}
+		old.Rate(key, now, now, 0.9)
+	}
+	copyOfOld, _, err := old.Snapshot(0, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := storeemulator.New().Store()
+	var raters []*rater.Rater
+	var spreaders []*Spreader
+	var members []gossiper.Member
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range instances {
+		id := strconv.Itoa(i)
+		r := rater.New(id, 1, clock.Hour, 10*oldKeys)
+		if _, err := r.Merge(copyOfOld, now); err != nil {
+			t.Fatal(err)
+		}
+		s := New(id, r, supervisor.New(store, r, roller.Default(id)), rand.New(rand.NewPCG(2, uint64(i))))
+		s.Members = func() []gossiper.Member { return members }
+		s.Send = func(address, _ string, body []byte) error {
+			to, err := strconv.Atoi(address)
+			if err != nil || random.IntN(5) == 0 { // every fifth message is lost
+				return err
+			}
+			return spreaders[to].Receive(now, body)
+		}
+		raters, spreaders = append(raters, r), append(spreaders, s)
+		members = append(members, gossiper.Member{ID: id, Address: id, Incarnation: 1})
+	}
+	fresh := rater.Key{Workspace: "w", Kind: "k", Version: "m@v2"}
+	tick := func() {
+		for _, s := range spreaders {
+			if err := s.Tick(false); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	tick()
+	for i, r := range raters {
+		r.Rate(fresh, now, now, 0.2)
+		if got, want := r.Estimate(fresh, now).Rated, 1.0; got != want {
+			t.Fatalf("ratings at instance %d: got %v, want %v", i, got, want)
+		}
+	}
+	const rounds = 20 // of a second each; a stop of a bad version waits for them
+	for range rounds {
+		tick()
+	}
+	for i, r := range raters {
+		if got, want := r.Estimate(fresh, now).Rated, float64(instances); got != want {
+			t.Errorf("ratings of the new version at instance %d after %d s: got %v, want %v", i, rounds, got, want)
+		}
+	}
+}
