bench: run every experiment, write plots

The command knew two of the seven experiments, and wrote no plots. It now registers all of them, writes each result with its own WriteJSON and one PNG for each result with curves, and names the first missed target in its error, which gives exit code 1.

--- a/cmd/rosemaryarch/bench.go
+++ b/cmd/rosemaryarch/bench.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"io"
 	"os"
+	"path/filepath"
 
 	"github.com/cockroachdb/errors"
 
+	"rosemaryarch.example/rosemaryarch/committer"
 	"rosemaryarch.example/rosemaryarch/experimenter"
 )
 
@@ -15,54 +17,116 @@
 	Names []string `arg:"positional" help:"experiments; all if left out"`
 	List  bool     `arg:"--list" help:"list the experiments"`
 	Seed  uint64   `arg:"--seed" default:"1"`
-	JSON  string   `arg:"--json" help:"write the results to this file" placeholder:"FILE"`
+	JSON  string   `arg:"--json" help:"write the results to this file, one JSON object each" placeholder:"FILE"`
+	Plots string   `arg:"--plots" help:"write one PNG for each experiment that has curves" placeholder:"DIR"`
 }
 
 // errTargetMissed tells that an experiment did not reach a target.
 var errTargetMissed = errors.New("a target was not met")
 
+// experiments returns all experiments of the program.
+func experiments() experimenter.Experimenter {
+	var all experimenter.Experimenter
+	for _, x := range []experimenter.Experiment{
+		experimenter.Cascade(), experimenter.ColdStart(), experimenter.EndpointChoice(),
+		experimenter.EndpointFailure(), experimenter.Overload(), experimenter.Rollout(), committer.Sizing(),
+	} {
+		all = all.With(x)
+	}
+	return all
+}
+
 func (c *benchCommand) run(ctx context.Context) error {
-	all := experimenter.Experimenter{}.With(experimenter.EndpointChoice()).With(experimenter.Rollout())
+	all := experiments()
 	if c.List {
 		for _, x := range all.Experiments() {
 			fmt.Printf("%-20s %s\n", x.Name, x.Summary)
 		}
 		return nil
 	}
-	if len(c.Names) == 0 {
+	results, err := c.measure(ctx, all)
+	if err != nil {
+		return err
+	}
+	if err := c.write(results); err != nil {
+		return err
+	}
+	for _, r := range results {
+		for _, t := range r.Targets {
+			if !t.Met() {
+				return errors.Wrapf(errTargetMissed, "%s: %s", r.Name, t.Name)
+			}
+		}
+	}
+	return nil
+}
+
+// measure runs the chosen experiments and prints a table for each.
+func (c *benchCommand) measure(ctx context.Context, all experimenter.Experimenter) ([]experimenter.Result, error) {
+	names := c.Names
+	if len(names) == 0 {
 		for _, x := range all.Experiments() {
-			c.Names = append(c.Names, x.Name)
+			names = append(names, x.Name)
 		}
 	}
 	var results []experimenter.Result
-	missed := false
-	for _, name := range c.Names {
-		if ctx.Err() != nil {
-			return ctx.Err()
+	for _, name := range names {
+		if err := ctx.Err(); err != nil {
+			return nil, errors.Wrap(err, "bench")
 		}
 		r, err := all.Run(name, c.Seed)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if err := r.WriteTable(os.Stdout); err != nil {
-			return err
-		}
-		for _, t := range r.Targets {
-			missed = missed || !t.Met()
+			return nil, err
 		}
 		results = append(results, r)
 	}
+	return results, nil
+}
+
+// write writes the files that the options name.
+func (c *benchCommand) write(results []experimenter.Result) error {
 	if c.JSON != "" {
-		data, err := json.MarshalIndent(results, "", "  ")
+		err := writeFile(c.JSON, func(w io.Writer) error {
+			for _, r := range results {
+				if err := r.WriteJSON(w); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
 		if err != nil {
-			return errors.Wrap(err, "encode results")
-		}
-		if err := os.WriteFile(c.JSON, data, 0o644); err != nil {
-			return errors.Wrap(err, "write results")
+			return err
 		}
 	}
-	if missed {
-		return errTargetMissed
+	if c.Plots == "" {
+		return nil
+	}
+	if err := os.MkdirAll(c.Plots, 0o755); err != nil {
+		return errors.Wrap(err, "plots")
+	}
+	for _, r := range results {
+		if len(r.Curves) == 0 {
+			continue
+		}
+		if err := writeFile(filepath.Join(c.Plots, r.Name+".png"), r.WritePNG); err != nil {
+			return err
+		}
 	}
 	return nil
 }
+
+// writeFile replaces a file by what content writes.
+func writeFile(name string, content func(io.Writer) error) error {
+	f, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "write results")
+	}
+	if err := content(f); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return errors.Wrap(f.Close(), "write results")
+}
