--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -126,8 +126,6 @@
 		"the stream could not be finished")
 	ErrDataCentreOut = sentinel("data_centre_out", RunNo, http.StatusServiceUnavailable,
 		"this data centre is taken out")
-	ErrUnknownAnswer = sentinel("unknown_answer", RunNo, http.StatusNotFound,
-		"no answer is kept for this request id")
 	ErrRevisionConflict = sentinel("revision_conflict", RunNo, http.StatusConflict,
 		"the configuration has another revision")
 	ErrInvalidConfig = sentinel("invalid_config", RunNo, http.StatusBadRequest,
@@ -148,7 +146,7 @@
 		ErrMissingKey, ErrUnknownKey, ErrForbidden, ErrForbiddenVersion, ErrWithdrawn, ErrUnknownModel,
 		ErrUnknownService, ErrBodyTooLarge, ErrInvalidBody, ErrMissingIdemKey, ErrKeyReused, ErrOutcomeUnknown,
 		ErrStillRunning, ErrStoreUnavailable, ErrDeadline, ErrQueueFull, ErrNoEndpoint, ErrNotReady,
-		ErrShuttingDown, ErrRetryBudget, ErrBackEndFailed, ErrStreamBroken, ErrDataCentreOut, ErrUnknownAnswer,
+		ErrShuttingDown, ErrRetryBudget, ErrBackEndFailed, ErrStreamBroken, ErrDataCentreOut,
 		ErrRevisionConflict, ErrInvalidConfig, ErrChangeUnknown, ErrUnknownDataCentre, ErrUnknownEndpoint,
 		ErrInternal,
 	}
@@ -164,18 +162,16 @@
 	RetryFirstToken  RetryReason = "first_token_late"
 	RetryStreamCut   RetryReason = "stream_cut"
 	RetryEscalate    RetryReason = "escalate_quality"
-	RetryHedge       RetryReason = "hedge"
 	RetryStoreLost   RetryReason = "store_answer_lost"
 	RetryStoreDown   RetryReason = "store_down"
 	RetryStoreRaced  RetryReason = "store_conflict"
-	RetryPermit      RetryReason = "permit_denied"
 	RetryWrongAnswer RetryReason = "crossed_answer"
 )
 
 // RetryReasons returns every retry reason.
 func RetryReasons() []RetryReason {
 	return []RetryReason{
-		RetryConnect, RetryRefused, RetryFirstToken, RetryStreamCut, RetryEscalate, RetryHedge,
-		RetryStoreLost, RetryStoreDown, RetryStoreRaced, RetryPermit, RetryWrongAnswer,
+		RetryConnect, RetryRefused, RetryFirstToken, RetryStreamCut, RetryEscalate,
+		RetryStoreLost, RetryStoreDown, RetryStoreRaced, RetryWrongAnswer,
 	}
 }
