decoder, loader: name the field in type errors, and show no text of a keys file

Package yaml quotes the start of a value that has the wrong type, so a keys file with a secret in the wrong place put up to ten bytes of it into an error and from there into a log. DecodeSecret shows the line only. Type errors of other texts named a Go type but no field, syntax errors had no line or the one before; they now have file, line and field.

--- a/decoder/document.go
+++ b/decoder/document.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -16,42 +17,103 @@
 
 // Document is a decoded YAML text that remembers the line of each field.
 type Document struct {
-	file string
-	root *yaml.Node
+	file   string
+	root   *yaml.Node
+	secret bool // errors show nothing of the text
 }
 
 // Decode reads text into out and refuses unknown fields, duplicate keys and
 // more than one document. The file name appears in errors only.
 func Decode(file string, text []byte, out any) (Document, error) {
-	d := Document{file: file, root: &yaml.Node{}}
+	return decode(Document{file: file, root: &yaml.Node{}}, text, out)
+}
+
+// DecodeSecret is Decode for a text that holds secrets. Its errors name the
+// line and show nothing of the text.
+func DecodeSecret(file string, text []byte, out any) (Document, error) {
+	return decode(Document{file: file, root: &yaml.Node{}, secret: true}, text, out)
+}
+
+func decode(d Document, text []byte, out any) (Document, error) {
 	if err := yaml.Unmarshal(text, d.root); err != nil {
-		return d, d.syntaxError(err)
+		return d, d.yamlError(err)
 	}
 	if len(d.root.Content) == 0 {
-		return d, errors.Mark(fmt.Errorf("%s:1: the document is empty", file), ErrInvalid)
+		return d, d.invalid(1, "the document is empty")
 	}
 	strict := yaml.NewDecoder(bytes.NewReader(text))
 	strict.KnownFields(true)
 	if err := strict.Decode(out); err != nil {
-		return d, d.syntaxError(err)
+		return d, d.yamlError(err)
 	}
-	if err := strict.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
-		return d, errors.Mark(fmt.Errorf("%s: more than one document", file), ErrInvalid)
+	var next yaml.Node
+	if err := strict.Decode(&next); !errors.Is(err, io.EOF) {
+		return d, d.invalid(max(next.Line, 1), "more than one document")
 	}
 	return d, nil
 }
 
-// syntaxError turns "yaml: line 3: ..." into "file:3: ...", one line.
-func (d Document) syntaxError(err error) error {
+func (d Document) invalid(line int, message string) error {
+	return errors.Mark(fmt.Errorf("%s:%d: %s", d.file, line, message), ErrInvalid)
+}
+
+// Messages of package yaml that need the field's name. The package shows the
+// start of a wrong value, which may be a secret.
+var (
+	linePattern = regexp.MustCompile(`^line (\d+): (.*)$`)
+	typePattern = regexp.MustCompile(`^cannot unmarshal (!!\w+)(?: .*)? into ([\w.\[\]]+)`)
+	// parserPattern matches the errors whose line package yaml counts from 0.
+	parserPattern  = regexp.MustCompile(`^did not find expected (<document start>|node|'-' indicator|key|',' or)`)
+	unknownPattern = regexp.MustCompile(`^field (.*) not found in type`)
+)
+
+// yamlError turns an error of package yaml into one line with file, line and,
+// where it is known, the field. Package yaml gives no line for the first one.
+func (d Document) yamlError(err error) error {
 	message := strings.TrimPrefix(err.Error(), "yaml: ")
 	message = strings.TrimPrefix(message, "unmarshal errors:\n")
-	first := strings.TrimSpace(strings.SplitN(message, "\n", 2)[0])
-	if rest, ok := strings.CutPrefix(first, "line "); ok {
-		if i := strings.Index(rest, ":"); i > 0 {
-			return errors.Mark(fmt.Errorf("%s:%s:%s", d.file, rest[:i], rest[i+1:]), ErrInvalid)
+	message = strings.TrimSpace(strings.SplitN(message, "\n", 2)[0])
+	line := 1
+	if m := linePattern.FindStringSubmatch(message); m != nil {
+		line, _ = strconv.Atoi(m[1])
+		message = m[2]
+		if parserPattern.MatchString(message) {
+			line++
+		}
+	}
+	if d.secret {
+		return d.invalid(line, "not valid (the text is not shown, because it may hold a secret)")
+	}
+	if m := unknownPattern.FindStringSubmatch(message); m != nil {
+		return d.invalid(line, m[1]+": unknown field")
+	}
+	if m := typePattern.FindStringSubmatch(message); m != nil {
+		field := fieldAt(d.root, "document", line, m[1])
+		return d.invalid(line, fmt.Sprintf("%s: %s cannot be read as %s", field, m[1], m[2]))
+	}
+	return d.invalid(line, message)
+}
+
+// fieldAt returns the name of the last field in the line with a value, or an
+// item of a list, that has the tag; or "" if there is none. N belongs to name.
+func fieldAt(n *yaml.Node, name string, line int, tag string) string {
+	found := ""
+	for i, c := range n.Content {
+		field := name
+		if n.Kind == yaml.MappingNode {
+			if i%2 == 0 {
+				continue
+			}
+			field = n.Content[i-1].Value
+		}
+		if c.Line == line && c.ShortTag() == tag {
+			found = field
+		}
+		if below := fieldAt(c, field, line, tag); below != "" {
+			found = below
 		}
 	}
-	return errors.Mark(fmt.Errorf("%s: %s", d.file, first), ErrInvalid)
+	return found
 }
 
 // Errorf returns an error about the field at path, which consists of field
--- a/loader/keys.go
+++ b/loader/keys.go
@@ -29,7 +29,7 @@
 // ParseKeys checks the text of a keys file. No error contains a secret.
 func ParseKeys(file string, text []byte) (Keys, error) {
 	var k Keys
-	d, err := decoder.Decode(file, text, &k)
+	d, err := decoder.DecodeSecret(file, text, &k)
 	if err != nil {
 		return k, err
 	}
