parser: refuse NaN, infinite shares and costs that overflow

rating_percent, quality, share and prior_quality of .nan passed the range checks, because every comparison with NaN is false; a share of .inf and a cost near the largest int64 passed too. The table test of parse errors found them.

--- a/parser/parse.go
+++ b/parser/parse.go
@@ -15,6 +15,9 @@
 
 	defaultConcurrent = 32
 	maxConcurrent     = 10_000
+
+	maxShare = 1_000_000.0
+	maxCost  = 1_000_000_000 // micro-units, so that the cost of a request fits into an int64
 )
 
 // namePattern keeps names usable in store keys, URLs and metric labels.
@@ -46,6 +49,9 @@
 	fleet    *Fleet
 }
 
+// within reports whether x is in [low, high]. It is false for NaN.
+func within(x, low, high float64) bool { return x >= low && x <= high }
+
 func at(path ...any) []any { return path }
 
 func (c checker) name(name string, seen map[string]bool, path []any) error {
@@ -104,7 +110,10 @@
 		if m.FirstTokenMS <= 0 {
 			return c.document.Errorf(at("models", i, "first_token_ms"), "model %q needs a time above zero", m.Name)
 		}
-		if m.PriorQuality < 0 || m.PriorQuality > 1 {
+		if m.InputCost > maxCost || m.OutputCost > maxCost {
+			return c.document.Errorf(at("models", i), "model %q has a cost above %d", m.Name, maxCost)
+		}
+		if !within(m.PriorQuality, 0, 1) {
 			return c.document.Errorf(at("models", i, "prior_quality"), "must be between 0 and 1")
 		}
 		if err := c.checkConcurrent(&m.MaxConcurrent, at("models", i, "max_concurrent")); err != nil {
@@ -141,7 +150,7 @@
 		switch v.State {
 		case StateServing, StateWithdrawn:
 		case StateCanary:
-			if v.SharePercent <= 0 || v.SharePercent > 100 {
+			if v.SharePercent == 0 || !within(v.SharePercent, 0, 100) {
 				return c.document.Errorf(append(path, "share_percent"), "a canary needs a share above 0 and up to 100")
 			}
 		default:
@@ -182,9 +191,9 @@
 		return c.document.Errorf(append(path, "models"), "plain service %q cannot have models", s.Name)
 	case s.DeadlineMS < 0 || s.DeadlineMS > maxDeadline:
 		return c.document.Errorf(append(path, "deadline_ms"), "must be between 0 and %d", maxDeadline)
-	case s.CallCost < 0:
-		return c.document.Errorf(append(path, "call_cost"), "must not be negative")
-	case s.RatingPercent < 0 || s.RatingPercent > 100:
+	case s.CallCost < 0 || s.CallCost > maxCost:
+		return c.document.Errorf(append(path, "call_cost"), "must be between 0 and %d", maxCost)
+	case !within(s.RatingPercent, 0, 100):
 		return c.document.Errorf(append(path, "rating_percent"), "must be between 0 and 100")
 	}
 	if s.DeadlineMS == 0 {
@@ -229,14 +238,14 @@
 
 func (c checker) checkWorkspace(i int, w *Workspace) error {
 	path := at("workspaces", i)
-	if w.Quality < 0 || w.Quality >= 1 {
+	if !within(w.Quality, 0, 1) || w.Quality == 1 {
 		return c.document.Errorf(append(path, "quality"), "must be at least 0 and below 1")
 	}
 	if w.FirstTokenMS < 0 {
 		return c.document.Errorf(append(path, "first_token_ms"), "must not be negative")
 	}
-	if w.Share < 0 {
-		return c.document.Errorf(append(path, "share"), "must not be negative")
+	if !within(w.Share, 0, maxShare) {
+		return c.document.Errorf(append(path, "share"), "must be between 0 and %.0f", maxShare)
 	}
 	if w.Share == 0 {
 		w.Share = 1
