placer: let a change raise the record's number above a given one

An endpoint that does not check who commands may have seen a higher number than the record's, from a sender outside the fleet. It then refused every command of the lease's holder. A change may now name the number to exceed.

--- a/placer/lease.go
+++ b/placer/lease.go
@@ -85,8 +85,8 @@
 	return nil
 }
 
-// Change replaces the record by change's result, under the next number. It
-// returns ErrNotHeld without the lease. After storer.ErrUnknown the next Tick
+// Change replaces the record by change's result, under the next number, or the
+// one after that of the result if it is higher. It returns ErrNotHeld without the lease. After storer.ErrUnknown the next Tick
 // finds out whether the change took effect.
 func (l *Lease) Change(ctx context.Context, change func(Record) Record) error {
 	if !l.Held() || l.pending != nil {
@@ -95,7 +95,7 @@
 	next := l.record
 	next.Desired = maps.Clone(next.Desired)
 	next = change(next)
-	next.Number = l.record.Number + 1
+	next.Number = max(l.record.Number, next.Number) + 1
 	next.Holder = l.Member
 	return l.write(ctx, next)
 }
