commander: drive the placement of one data centre

Package placer decided on placements, but nothing connected it to the store and the engines. Commander takes the lease, keeps the record in step with the wanted versions, reads endpoints back and sends the commands.

Tests run against the store, engine and platform emulators under a manual clock: roll-out within the weight-store budget, paused holder with and without fencing, store outage with lost answers, a refused command key, staged return.

--- /dev/null
+++ b/commander/commander_test.go
@@ -0,0 +1,310 @@
+package commander
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/engineclient"
+	"rosemaryarch.example/rosemaryarch/engineemulator"
+	"rosemaryarch.example/rosemaryarch/placer"
+	"rosemaryarch.example/rosemaryarch/platformemulator"
+	"rosemaryarch.example/rosemaryarch/storeemulator"
+	"rosemaryarch.example/rosemaryarch/weightclient"
+)
+
+const key, object = "k", "placement/d"
+
+// fleet is one data centre with its stand-ins, called without a network.
+type fleet struct {
+	t        *testing.T
+	clock    *clock.Manual
+	store    *storeemulator.Emulator
+	platform *platformemulator.Emulator
+	hosts    map[string]http.Handler
+	list     []Endpoint
+	shares   map[string]float64
+	out      bool
+	events   map[string]int
+	before   func() // runs before each command is sent
+}
+
+// RoundTrip answers a request by the host's handler.
+func (f *fleet) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	f.hosts[r.URL.Host].ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+func newFleet(t *testing.T, shares map[string]float64) *fleet {
+	f := &fleet{
+		t: t, clock: clock.NewManual(1000 * clock.Second), store: storeemulator.New(), hosts: map[string]http.Handler{},
+		shares: shares, events: map[string]int{},
+	}
+	f.platform = platformemulator.New(platformemulator.Options{
+		Now: f.clock.Now, Weights: map[string]int64{"m@v1": 1, "m@v2": 1, "m@v3": 1}, WeightsPerMinute: 12, WeightsBurst: 1,
+	})
+	f.hosts["platform"] = f.platform
+	return f
+}
+
+// engine adds an engine, or replaces it by a restarted one.
+func (f *fleet) engine(id string, o engineemulator.Options) *engineemulator.Emulator {
+	weights := weightclient.NewHTTP("http://platform", &http.Client{Transport: f})
+	o.Now, o.LoadTime, o.LoadLag, o.Warm = f.clock.Now, 3*clock.Second, 500, true
+	o.Fetch = func(ctx context.Context, version string) error {
+		_, err := weights.Fetch(ctx, version)
+		return err
+	}
+	e := engineemulator.New(o)
+	if f.hosts[id] == nil {
+		f.list = append(f.list, Endpoint{ID: id, Address: "http://" + id, Slots: 2})
+	}
+	f.hosts[id] = e
+	return e
+}
+
+func (f *fleet) client(address string) engineclient.Client {
+	return engineclient.NewHTTP(address, key, &http.Client{Transport: f})
+}
+
+func (f *fleet) commander(member string) *Commander {
+	s := f.store.Store()
+	return New(Options{
+		Lease: &placer.Lease{
+			Get: s.Get, Put: s.Put, Now: f.clock.Now, Key: object, Member: member, Lifetime: 6000, Margin: 500,
+		},
+		Now: f.clock.Now, Compete: func() bool { return true }, Out: func() bool { return f.out },
+		Endpoints: func() []Endpoint {
+			if f.out {
+				return nil
+			}
+			return f.list
+		},
+		Wanted:      func() map[string]float64 { return f.shares },
+		LongestWork: func() clock.Millis { return 30 * clock.Second },
+		Load: func(ctx context.Context, address string) (engineclient.Load, error) {
+			return f.client(address).Load(ctx)
+		},
+		Command: func(ctx context.Context, address string, n uint64, action, version string) error {
+			if b := f.before; b != nil {
+				f.before = nil
+				b()
+			}
+			return f.client(address).Command(ctx, n, action, version)
+		},
+		Event: func(name string) { f.events[name]++ }, Set: func(string, float64) {},
+		Each: func(n int, run func(int)) {
+			for k := range n {
+				run(k)
+			}
+		},
+		Placer: placer.Options{
+			CommandTimeout: 2000, LoadTimeout: 20 * clock.Second, Rate: 0.2, Burst: 1,
+			Stages: []float64{0.5}, StageTime: 5 * clock.Second,
+		},
+		Keyed: true, RenewEvery: 1500, CallTimeout: 1000, ReportLag: clock.Second, Settle: 11 * clock.Second,
+		Absent: 30 * clock.Second, ForbiddenPause: 5 * clock.Minute,
+	})
+}
+
+func (f *fleet) run(d clock.Millis, commanders ...*Commander) {
+	for end := f.clock.Now() + d; f.clock.Now() < end; f.clock.Advance(500) {
+		for _, c := range commanders {
+			c.Tick(context.Background())
+		}
+	}
+}
+
+// loaded returns the versions that an endpoint reports.
+func (f *fleet) loaded(id string) []string {
+	l, err := f.client("http://" + id).Load(context.Background())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return l.Versions
+}
+
+func (f *fleet) want(what, id string, versions ...string) {
+	f.t.Helper()
+	if got := f.loaded(id); !slices.Equal(got, versions) {
+		f.t.Errorf("%s: %s holds %v, want %v", what, id, got, versions)
+	}
+}
+
+// Guards against a roll-out that does not reach the engines, an old version that
+// is unloaded under its work or stays for ever, a restarted engine that stays
+// empty, and loads above the weight store's rate.
+func TestRollOut(t *testing.T) {
+	f := newFleet(t, map[string]float64{"m@v1": 1})
+	for _, id := range []string{"a", "b"} {
+		f.engine(id, engineemulator.Options{Versions: []string{"m@v1"}, CommandKey: key})
+	}
+	c := f.commander("x/1")
+	f.run(10*clock.Second, c)
+	if got := f.events["placement_command_sent"]; got != 0 {
+		t.Errorf("a placement that holds already took %d commands, want 0", got)
+	}
+	f.shares = map[string]float64{"m@v1": 0.5, "m@v2": 0.5}
+	f.run(30*clock.Second, c)
+	f.want("after the canary", "a", "m@v1", "m@v2")
+	f.want("after the canary", "b", "m@v1", "m@v2")
+	f.shares = map[string]float64{"m@v2": 1}
+	f.run(10*clock.Second, c)
+	f.want("before all instances know of the withdrawal", "a", "m@v1", "m@v2")
+	f.run(15*clock.Second, c)
+	f.want("after the withdrawal", "a", "m@v2")
+	f.want("after the withdrawal", "b", "m@v2")
+	f.engine("a", engineemulator.Options{CommandKey: key})
+	f.run(20*clock.Second, c)
+	f.want("after a restart without versions", "a", "m@v2")
+	if got, want := f.platform.Fetched("m@v2"), 3; got != want {
+		t.Errorf("the weights were fetched %d times, want %d", got, want)
+	}
+	if got := f.platform.Limited(); got != 0 {
+		t.Errorf("the weight store refused %d loads, want 0", got)
+	}
+	if got := f.events["placement_change_failed"] + f.events["placement_command_no_weights"]; got != 0 {
+		t.Errorf("%d failures, want 0", got)
+	}
+}
+
+// Guards against an unload under running work, and against work that blocks an
+// unload for ever.
+func TestUnloadWaitsForWork(t *testing.T) {
+	f := newFleet(t, map[string]float64{"m@v2": 1})
+	f.engine("a", engineemulator.Options{Versions: []string{"m@v1", "m@v2"}, CommandKey: key})
+	c := f.commander("x/1")
+	load := c.o.Load
+	c.o.Load = func(ctx context.Context, address string) (engineclient.Load, error) {
+		l, err := load(ctx, address)
+		l.Running = 1
+		return l, err
+	}
+	f.run(40*clock.Second, c)
+	f.want("while work may run", "a", "m@v1", "m@v2")
+	f.run(10*clock.Second, c)
+	f.want("after the longest work", "a", "m@v2")
+}
+
+// Guards against commands of a holder that was paused past its lease: an engine
+// that checks the number refuses them, and the state of one that ignores it is
+// corrected. The number 900 is of a sender outside the fleet, which must not
+// lock the holder out.
+func TestPausedHolder(t *testing.T) {
+	for name, c := range map[string]struct {
+		ignores bool
+		event   string
+		stale   int
+		foreign uint64
+	}{
+		"engine checks numbers":  {event: "placement_command_fenced"},
+		"engine ignores numbers": {ignores: true, event: "placement_command_sent", stale: 1},
+		"number from outside":    {event: "placement_command_fenced", foreign: 900},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, map[string]float64{"m@v1": 1})
+			e := f.engine("a", engineemulator.Options{
+				Versions: []string{"m@v1"}, CommandKey: key, IgnoreFencing: c.ignores,
+			})
+			if err := f.client("http://a").Command(t.Context(), c.foreign, engineclient.ActionLoad, "m@v1"); err != nil {
+				t.Fatal(err)
+			}
+			old, next := f.commander("x/1"), f.commander("y/1")
+			f.run(10*clock.Second, old, next)
+			if !old.o.Lease.Held() || next.o.Lease.Held() {
+				t.Fatal("the first instance does not hold the lease alone")
+			}
+			events := 0
+			f.before = func() {
+				f.shares = map[string]float64{"m@v1": 0.5, "m@v3": 0.5}
+				f.run(40*clock.Second, next)
+				f.want("under the new holder", "a", "m@v1", "m@v3")
+				events = f.events[c.event]
+			}
+			f.shares = map[string]float64{"m@v1": 0.5, "m@v2": 0.5}
+			f.run(500, old)
+			if got := f.events[c.event] - events; got != 1 {
+				t.Errorf("%d events %s of the paused holder, want 1", got, c.event)
+			}
+			if got := e.StaleCommands(); got != c.stale {
+				t.Errorf("%d stale commands ran, want %d", got, c.stale)
+			}
+			f.run(30*clock.Second, old, next)
+			f.want("after the read-back", "a", "m@v1", "m@v3")
+			if err := next.Leave(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			f.run(2*clock.Second, old, next)
+			if !old.o.Lease.Held() || next.o.Lease.Held() {
+				t.Error("the lease of the leaving instance was not taken at once")
+			}
+		})
+	}
+}
+
+// Guards against decisions during a store outage, against commands after the
+// lease has ended, and against a lost answer that stops the placement.
+func TestStoreFaults(t *testing.T) {
+	f := newFleet(t, map[string]float64{"m@v1": 1})
+	f.engine("a", engineemulator.Options{Versions: []string{"m@v1"}, CommandKey: key})
+	c := f.commander("x/1")
+	f.run(10*clock.Second, c)
+	f.store.SetFaults(storeemulator.Faults{Down: true})
+	f.shares = map[string]float64{"m@v2": 1}
+	f.run(90*clock.Second, c)
+	f.want("during the outage", "a", "m@v1")
+	if got := f.events["placement_command_sent"]; got != 0 {
+		t.Errorf("%d commands during the outage, want 0", got)
+	}
+	f.store.SetFaults(storeemulator.Faults{LoseWrites: 3})
+	f.run(40*clock.Second, c)
+	f.want("after lost answers", "a", "m@v2")
+	if got := f.store.Faults().LoseWrites; got != 0 {
+		t.Errorf("%d answers were not lost, want 0", got)
+	}
+}
+
+// Guards against a storm of commands to an engine that refuses the key.
+func TestForbidden(t *testing.T) {
+	f := newFleet(t, map[string]float64{"m@v1": 1, "m@v2": 1})
+	f.engine("a", engineemulator.Options{Versions: []string{"m@v1"}, CommandKey: "other"})
+	f.engine("b", engineemulator.Options{Versions: []string{"m@v1"}, CommandKey: key})
+	f.run(4*clock.Minute, f.commander("x/1"))
+	if got := f.events["placement_command_forbidden"]; got != 1 {
+		t.Errorf("%d commands were refused, want 1", got)
+	}
+	f.want("the key is refused", "a", "m@v1")
+	f.want("beside it", "b", "m@v1", "m@v2")
+}
+
+// Guards against commands to a data centre that is out, and against a return
+// that fills all endpoints at once.
+func TestReturn(t *testing.T) {
+	f := newFleet(t, map[string]float64{"m@v1": 1})
+	for _, id := range []string{"a", "b", "c", "d"} {
+		f.engine(id, engineemulator.Options{Versions: []string{"m@v1"}, CommandKey: key})
+	}
+	c := f.commander("x/1")
+	f.run(20*clock.Second, c)
+	f.out = true
+	f.run(5*clock.Second, c)
+	for _, e := range f.list {
+		f.engine(e.ID, engineemulator.Options{CommandKey: key})
+	}
+	f.run(20*clock.Second, c)
+	f.want("while out", "a")
+	f.out = false
+	for range 60 {
+		f.run(500, c)
+		if c.o.Lease.Record().Stage == 0 && len(f.loaded("c"))+len(f.loaded("d")) > 0 {
+			t.Fatal("the second half was filled in the first stage")
+		}
+	}
+	for _, e := range f.list {
+		f.want("after the return", e.ID, "m@v1")
+	}
+}
