--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -190,7 +190,8 @@
 	f.want("after the longest work", "a", "m@v2")
 }
 
-// Guards against commands of a holder that was paused past its lease: an engine
+// Guards against commands of a holder that was paused past its lease: it drops what
+// it has not sent, an engine
 // that checks the number refuses them, and the state of one that ignores it is
 // corrected. The number 900 is of a sender outside the fleet, which must not
 // lock the holder out.
@@ -207,13 +208,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, map[string]float64{"m@v1": 1})
-			e := f.engine("a", engineemulator.Options{
-				Versions: []string{"m@v1"}, CommandKey: key, IgnoreFencing: c.ignores,
-			})
+			o := engineemulator.Options{Versions: []string{"m@v1"}, CommandKey: key, IgnoreFencing: c.ignores}
+			e := f.engine("a", o)
+			f.engine("b", o)
 			if err := f.client("http://a").Command(t.Context(), c.foreign, engineclient.ActionLoad, "m@v1"); err != nil {
 				t.Fatal(err)
 			}
 			old, next := f.commander("x/1"), f.commander("y/1")
+			old.o.Placer.Burst = 2 // commands to both engines in one queue
 			f.run(10*clock.Second, old, next)
 			if !old.o.Lease.Held() || next.o.Lease.Held() {
 				t.Fatal("the first instance does not hold the lease alone")
@@ -230,6 +232,9 @@
 			if got := f.events[c.event] - events; got != 1 {
 				t.Errorf("%d events %s of the paused holder, want 1", got, c.event)
 			}
+			if got := f.events["placement_command_dropped"]; got != 1 {
+				t.Errorf("%d commands were dropped from the queue, want 1", got)
+			}
 			if got := e.StaleCommands(); got != c.stale {
 				t.Errorf("%d stale commands ran, want %d", got, c.stale)
 			}
@@ -297,6 +302,9 @@
 	}
 	f.run(20*clock.Second, c)
 	f.want("while out", "a")
+	if got := c.o.Lease.Record().Stage; got != 0 {
+		t.Errorf("stage %d while out, want 0", got)
+	}
 	f.out = false
 	for range 60 {
 		f.run(500, c)
--- a/placer/lease.go
+++ b/placer/lease.go
@@ -86,8 +86,9 @@
 }
 
 // Change replaces the record by change's result, under the next number, or the
-// one after that of the result if it is higher. It returns ErrNotHeld without the lease. After storer.ErrUnknown the next Tick
-// finds out whether the change took effect.
+// one after that of the result if it is higher. It returns ErrNotHeld without the
+// lease. After storer.ErrUnknown the next Tick finds out whether the change took
+// effect.
 func (l *Lease) Change(ctx context.Context, change func(Record) Record) error {
 	if !l.Held() || l.pending != nil {
 		return ErrNotHeld
