reviser: test the session key of the first text

The first text now creates a key, so one more key is there after each rotation; the test also checks that a further text keeps it. Split the release of a slot.

--- a/reviser/reviser_test.go
+++ b/reviser/reviser_test.go
@@ -236,22 +236,29 @@
 	}
 }
 
-// TestRotation guards against a rotation that drops a key still in use or
-// returns the same key.
+// TestRotation guards against a first text without a session key, and against a
+// rotation that drops a key still in use or returns the same key.
 func TestRotation(t *testing.T) {
 	ctx := context.Background()
 	e := storeemulator.New()
 	r := newReviser(e)
 	mustWrite(t)(r.Apply(ctx, "text", 0, "first"))
-	var before [][]byte
+	before := stored(t, e).SessionKeys
+	if len(before) != 1 || len(before[0]) != sessionKeyBytes {
+		t.Fatalf("after the first text: got %d keys, want 1", len(before))
+	}
+	mustWrite(t)(r.Apply(ctx, "other text", 1, "second"))
+	if got := stored(t, e).SessionKeys; !bytes.Equal(got[0], before[0]) {
+		t.Error("a further text replaced the session key")
+	}
 	for i := range 5 {
 		mustWrite(t)(r.RotateSessionKey(ctx, fmt.Sprint("rotate ", i)))
 		mustWrite(t)(r.RotateSessionKey(ctx, fmt.Sprint("rotate ", i))) // repeated id
 		got := stored(t, e).SessionKeys
-		if len(got) != min(i+1, keptSessionKeys) || len(got[0]) != sessionKeyBytes {
+		if len(got) != min(i+2, keptSessionKeys) || len(got[0]) != sessionKeyBytes {
 			t.Fatalf("after %d rotations: got %d keys", i+1, len(got))
 		}
-		if i > 0 && (!bytes.Equal(got[1], before[0]) || bytes.Equal(got[0], before[0])) {
+		if !bytes.Equal(got[1], before[0]) || bytes.Equal(got[0], before[0]) {
 			t.Errorf("rotation %d did not keep the former key in second place", i)
 		}
 		before = got
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -386,14 +386,11 @@
 	defer t.mu.Unlock()
 	t.breaker.Report(now, s.ticket, !r.Failed)
 	i, ok := t.index[s.Endpoint]
+	if !ok {
+		i = -1
+	}
 	if s.permit {
-		// Requests earn a higher limit only once the endpoint itself says that it
-		// is warm; before that it would refuse what exceeds its cold limit.
-		warm := ok && t.rows[i].warm && t.rows[i].restart == s.work.Restart
-		t.o.Permits.Finish(s.work, warm && !r.Failed && !r.Cold && !r.Late)
-		if r.Cold || r.Late && ok && t.idle(i) {
-			t.o.Permits.Cold(s.work.Process)
-		}
+		t.finish(s, r, i)
 	}
 	if !ok {
 		return
@@ -408,6 +405,17 @@
 	t.refresh(i, now)
 }
 
+// finish tells the permits how a request ended at row i, or -1 if the endpoint
+// has left. Requests earn a higher limit only once the endpoint itself says that
+// it is warm; before that it would refuse what exceeds its cold limit.
+func (t *Tracker) finish(s Slot, r Result, i int) {
+	warm := i >= 0 && t.rows[i].warm && t.rows[i].restart == s.work.Restart
+	t.o.Permits.Finish(s.work, warm && !r.Failed && !r.Cold && !r.Late)
+	if r.Cold || r.Late && i >= 0 && t.idle(i) {
+		t.o.Permits.Cold(s.work.Process)
+	}
+}
+
 // Busy reports whether an endpoint has so much work that its queue may explain a
 // late first token.
 func (t *Tracker) Busy(id string) bool {
