--- /dev/null
+++ b/spreader/load_test.go
@@ -0,0 +1,130 @@
+package spreader
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/gossiper"
+	"rosemaryarch.example/rosemaryarch/linker"
+	"rosemaryarch.example/rosemaryarch/rater"
+	"rosemaryarch.example/rosemaryarch/roller"
+	"rosemaryarch.example/rosemaryarch/storer"
+	"rosemaryarch.example/rosemaryarch/supervisor"
+)
+
+const (
+	loadSeed    = 1
+	loadSeconds = 120
+	frameBytes  = 8
+)
+
+type loadPoint struct {
+	instances, records, messages, bytes, micros float64
+	knownShare                                  float64 // of the fleet's counts, mean over all instances
+}
+
+// measureLoad runs a fleet whose instances count requests of 10 workspaces, 3
+// kinds and 2 versions; rate is that of one instance per second.
+func measureLoad(n, records, rate int) loadPoint {
+	random := rand.New(rand.NewPCG(loadSeed, uint64(n)))
+	now := 1000 * clock.Hour
+	members := make([]gossiper.Member, n)
+	raters, spreaders := make([]*rater.Rater, n), make([]*Spreader, n)
+	index := map[string]int{}
+	p := loadPoint{instances: float64(n), records: float64(records)}
+	var known []supervisor.Record
+	for i := range records {
+		known = append(known, supervisor.Record{Entry: fmt.Sprintf("model-%d@v%d canary 10 1", i%4, i), Since: now})
+	}
+	for i := range n {
+		id := fmt.Sprintf("entry-%04d", i)
+		members[i] = gossiper.Member{ID: id, Address: id, Incarnation: 1}
+		index[id] = i
+		raters[i] = rater.New(id, 1764830000000, 6*clock.Hour, 50_000)
+		s := supervisor.New(storer.Store{}, raters[i], roller.Default(id))
+		s.Merge(known)
+		spreaders[i] = New(id, raters[i], s, rand.New(rand.NewPCG(loadSeed, uint64(i))))
+		spreaders[i].Members = func() []gossiper.Member { return members }
+		spreaders[i].Send = func(address, kind string, body []byte) error {
+			e, err := linker.Envelope{Kind: kind, From: id, Incarnation: 1764830000000, Body: body}.Encode()
+			p.messages++
+			p.bytes += float64(len(e) + frameBytes)
+			if err != nil {
+				return err
+			}
+			return spreaders[index[address]].Receive(now, body)
+		}
+	}
+	begin := time.Now()
+	for range loadSeconds {
+		now += clock.Second
+		for i, r := range raters {
+			for range rate {
+				r.Serve(rater.Key{
+					Workspace: fmt.Sprintf("workspace-%d", random.IntN(10)), Kind: fmt.Sprintf("kind-%d", random.IntN(3)),
+					Version: fmt.Sprintf("large@v%d", random.IntN(2)),
+				}, now, now, false)
+			}
+			// See follower.Counts.
+			binary.BigEndian.PutUint64(members[i].Digest[12:], r.Digest())
+		}
+		for _, s := range spreaders {
+			if err := s.Tick(false); err != nil {
+				panic(err)
+			}
+		}
+	}
+	scale := float64(n) * loadSeconds
+	p.micros = float64(time.Since(begin).Microseconds()) / scale
+	for _, r := range raters {
+		for _, e := range r.Totals(func(rater.Key) bool { return true }, now-clock.Hour, now) {
+			p.knownShare += e.Served / (scale * float64(rate)) / float64(n)
+		}
+	}
+	p.messages, p.bytes = p.messages/scale, 2*p.bytes/scale
+	return p
+}
+
+// BenchmarkLoad measures the messages, the bytes sent and received and the
+// processor time per instance and second, and how much of the fleet's counts an
+// instance knows, and fits lines through the points. Run it with -benchtime 1x.
+func BenchmarkLoad(b *testing.B) {
+	run := func(instances, records, rate int) (p loadPoint) {
+		b.Run(fmt.Sprintf("instances=%d/records=%d/rate=%d", instances, records, rate), func(b *testing.B) {
+			p = measureLoad(instances, records, rate)
+			b.ReportMetric(p.messages, "messages/s")
+			b.ReportMetric(p.bytes, "B/s")
+			b.ReportMetric(p.micros, "us_cpu/instance_s")
+			b.ReportMetric(p.knownShare, "known_share")
+		})
+		return p
+	}
+	fit := func(name string, xs, ys []float64) {
+		b.Run("fit/"+name, func(b *testing.B) {
+			intercept, slope := stat.LinearRegression(xs, ys, nil, false)
+			b.ReportMetric(slope, "slope")
+			b.ReportMetric(intercept, "intercept")
+			b.ReportMetric(stat.RSquared(xs, ys, nil, intercept, slope), "R2")
+		})
+	}
+	var xs, bytes, micros []float64
+	for _, n := range []int{9, 32, 64, 128} {
+		run(n, 0, 2)
+		p := run(n, 0, 18)
+		xs, bytes, micros = append(xs, p.instances), append(bytes, p.bytes), append(micros, p.micros)
+	}
+	fit("bytes_by_instances", xs, bytes)
+	fit("us_by_instances", xs, micros)
+	xs, bytes = nil, nil
+	for _, k := range []int{0, 8, 64, 256} {
+		p := run(9, k, 18)
+		xs, bytes = append(xs, p.records), append(bytes, p.bytes)
+	}
+	fit("bytes_by_records", xs, bytes)
+}
