--- a/parser/parse_test.go
+++ b/parser/parse_test.go
@@ -48,31 +48,76 @@
 	}
 	hash := parser.HashKey("key of one")
 	tests := map[string]struct{ old, new, want string }{
-		"unknown field":    {"input_cost", "inputcost", "f:6: inputcost: unknown field"},
-		"no fleet":         {"fleet: f\n", "", `f:1: fleet: "" is not a name`},
-		"no data centre":   {"  - {name: oita, region: kyushu}\n", "", "f:2: data_centres: at least one data centre is needed"},
-		"no region":        {", region: kyushu", "", `f:3: data_centres[0].region: data centre "oita" needs a region`},
-		"name of a path":   {"oita", "../oita", "f:3: data_centres[0].name: \"../oita\" is not a name"},
-		"data centre":      {"kyushu}\n", "kyushu}\n  - {name: oita, region: a}\n", `f:4: data_centres[1].name: "oita" is listed twice`},
-		"version twice":    {"serving}\n", "serving}\n      - {name: v1, state: serving}\n", `f:11: models[0].versions[1].name: "v1" is listed twice`},
-		"workspace twice":  {"name: two", "name: one", `f:18: workspaces[1].name: "one" is listed twice`},
-		"price of a word":  {"input_cost: 20", "input_cost: cheap", "f:6: input_cost: !!str cannot be read as int64"},
-		"price below zero": {"input_cost: 20", "input_cost: -1", `f:5: models[0]: model "small" needs costs above zero`},
-		"no time":          {"first_token_ms: 60", "first_token_ms: 0", `f:8: models[0].first_token_ms: model "small" needs a time above zero`},
-		"concurrency":      {"    versions", "    max_concurrent: 99999\n    versions", "f:9: models[0].max_concurrent: must be between 1 and 10000"},
-		"state":            {"state: serving", "state: on", `f:10: models[0].versions[0].state: "on" is not one of`},
-		"canary of none":   {"state: serving", "state: canary", "f:10: models[0].versions[0].share_percent: a canary needs a share"},
-		"deadline":         {"kind: model,", "kind: model, deadline_ms: 3600001,", "f:12: services[0].deadline_ms: must be between 0 and 3600000"},
-		"rating share":     {"kind: model,", "kind: model, rating_percent: 101,", "f:12: services[0].rating_percent: must be between 0 and 100"},
-		"rating of NaN":    {"kind: model,", "kind: model, rating_percent: .nan,", "f:12: services[0].rating_percent: must be between 0 and 100"},
-		"quality of NaN":   {"name: two", "name: two\n    quality: .nan", "f:19: workspaces[1].quality: must be at least 0 and below 1"},
-		"share of NaN":     {"name: two", "name: two\n    share: .nan", "f:19: workspaces[1].share: must"},
-		"share of inf":     {"name: two", "name: two\n    share: .inf", "f:19: workspaces[1].share: must"},
-		"cost overflow":    {"input_cost: 20", "input_cost: 9223372036854775807", "f:5: models[0]: model"},
-		"unknown model":    {"models: [small@v1]", "models: [small@v2]", `f:20: workspaces[1].models[0]: "small@v2" is neither a model nor a version`},
-		"unknown service":  {"name: two\n    services: [tags]", "name: two\n    services: [tag]", `f:19: workspaces[1].services[0]: service "tag" is not`},
-		"key of two":       {"[small@v1]", "[small@v1]\n    key_sha256: [" + hash + "]", `f:21: workspaces[1].key_sha256[0]: the key belongs to workspace "one" already`},
-		"key, not a hash":  {hash, "demo-key-one", "f:17: workspaces[0].key_sha256[0]: not a SHA-256"},
+		"unknown field": {"input_cost", "inputcost", "f:6: inputcost: unknown field"},
+		"no fleet":      {"fleet: f\n", "", `f:1: fleet: "" is not a name`},
+		"no data centre": {
+			"  - {name: oita, region: kyushu}\n", "",
+			"f:2: data_centres: at least one data centre is needed",
+		},
+		"no region": {
+			", region: kyushu", "",
+			`f:3: data_centres[0].region: data centre "oita" needs a region`,
+		},
+		"name of a path": {"oita", "../oita", "f:3: data_centres[0].name: \"../oita\" is not a name"},
+		"data centre": {
+			"kyushu}\n", "kyushu}\n  - {name: oita, region: a}\n",
+			`f:4: data_centres[1].name: "oita" is listed twice`,
+		},
+		"version twice": {
+			"serving}\n", "serving}\n      - {name: v1, state: serving}\n",
+			`f:11: models[0].versions[1].name: "v1" is listed twice`,
+		},
+		"workspace twice": {"name: two", "name: one", `f:18: workspaces[1].name: "one" is listed twice`},
+		"price of a word": {"input_cost: 20", "input_cost: cheap", "f:6: input_cost: !!str cannot be read as int64"},
+		"price below zero": {
+			"input_cost: 20", "input_cost: -1",
+			`f:5: models[0]: model "small" needs costs above zero`,
+		},
+		"no time": {
+			"first_token_ms: 60", "first_token_ms: 0",
+			`f:8: models[0].first_token_ms: model "small" needs a time above zero`,
+		},
+		"concurrency": {
+			"    versions", "    max_concurrent: 99999\n    versions",
+			"f:9: models[0].max_concurrent: must be between 1 and 10000",
+		},
+		"state": {"state: serving", "state: on", `f:10: models[0].versions[0].state: "on" is not one of`},
+		"canary of none": {
+			"state: serving", "state: canary",
+			"f:10: models[0].versions[0].share_percent: a canary needs a share",
+		},
+		"deadline": {
+			"kind: model,", "kind: model, deadline_ms: 3600001,",
+			"f:12: services[0].deadline_ms: must be between 0 and 3600000",
+		},
+		"rating share": {
+			"kind: model,", "kind: model, rating_percent: 101,",
+			"f:12: services[0].rating_percent: must be between 0 and 100",
+		},
+		"rating of NaN": {
+			"kind: model,", "kind: model, rating_percent: .nan,",
+			"f:12: services[0].rating_percent: must be between 0 and 100",
+		},
+		"quality of NaN": {
+			"name: two", "name: two\n    quality: .nan",
+			"f:19: workspaces[1].quality: must be at least 0 and below 1",
+		},
+		"share of NaN":  {"name: two", "name: two\n    share: .nan", "f:19: workspaces[1].share: must"},
+		"share of inf":  {"name: two", "name: two\n    share: .inf", "f:19: workspaces[1].share: must"},
+		"cost overflow": {"input_cost: 20", "input_cost: 9223372036854775807", "f:5: models[0]: model"},
+		"unknown model": {
+			"models: [small@v1]", "models: [small@v2]",
+			`f:20: workspaces[1].models[0]: "small@v2" is neither a model nor a version`,
+		},
+		"unknown service": {
+			"name: two\n    services: [tags]", "name: two\n    services: [tag]",
+			`f:19: workspaces[1].services[0]: service "tag" is not`,
+		},
+		"key of two": {
+			"[small@v1]", "[small@v1]\n    key_sha256: [" + hash + "]",
+			`f:21: workspaces[1].key_sha256[0]: the key belongs to workspace "one" already`,
+		},
+		"key, not a hash": {hash, "demo-key-one", "f:17: workspaces[0].key_sha256[0]: not a SHA-256"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
