administrator: check the operator's key before the body is read

An operator's call decoded its body before the middleware checked the key, so a caller without a key could have 1 MB parsed and learnt the names of the fields from the error. The body is now read behind the middleware. A body above the limit gives body_too_large, not invalid_body.

server: table test of bad input over HTTP with status, reason and run state, a test that every call without a known key gets the same answer, and one that the same requests with a key pass.

--- a/administrator/http.go
+++ b/administrator/http.go
@@ -52,23 +52,38 @@
 	mux *http.ServeMux, path string, call func(context.Context, C) (R, error),
 	wrap endpoint.Middleware, encodeError kithttp.ErrorEncoder,
 ) {
-	run := func(ctx context.Context, request any) (any, error) { return call(ctx, request.(C)) }
-	decode := func(_ context.Context, r *http.Request) (any, error) {
-		var c C
-		d := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxCallBytes))
-		d.DisallowUnknownFields()
-		if err := d.Decode(&c); err != nil {
-			return nil, refuser.ErrInvalidBody.WithMessage("the body is not valid JSON: %v", err)
+	// The body is read behind the middleware, so that a caller without a key
+	// learns nothing about the calls.
+	run := func(ctx context.Context, request any) (any, error) {
+		c, err := decodeCall[C](request.(*http.Request))
+		if err != nil {
+			return nil, err
 		}
-		return c, nil
+		return call(ctx, c)
 	}
+	keep := func(_ context.Context, r *http.Request) (any, error) { return r, nil }
 	mux.Handle("POST "+path, kithttp.NewServer(
-		wrap(run), decode, kithttp.EncodeJSONResponse,
+		wrap(run), keep, kithttp.EncodeJSONResponse,
 		kithttp.ServerErrorEncoder(encodeError),
 		kithttp.ServerBefore(kithttp.PopulateRequestContext),
 	))
 }
 
+func decodeCall[C any](r *http.Request) (C, error) {
+	var c C
+	d := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxCallBytes))
+	d.DisallowUnknownFields()
+	err := d.Decode(&c)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return c, refuser.ErrBodyTooLarge.WithMessage("the body exceeds %d bytes", tooLarge.Limit)
+	case err != nil:
+		return c, refuser.ErrInvalidBody.WithMessage("the body is not valid JSON: %v", err)
+	}
+	return c, nil
+}
+
 // NewHTTP returns an administrator that calls the instance at base, such as
 // "http://127.0.0.1:8101", with an operator's key.
 func NewHTTP(base, key string, client *http.Client) (Administrator, error) {
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,184 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/administrator"
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/meter"
+	"rosemaryarch.example/rosemaryarch/refuser"
+	"rosemaryarch.example/rosemaryarch/router"
+)
+
+const operatorKey = "operator-key"
+
+// newServer returns a server whose router answers everything that reaches it,
+// but for the models "lost" and "small@old" and orders without a key.
+func newServer() *Server {
+	return &Server{
+		Now: func() clock.Millis { return 1000 },
+		Chat: func(_ context.Context, q router.Request, k router.Sink) (router.Answer, error) {
+			switch q.Model {
+			case "lost":
+				return router.Answer{}, refuser.ErrUnknownModel
+			case "small@old":
+				return router.Answer{}, refuser.ErrForbiddenVersion
+			}
+			return router.Answer{Text: q.Workspace}, k.Begin(router.Head{Version: "small@v1"})
+		},
+		Call: func(_ context.Context, c router.Call) (router.Reply, error) {
+			if c.IdempotencyKey == "" {
+				return router.Reply{}, refuser.ErrMissingIdemKey
+			}
+			return router.Reply{Status: http.StatusCreated, Body: []byte(c.Workspace)}, nil
+		},
+		Entries: func() Entries { return Entries{} },
+		Ready:   func() error { return refuser.ErrNotReady },
+		Workspace: func(key string) (string, bool) {
+			name, ok := strings.CutPrefix(key, "key-of-")
+			return name, ok
+		},
+		Operator: func(key string) bool { return key == operatorKey },
+		Deadline: func(service string) (clock.Millis, bool) { return 5000, service == "tags" || service == "orders" },
+		NewID:    func() string { return "made" },
+		Admin: administrator.Administrator{
+			SetDataCentre: func(_ context.Context, c administrator.SetCall) (administrator.Change, error) {
+				return administrator.Change{ID: c.ChangeID}, nil
+			},
+		},
+		Meter: meter.New(), MaxBodyBytes: 256,
+	}
+}
+
+func request(path, key, body string, header ...string) *http.Request {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+func serve(s *Server, r *http.Request) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	s.Handler().ServeHTTP(w, r)
+	return w
+}
+
+const (
+	chatPath  = "/v1/chat/completions"
+	orderPath = "/v1/services/orders/jobs"
+	adminPath = "/admin/datacentre"
+	someKey   = "key-of-one"
+	goodChat  = `{"model":"tags","messages":[{"role":"user","content":"a"}]}`
+	goodSet   = `{"name":"oita","out":true,"change_id":"c"}`
+)
+
+// TestBadInput guards against bad input that reaches the router or an
+// operator's call, and against an error without its reason or run state.
+func TestBadInput(t *testing.T) {
+	large, long := strings.Repeat(" ", 257), strings.Repeat("k", 101)
+	chat := func(model string) string { return strings.Replace(goodChat, "tags", model, 1) }
+	unknownService := strings.Replace(orderPath, "orders", "other", 1)
+	tests := map[string]struct {
+		request *http.Request
+		want    *refuser.Refusal
+	}{
+		"chat body too large":   {request(chatPath, someKey, goodChat+large), refuser.ErrBodyTooLarge},
+		"order body too large":  {request(orderPath, someKey, large, headerIdempotency, "a"), refuser.ErrBodyTooLarge},
+		"invalid JSON":          {request(chatPath, someKey, `{"model":`), refuser.ErrInvalidBody},
+		"two values":            {request(chatPath, someKey, goodChat+"{}"), refuser.ErrInvalidBody},
+		"missing model":         {request(chatPath, someKey, chat("")), refuser.ErrInvalidBody},
+		"no messages":           {request(chatPath, someKey, `{"model":"tags"}`), refuser.ErrInvalidBody},
+		"too many tokens":       {request(chatPath, someKey, `{"max_tokens":32769,`+goodChat[1:]), refuser.ErrInvalidBody},
+		"unknown service":       {request(chatPath, someKey, chat("other")), refuser.ErrUnknownService},
+		"unknown plain service": {request(unknownService, someKey, ""), refuser.ErrUnknownService},
+		"unknown model":         {request(chatPath, someKey, chat("tags:lost")), refuser.ErrUnknownModel},
+		"forbidden version":     {request(chatPath, someKey, chat("tags:small@old")), refuser.ErrForbiddenVersion},
+		"missing key":           {request(chatPath, "", goodChat), refuser.ErrMissingKey},
+		"unknown key":           {request(chatPath, "other", goodChat), refuser.ErrUnknownKey},
+		"operator's key":        {request(chatPath, operatorKey, goodChat), refuser.ErrUnknownKey},
+		"other scheme":          {request(chatPath, "", goodChat, "Authorization", "Basic a2V5"), refuser.ErrMissingKey},
+		"order without a key":   {request(orderPath, "", ""), refuser.ErrMissingKey},
+		"no idempotency key":    {request(orderPath, someKey, ""), refuser.ErrMissingIdemKey},
+		"long idempotency key":  {request(orderPath, someKey, "", headerIdempotency, long), refuser.ErrInvalidBody},
+		"long request id":       {request(chatPath, someKey, goodChat, headerRequestID, long), refuser.ErrInvalidBody},
+		"long session id":       {request(chatPath, someKey, goodChat, headerSession, long), refuser.ErrInvalidBody},
+		"deadline of a word":    {request(chatPath, someKey, goodChat, headerDeadline, "soon"), refuser.ErrInvalidBody},
+		"deadline of zero":      {request(orderPath, someKey, "", headerDeadline, "0"), refuser.ErrInvalidBody},
+		"deadline overflow":     {request(chatPath, someKey, goodChat, headerDeadline, "9223372036854775808"), refuser.ErrInvalidBody},
+		"operator without key":  {request(adminPath, "", goodSet), refuser.ErrMissingKey},
+		"operator, wrong key":   {request(adminPath, someKey, goodSet), refuser.ErrUnknownKey},
+		"operator, bad, no key": {request(adminPath, "", `{"nam":1}`), refuser.ErrMissingKey},
+		"operator, new field":   {request(adminPath, operatorKey, `{"nam":"oita"}`), refuser.ErrInvalidBody},
+		"operator, no body":     {request(adminPath, operatorKey, ""), refuser.ErrInvalidBody},
+		"operator, large body": {
+			request(adminPath, operatorKey, `{"name":"`+strings.Repeat("a", 1<<20)+`"}`), refuser.ErrBodyTooLarge,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := serve(newServer(), test.request)
+			var got errorBody
+			if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
+				t.Fatalf("got status %d with body %q: %v", w.Code, w.Body, err)
+			}
+			if w.Code != test.want.Status || got.Error.Reason != test.want.Reason || got.Error.Run != refuser.RunNo {
+				t.Errorf("got status %d, %+v, want status %d, reason %s and run no",
+					w.Code, got.Error, test.want.Status, test.want.Reason)
+			}
+		})
+	}
+}
+
+// TestNothingWithoutKey guards against a caller without a key that finds out
+// which services, models or operators' calls exist, or what their bodies hold.
+func TestNothingWithoutKey(t *testing.T) {
+	for _, key := range []string{"", "other"} {
+		want := serve(newServer(), request(chatPath, key, goodChat))
+		for name, r := range map[string]*http.Request{
+			"unknown service":       request(chatPath, key, strings.Replace(goodChat, "tags", "other", 1)),
+			"invalid body":          request(chatPath, key, "{"),
+			"bad deadline":          request(chatPath, key, goodChat, headerDeadline, "x"),
+			"plain service":         request(orderPath, key, ""),
+			"unknown plain service": request("/v1/services/other/jobs", key, ""),
+			"large body":            request(orderPath, key, strings.Repeat(" ", 300)),
+			"operator's call":       request(adminPath, key, goodSet),
+			"unknown field":         request(adminPath, key, `{"nam":1}`),
+		} {
+			got := serve(newServer(), r)
+			if got.Code != want.Code || got.Body.String() != want.Body.String() {
+				t.Errorf("key %q, %s: got status %d, %s want status %d, %s", key, name, got.Code, got.Body, want.Code, want.Body)
+			}
+		}
+	}
+}
+
+// TestGoodInput guards against a test of bad input that passes because every
+// request is refused, and against a caller that chooses its own workspace.
+func TestGoodInput(t *testing.T) {
+	tests := map[string]struct {
+		request *http.Request
+		status  int
+		want    string
+	}{
+		"chat":     {request(chatPath, someKey, goodChat, "X-Workspace", "two"), http.StatusOK, `"content":"one"`},
+		"order":    {request(orderPath+"?workspace=two", someKey, "", headerIdempotency, "a"), http.StatusCreated, "one"},
+		"operator": {request(adminPath, operatorKey, goodSet), http.StatusOK, `"id":"c"`},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := serve(newServer(), test.request)
+			if got.Code != test.status || !strings.Contains(got.Body.String(), test.want) {
+				t.Errorf("got status %d, %s, want status %d with %s", got.Code, got.Body, test.status, test.want)
+			}
+		})
+	}
+}
