rosemaryarch: run datacentre and endpoint out|in, one line for each mistake

Cause: go-arg returns the deepest subcommand, and the arguments of datacentre out|in and endpoint out|in had no run method: all four printed the help and exited with 2. Mistakes printed a usage text and a second line, an instance that refused connections left a change "not known", and config status of an unrecorded change exited with 0 and revision 0. Change: a command type for each of the four; usage errors are one line and exit code 2, other failures one line and exit code 1. Connections that cannot be opened are ErrUnreachable, and their change was not made. Key files that are empty or have more lines are named. Conclusion: a test walks all subcommands, another the mistakes.

--- a/administrator/http.go
+++ b/administrator/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/url"
 
@@ -74,7 +75,7 @@
 func NewHTTP(base, key string, client *http.Client) (Administrator, error) {
 	u, err := url.Parse(base)
 	if err != nil || u.Host == "" {
-		return Administrator{}, errors.Newf("%q is not a base URL", base)
+		return Administrator{}, errors.Newf("%q is not a base URL such as http://127.0.0.1:8101", base)
 	}
 	return Administrator{
 		Apply:            dial[ApplyCall, Change](u, pathApply, key, client),
@@ -105,19 +106,37 @@
 		reply, err := call(ctx, c)
 		if err != nil {
 			var none R
-			return none, err
+			return none, transportError(base, err)
 		}
 		return reply.(R), nil
 	}
 }
 
+// ErrUnreachable tells that no connection to the instance could be opened, so
+// that the call was not sent.
+var ErrUnreachable = errors.New("administrator: instance cannot be reached")
+
+// transportError names the instance in an error of the connection to it.
+func transportError(base *url.URL, err error) error {
+	var opening *net.OpError
+	if errors.As(err, &opening) && opening.Op == "dial" {
+		return errors.Mark(errors.Newf("instance %s cannot be reached: %v", base, opening.Err), ErrUnreachable)
+	}
+	var transport *url.Error
+	if errors.As(err, &transport) {
+		return errors.Newf("instance %s did not answer: %v", base, transport.Err)
+	}
+	return err
+}
+
 // decodeError returns the refusal in an error answer.
 func decodeError(r *http.Response) error {
 	var body struct {
 		Error errorBody `json:"error"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Error.Reason == "" {
-		return errors.Newf("the instance answered with status %d", r.StatusCode)
+		return errors.Newf("%s answered with status %d, not as an instance does towards operators",
+			r.Request.URL.Host, r.StatusCode)
 	}
 	return &refuser.Refusal{
 		Reason: body.Error.Reason, Run: body.Error.Run, Status: r.StatusCode, Message: body.Error.Message,
--- a/cmd/rosemaryarch/main.go
+++ b/cmd/rosemaryarch/main.go
@@ -4,14 +4,21 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
+
+	"rosemaryarch.example/rosemaryarch/administrator"
+	"rosemaryarch.example/rosemaryarch/refuser"
 )
 
 type arguments struct {
@@ -37,23 +44,92 @@
 	run(ctx context.Context) error
 }
 
+// usageError tells that the command line is incomplete or wrong.
+type usageError string
+
+func (e usageError) Error() string { return string(e) }
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
 func main() {
+	code := runArguments(os.Args[1:], os.Stdout, os.Stderr)
+	klog.Flush()
+	os.Exit(code)
+}
+
+// runArguments runs the chosen subcommand and returns the exit code. An error is
+// printed as one line that begins with the name of the program.
+func runArguments(args []string, stdout, stderr io.Writer) int {
 	var a arguments
-	p := arg.MustParse(&a)
-	chosen, ok := p.Subcommand().(command)
-	if !ok {
-		p.WriteHelp(os.Stderr)
-		os.Exit(2)
+	p, err := arg.NewParser(arg.Config{Program: "rosemaryarch"}, &a)
+	if err != nil {
+		fmt.Fprintln(stderr, "rosemaryarch:", err)
+		return exitFailed
+	}
+	chosen, err := parse(p, args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		p.WriteHelp(stdout)
+		return 0
+	case err == nil:
+		setVerbosity(a.Verbosity)
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		err = chosen.run(ctx)
 	}
-	setVerbosity(a.Verbosity)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := chosen.run(ctx); err != nil {
-		klog.Flush()
-		fmt.Fprintln(os.Stderr, "rosemaryarch:", err)
-		os.Exit(1) //nolint:gocritic // the deferred stop only releases the signal handler
+	if err == nil {
+		return 0
 	}
 	klog.Flush()
+	var usage usageError
+	if errors.As(err, &usage) {
+		help := strings.Join(append([]string{"rosemaryarch"}, p.SubcommandNames()...), " ")
+		fmt.Fprintf(stderr, "rosemaryarch: %v (see: %s --help)\n", err, help)
+		return exitUsage
+	}
+	fmt.Fprintln(stderr, "rosemaryarch:", err)
+	if j, ok := chosen.(interface{ wantsJSON() bool }); ok && j.wantsJSON() {
+		printError(stdout, err)
+	}
+	return exitFailed
+}
+
+// printError writes an error in the form in which instances answer with one.
+func printError(w io.Writer, err error) {
+	detail := struct {
+		Reason  refuser.Reason `json:"reason"`
+		Run     refuser.Run    `json:"run"`
+		Message string         `json:"message"`
+	}{"failed", refuser.RunUnknown, err.Error()}
+	var r *refuser.Refusal
+	switch {
+	case errors.As(err, &r):
+		detail.Reason, detail.Run = r.Reason, r.Run
+	case errors.Is(err, administrator.ErrUnreachable):
+		detail.Reason, detail.Run = "unreachable", refuser.RunNo
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(map[string]any{"error": detail})
+}
+
+// parse returns the chosen subcommand.
+func parse(p *arg.Parser, args []string) (command, error) {
+	if err := p.Parse(args); err != nil {
+		if errors.Is(err, arg.ErrHelp) {
+			return nil, err
+		}
+		return nil, usageError(err.Error())
+	}
+	chosen, ok := p.Subcommand().(command)
+	if !ok {
+		return nil, usageError("a subcommand is needed")
+	}
+	return chosen, nil
 }
 
 // setVerbosity passes the verbosity to klog, which reads it from a flag set.
--- /dev/null
+++ b/cmd/rosemaryarch/main_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// TestEverySubcommandRuns guards against a subcommand that is accepted but runs
+// nothing, as "datacentre out" and "endpoint in" did.
+func TestEverySubcommandRuns(t *testing.T) {
+	wanted := reflect.TypeFor[command]()
+	var check func(name string, args reflect.Type)
+	check = func(name string, args reflect.Type) {
+		for i := range args.NumField() {
+			f := args.Field(i)
+			if !strings.Contains(f.Tag.Get("arg"), "subcommand:") {
+				continue
+			}
+			if !f.Type.Implements(wanted) {
+				t.Errorf("%s %s: got a type without run, want a command", name, f.Name)
+			}
+			check(name+" "+f.Name, f.Type.Elem())
+		}
+	}
+	check("rosemaryarch", reflect.TypeFor[arguments]())
+}
+
+// TestMistakesOnTheCommandLine guards against a mistake that exits with 0, that
+// prints a page of help, or that does not name what is wrong.
+func TestMistakesOnTheCommandLine(t *testing.T) {
+	t.Setenv("ROSEMARYARCH_KEY_FILE", "")
+	key := filepath.Join(t.TempDir(), "operator.key")
+	if err := os.WriteFile(key, []byte("any\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		args string
+		code int
+		want string
+	}{
+		"no subcommand":      {"", exitUsage, "a subcommand is needed"},
+		"unknown subcommand": {"bogus", exitUsage, "bogus"},
+		"incomplete":         {"datacentre", exitUsage, "datacentre needs out or in"},
+		"missing argument":   {"datacentre out", exitUsage, "NAME is required"},
+		"too many arguments": {"endpoint in a b", exitUsage, "too many"},
+		"no key file":        {"datacentre out oita", exitFailed, "--key-file"},
+		"unreadable text":    {"config check none.yaml", exitFailed, "none.yaml"},
+		"unreadable text 2":  {"config apply none.yaml --from 1", exitFailed, "none.yaml"},
+		"unreadable key":     {"status --key-file none.key", exitFailed, "none.key"},
+		"unreadable setting": {"serve none.yaml", exitFailed, "none.yaml"},
+		"two lines of key":   {"status --key-file main.go", exitFailed, "more than one line"},
+		"empty key file":     {"status --key-file /dev/null", exitFailed, "/dev/null is empty"},
+		"no base URL":        {"status --key-file KEY --instance 127.0.0.1:1", exitFailed, "http://127.0.0.1:8101"},
+		"unreachable":        {"status --key-file KEY --instance http://127.0.0.1:1", exitFailed, "cannot be reached"},
+		"change not sent": {
+			"keys rotate --change-id x --key-file KEY --instance http://127.0.0.1:1", exitFailed, "change x was not made",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var stdout, stderr bytes.Buffer
+			code := runArguments(strings.Fields(strings.ReplaceAll(c.args, "KEY", key)), &stdout, &stderr)
+			got := stderr.String()
+			if code != c.code || !strings.Contains(got, c.want) || strings.Count(got, "\n") != 1 || stdout.Len() != 0 {
+				t.Errorf("got exit code %d, %q and output %q, want %d and one line with %q",
+					code, got, stdout.String(), c.code, c.want)
+			}
+		})
+	}
+}
--- a/cmd/rosemaryarch/operate.go
+++ b/cmd/rosemaryarch/operate.go
@@ -33,13 +33,23 @@
 	if t.KeyFile == "" {
 		return administrator.Administrator{}, errors.New("--key-file (or ROSEMARYARCH_KEY_FILE) is needed")
 	}
-	key, err := os.ReadFile(t.KeyFile)
+	text, err := os.ReadFile(t.KeyFile)
 	if err != nil {
 		return administrator.Administrator{}, errors.Wrap(err, "read operator key")
 	}
-	return administrator.NewHTTP(t.Instance, strings.TrimSpace(string(key)), &http.Client{Timeout: callTimeout})
+	key := strings.TrimSpace(string(text))
+	switch {
+	case key == "":
+		return administrator.Administrator{}, errors.Newf("read operator key: %s is empty", t.KeyFile)
+	case strings.ContainsAny(key, "\r\n"):
+		return administrator.Administrator{}, errors.Newf("read operator key: %s has more than one line", t.KeyFile)
+	}
+	return administrator.NewHTTP(t.Instance, key, &http.Client{Timeout: callTimeout})
 }
 
+// wantsJSON reports whether errors are printed as JSON too.
+func (t target) wantsJSON() bool { return t.JSON }
+
 // print writes v as JSON, or text if JSON was not asked for.
 func (t target) print(v any, text func(io.Writer)) error {
 	if !t.JSON {
@@ -58,19 +68,8 @@
 	Status *configStatus `arg:"subcommand:status" help:"tell what became of a change"`
 }
 
-func (c *configCommand) run(ctx context.Context) error {
-	switch {
-	case c.Check != nil:
-		return c.Check.run(ctx)
-	case c.Apply != nil:
-		return c.Apply.run(ctx)
-	case c.Show != nil:
-		return c.Show.run(ctx)
-	case c.Status != nil:
-		return c.Status.run(ctx)
-	default:
-		return errors.New("config needs check, apply, show or status")
-	}
+func (c *configCommand) run(context.Context) error {
+	return usageError("config needs check, apply, show or status")
 }
 
 type configCheck struct {
@@ -123,10 +122,10 @@
 		})
 	}
 	var r *refuser.Refusal
-	if errors.As(err, &r) && r.Run == refuser.RunNo {
+	if errors.Is(err, administrator.ErrUnreachable) || errors.As(err, &r) && r.Run == refuser.RunNo {
 		return errors.Wrapf(err, "change %s was not made", id)
 	}
-	return errors.Wrapf(err, "it is not known whether change %s took effect; ask with: config status %s", id, id)
+	return errors.Wrapf(err, "it is not known whether change %s took effect (ask: rosemaryarch config status %s)", id, id)
 }
 
 type configShow struct {
@@ -170,7 +169,19 @@
 		return err
 	}
 	change, err := a.Outcome(ctx, administrator.OutcomeCall{ChangeID: c.ID})
-	return c.report(change, c.ID, err)
+	switch {
+	case errors.Is(err, refuser.ErrChangeUnknown), errors.Is(err, administrator.ErrUnreachable):
+		return errors.Wrapf(err, "it is not known yet what became of change %s", c.ID)
+	case err != nil:
+		return err
+	case change.Outcome == administrator.OutcomeNotFound:
+		return &refuser.Refusal{
+			Reason: administrator.OutcomeNotFound, Run: refuser.RunUnknown,
+			Message: fmt.Sprintf("change %q is not among the last changes; one that was just sent may still follow", c.ID),
+		}
+	default:
+		return c.report(change, c.ID, nil)
+	}
 }
 
 // setArguments name what is taken out or in.
@@ -181,40 +192,53 @@
 }
 
 type dataCentreCommand struct {
-	Out *setArguments `arg:"subcommand:out" help:"take a data centre out of service"`
-	In  *setArguments `arg:"subcommand:in" help:"bring a data centre back into service"`
+	Out *dataCentreOut `arg:"subcommand:out" help:"take a data centre out of service"`
+	In  *dataCentreIn  `arg:"subcommand:in" help:"bring a data centre back into service"`
 }
 
-func (c *dataCentreCommand) run(ctx context.Context) error {
-	return set(ctx, c.Out, c.In, func(a administrator.Administrator) setCall { return a.SetDataCentre })
+func (c *dataCentreCommand) run(context.Context) error {
+	return usageError("datacentre needs out or in")
 }
 
+type dataCentreOut struct{ setArguments }
+
+func (c *dataCentreOut) run(ctx context.Context) error { return c.set(ctx, dataCentreCall, true) }
+
+type dataCentreIn struct{ setArguments }
+
+func (c *dataCentreIn) run(ctx context.Context) error { return c.set(ctx, dataCentreCall, false) }
+
 type endpointCommand struct {
-	Out *setArguments `arg:"subcommand:out" help:"take an endpoint out of service"`
-	In  *setArguments `arg:"subcommand:in" help:"bring an endpoint back into service"`
+	Out *endpointOut `arg:"subcommand:out" help:"take an endpoint out of service"`
+	In  *endpointIn  `arg:"subcommand:in" help:"bring an endpoint back into service"`
 }
 
-func (c *endpointCommand) run(ctx context.Context) error {
-	return set(ctx, c.Out, c.In, func(a administrator.Administrator) setCall { return a.SetEndpoint })
+func (c *endpointCommand) run(context.Context) error {
+	return usageError("endpoint needs out or in")
 }
 
+type endpointOut struct{ setArguments }
+
+func (c *endpointOut) run(ctx context.Context) error { return c.set(ctx, endpointCall, true) }
+
+type endpointIn struct{ setArguments }
+
+func (c *endpointIn) run(ctx context.Context) error { return c.set(ctx, endpointCall, false) }
+
 type setCall = func(context.Context, administrator.SetCall) (administrator.Change, error)
 
-func set(ctx context.Context, out, in *setArguments, call func(administrator.Administrator) setCall) error {
-	chosen := out
-	if chosen == nil {
-		chosen = in
-	}
-	if chosen == nil {
-		return errors.New("out or in is needed")
-	}
-	a, err := chosen.administrator()
+func dataCentreCall(a administrator.Administrator) setCall { return a.SetDataCentre }
+
+func endpointCall(a administrator.Administrator) setCall { return a.SetEndpoint }
+
+func (s setArguments) set(ctx context.Context, call func(administrator.Administrator) setCall, out bool) error {
+	a, err := s.administrator()
 	if err != nil {
 		return err
 	}
-	id := changeID(chosen.ID)
-	change, err := call(a)(ctx, administrator.SetCall{Name: chosen.Name, Out: out != nil, ChangeID: id})
-	return chosen.report(change, id, err)
+	id := changeID(s.ID)
+	change, err := call(a)(ctx, administrator.SetCall{Name: s.Name, Out: out, ChangeID: id})
+	return s.report(change, id, err)
 }
 
 type keysCommand struct {
@@ -222,15 +246,8 @@
 	Rotate *keysRotate `arg:"subcommand:rotate" help:"add a new key for session tokens"`
 }
 
-func (c *keysCommand) run(ctx context.Context) error {
-	switch {
-	case c.Hash != nil:
-		return c.Hash.run(ctx)
-	case c.Rotate != nil:
-		return c.Rotate.run(ctx)
-	default:
-		return errors.New("keys needs hash or rotate")
-	}
+func (c *keysCommand) run(context.Context) error {
+	return usageError("keys needs hash or rotate")
 }
 
 type keysHash struct{}
