assembler: look-ups of a plain service stay within the workspace

Cause: a call is passed on under the key <workspace>.<key>, a look-up under the path that the caller gave. A caller could not find its own booking by its key, and found those of other workspaces by theirs. An escaped ".." or "?" reached the service too. Change: the path of a GET or HEAD names the caller's key, and the workspace is put in front; paths are cleaned and encoded. Empty lists are [] in the JSON of the operators' calls, not null. Conclusion: found by hand with curl; TestWholePath checks look-ups of the own and of another workspace's booking.

--- a/assembler/admin.go
+++ b/assembler/admin.go
@@ -60,7 +60,8 @@
 		Config: func(context.Context, administrator.Empty) (administrator.Config, error) {
 			o := i.policy.current().object
 			return administrator.Config{
-				Revision: o.Revision, Text: o.Text, DataCentresOut: o.DataCentresOut, EndpointsOut: o.EndpointsOut,
+				Revision: o.Revision, Text: o.Text,
+				DataCentresOut: orEmpty(o.DataCentresOut), EndpointsOut: orEmpty(o.EndpointsOut),
 			}, nil
 		},
 		Status: func(context.Context, administrator.Empty) (administrator.Status, error) { return i.status(), nil },
@@ -80,6 +81,14 @@
 	return administrator.Change{ID: id, Outcome: administrator.OutcomeAccepted, Revision: revision}, nil
 }
 
+// orEmpty makes a list that JSON shows as [] instead of null.
+func orEmpty(names []string) []string {
+	if names == nil {
+		return []string{}
+	}
+	return names
+}
+
 func (i *Instance) outcome(ctx context.Context, c administrator.OutcomeCall) (administrator.Change, error) {
 	found, err := i.reviser.Outcome(ctx, c.ChangeID)
 	switch {
@@ -101,6 +110,8 @@
 	fresh, reason := i.follower.Fresh(now)
 	s := administrator.Status{
 		Instance: i.settings.Instance, Revision: c.object.Revision, Fresh: fresh, FreshReason: reason,
+		Instances: []administrator.InstanceStatus{}, DataCentres: []administrator.DataCentreStatus{},
+		Endpoints: []administrator.EndpointStatus{},
 	}
 	live := map[string]int{}
 	for _, m := range i.gossip.Members() {
@@ -140,7 +151,7 @@
 	f := i.policy.current().fleet
 	stopped := i.supervisor.Stopped(f)
 	shares, reasons := i.supervisor.Shares()
-	var all []administrator.VersionStatus
+	all := []administrator.VersionStatus{}
 	for _, m := range f.Models {
 		for _, v := range m.Versions {
 			var e rater.Estimate
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -118,9 +118,14 @@
 }
 
 func (x *testFleet) post(i int, path, key, body string, header map[string]string) answer {
+	x.t.Helper()
+	return x.send(http.MethodPost, i, path, key, body, header)
+}
+
+func (x *testFleet) send(method string, i int, path, key, body string, header map[string]string) answer {
 	x.t.Helper()
 	target := "http://" + x.instances[i].settings.Listen + path
-	req, err := http.NewRequest(http.MethodPost, target, bytes.NewBufferString(body))
+	req, err := http.NewRequest(method, target, bytes.NewBufferString(body))
 	if err != nil {
 		x.t.Fatal(err)
 	}
@@ -182,6 +187,17 @@
 	if got := x.hoster.Platform.Runs("bookings", "booking-desk.visit-1"); got != 1 {
 		t.Errorf("runs of the booking: got %d, want 1", got)
 	}
+	for look, want := range map[string]int{
+		"demo-key-booking-desk visit-1":                 http.StatusOK,
+		"demo-key-fukuoka-fitters visit-1":              http.StatusNotFound,
+		"demo-key-fukuoka-fitters booking-desk.visit-1": http.StatusNotFound,
+		"demo-key-fukuoka-fitters %2e%2e/bookings/../x": http.StatusNotFound,
+	} {
+		key, name, _ := strings.Cut(look, " ")
+		if got := x.send(http.MethodGet, 1, "/v1/services/bookings/bookings/"+name, key, "", nil); got.status != want {
+			t.Errorf("look-up %q: got %+v, want status %d", look, got, want)
+		}
+	}
 	if err := x.instances[2].Shutdown(context.Background()); err != nil {
 		t.Errorf("shutdown: %v", err)
 	}
--- a/assembler/state.go
+++ b/assembler/state.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"path"
 	"strings"
 	"time"
 
@@ -204,6 +206,22 @@
 // workspaces may use the same key.
 func serviceKey(workspace, key string) string { return workspace + "." + key }
 
+// servicePath is the path of a call at its endpoint. A look-up names the key
+// that the caller gave; the service knows it under its workspace, so that no
+// workspace can look up the calls of another.
+func (i *Instance) servicePath(c router.Call) string {
+	clean := path.Clean("/" + c.Path)
+	s, ok := i.policy.current().fleet.Service(c.Service)
+	if !ok || !s.LookUp || c.Method != http.MethodGet && c.Method != http.MethodHead {
+		return clean
+	}
+	key, ok := strings.CutPrefix(clean, "/"+c.Service+"/")
+	if !ok {
+		return clean
+	}
+	return "/" + c.Service + "/" + serviceKey(c.Workspace, key)
+}
+
 // once runs a call that may not be repeated; see claimer.Claimer.Do.
 func (i *Instance) once(
 	ctx context.Context, c router.Call, run func(context.Context, string) (router.Reply, error),
@@ -248,11 +266,12 @@
 // send sends a call to an endpoint once. Answers below status 500 count as
 // executed.
 func (i *Instance) send(ctx context.Context, address, attempt string, c router.Call) (router.Reply, error) {
-	target := strings.TrimSuffix(address, "/") + c.Path
-	if c.Query != "" {
-		target += "?" + c.Query
+	target, err := url.Parse(address)
+	if err != nil {
+		return router.Reply{}, errors.Mark(errors.Wrap(err, "assembler: address of endpoint"), exchanger.ErrNotSent)
 	}
-	req, err := http.NewRequestWithContext(ctx, c.Method, target, bytes.NewReader(c.Body))
+	target.Path, target.RawQuery = i.servicePath(c), c.Query
+	req, err := http.NewRequestWithContext(ctx, c.Method, target.String(), bytes.NewReader(c.Body))
 	if err != nil {
 		return router.Reply{}, errors.Mark(errors.Wrap(err, "assembler: build call"), exchanger.ErrNotSent)
 	}
