assembler: place versions by command with the setting placement

The commander runs as one system on the tick, in the background, and Shutdown releases the lease. The setting is off by default, so that fleets that place versions by other means are not disturbed. The limits versions_per_endpoint and loads_per_minute belong to it.

--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -15,6 +15,7 @@
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/engineemulator"
 	"rosemaryarch.example/rosemaryarch/hoster"
+	"rosemaryarch.example/rosemaryarch/loader"
 	"rosemaryarch.example/rosemaryarch/parser"
 	"rosemaryarch.example/rosemaryarch/permitter"
 )
@@ -31,7 +32,7 @@
 // patience bounds the waits of a test; reaching it is a failure.
 const patience = 30 * time.Second
 
-func newTestFleet(t *testing.T, instances int) *testFleet {
+func newTestFleet(t *testing.T, instances int, change ...func(*loader.Settings)) *testFleet {
 	t.Helper()
 	text, err := os.ReadFile("../examples/kyushu.yaml")
 	if err != nil {
@@ -53,6 +54,9 @@
 	permits := permitter.DefaultOptions()
 	permits.Work = clock.Minute
 	for _, s := range h.Settings() {
+		for _, c := range change {
+			c(&s)
+		}
 		parsed, err := s.Checked()
 		if err != nil {
 			t.Fatal(err)
--- a/assembler/drain.go
+++ b/assembler/drain.go
@@ -60,6 +60,7 @@
 	i.sendPackets(i.gossip.Leave(i.clock.Now()))
 	ctx, cancel := context.WithTimeout(ctx, i.settings.Limits.DrainMS.Duration())
 	defer cancel()
+	i.leavePlacement(ctx)
 	drained := i.waitDrained(ctx)
 	if !i.claimer.Drain(ctx) {
 		klog.Warningf("assembler: outcomes of orders could not be committed")
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -22,6 +22,7 @@
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/claimer"
 	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/commander"
 	"rosemaryarch.example/rosemaryarch/committer"
 	"rosemaryarch.example/rosemaryarch/engineclient"
 	"rosemaryarch.example/rosemaryarch/follower"
@@ -92,6 +93,8 @@
 	prober     *prober.Prober
 	rater      *rater.Rater
 	supervisor *supervisor.Supervisor
+	commander  *commander.Commander // nil unless the settings ask for placement
+	placing    atomic.Bool          // a step of the placement runs
 	spreader   *spreader.Spreader
 	committer  *committer.Committer
 	ledger     *committer.Committer // of bills
@@ -138,6 +141,7 @@
 	i.buildEndpoints()
 	i.buildState()
 	i.buildRouter()
+	i.buildPlacement()
 	return i, nil
 }
 
@@ -344,6 +348,7 @@
 		{every: spreader.Interval, run: func(clock.Millis) { i.tickSpread(false) }},
 		{every: listInterval, run: i.tickList},
 		{every: clock.Second, run: i.tickRecords},
+		{every: placementInterval, run: i.tickPlacement},
 		{every: clock.Second, run: i.tickPeers},
 		{every: clock.Second, run: i.tickDeaths},
 		{every: clock.Second, run: i.tickMeter},
@@ -361,6 +366,9 @@
 // is announced.
 func (i *Instance) Kill() {
 	i.closeOnce.Do(func() { close(i.done) })
+	if i.commander != nil {
+		i.commander.Close()
+	}
 	if i.callers != nil {
 		_ = i.callers.Close()
 		_ = i.peers.Close()
--- /dev/null
+++ b/assembler/placement_test.go
@@ -0,0 +1,46 @@
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/administrator"
+	"rosemaryarch.example/rosemaryarch/engineclient"
+	"rosemaryarch.example/rosemaryarch/hoster"
+	"rosemaryarch.example/rosemaryarch/loader"
+	"rosemaryarch.example/rosemaryarch/placer"
+)
+
+// TestPlacement guards against a commander that is not connected: a version that
+// a new text names is loaded by command, and a shutdown releases the lease.
+func TestPlacement(t *testing.T) {
+	x := newTestFleet(t, 2, func(s *loader.Settings) { s.Placement, s.Limits.LoadsPerMinute = true, 600 })
+	x.start()
+	const v1 = "      - {name: v1, state: serving}\n"
+	text := strings.Replace(x.text, v1, v1+"      - {name: v2, state: canary, share_percent: 20}\n", 1)
+	x.eventually("the text with a canary", func() bool {
+		_, err := x.admin(0).Apply(context.Background(), administrator.ApplyCall{Text: text, From: 1, ChangeID: "canary"})
+		return err == nil
+	})
+	x.eventually("a load of the canary", func() bool {
+		return slices.ContainsFunc(x.hoster.Engines, func(e hoster.Engine) bool {
+			l, err := engineclient.NewHTTP("http://"+e.Address, "", http.DefaultClient).Load(context.Background())
+			return err == nil && e.DataCentre == "fukuoka" && slices.Contains(l.Versions, "small@v2")
+		})
+	})
+	if err := x.instances[0].Shutdown(context.Background()); err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+	o, err := x.hoster.Store.Store().Get(context.Background(), "placement/fukuoka")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r placer.Record
+	if err := json.Unmarshal(o.Value, &r); err != nil || r.Holder != "" || r.Number == 0 {
+		t.Errorf("record after the shutdown: got %+v, %v, want a number and no holder", r, err)
+	}
+}
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -10,6 +11,7 @@
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/engineclient"
 	"rosemaryarch.example/rosemaryarch/engineemulator"
+	"rosemaryarch.example/rosemaryarch/parser"
 	"rosemaryarch.example/rosemaryarch/placer"
 	"rosemaryarch.example/rosemaryarch/platformemulator"
 	"rosemaryarch.example/rosemaryarch/storeemulator"
@@ -316,3 +318,16 @@
 		f.want("after the return", e.ID, "m@v1")
 	}
 }
+
+// Guards against a listed version that gets no endpoint and a withdrawn one that
+// keeps some.
+func TestShares(t *testing.T) {
+	f := &parser.Fleet{Models: []parser.Model{{Versions: []parser.Version{
+		{Key: "m@v1", State: parser.StateWithdrawn}, {Key: "m@v2", State: parser.StateServing},
+		{Key: "m@v3", State: parser.StateServing}, {Key: "m@v4", State: parser.StateCanary, SharePercent: 10},
+	}}}}
+	want := map[string]float64{"m@v2": 0.45, "m@v3": 0.45, "m@v4": 0.1}
+	if got := Shares(f); !maps.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/commander/shares.go
@@ -0,0 +1,29 @@
+package commander
+
+import "rosemaryarch.example/rosemaryarch/parser"
+
+// Shares returns the versions that must be loaded with their shares of the
+// traffic. Every model counts alike. A canary has the share that the text allows
+// it, and the serving versions of its model divide the rest evenly.
+func Shares(f *parser.Fleet) map[string]float64 {
+	const percent = 100
+	shares := map[string]float64{}
+	for _, m := range f.Models {
+		rest, serving := 1.0, 0
+		for _, v := range m.Versions {
+			switch v.State {
+			case parser.StateCanary:
+				shares[v.Key] = v.SharePercent / percent
+				rest -= shares[v.Key]
+			case parser.StateServing:
+				serving++
+			}
+		}
+		for _, v := range m.Versions {
+			if v.State == parser.StateServing {
+				shares[v.Key] = max(rest, 0) / float64(serving)
+			}
+		}
+	}
+	return shares
+}
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -26,6 +26,11 @@
 	KeysFile   string `yaml:"keys_file"`
 	Limits     Limits `yaml:"limits"`
 	PeerTLS    TLS    `yaml:"peer_tls"`
+	// Placement lets this instance load and unload the versions of the model
+	// engines in its data centre as the configuration text asks. It is off by
+	// default, so that a fleet whose versions are placed by other means is not
+	// disturbed. It must be the same at all instances of a data centre.
+	Placement bool `yaml:"placement"`
 }
 
 // Limits bound what one instance takes on.
@@ -35,6 +40,11 @@
 	MaxQueued       int          `yaml:"max_queued"`
 	EntryLifetimeMS clock.Millis `yaml:"entry_lifetime_ms"`
 	DrainMS         clock.Millis `yaml:"drain_ms"`
+	// VersionsPerEndpoint is how many versions fit on a model engine, and
+	// LoadsPerMinute this data centre's part of the weight store's rate. Both
+	// apply only with placement.
+	VersionsPerEndpoint int `yaml:"versions_per_endpoint"`
+	LoadsPerMinute      int `yaml:"loads_per_minute"`
 }
 
 // TLS names the PEM files for mutual TLS between instances. Empty: no TLS.
@@ -51,6 +61,9 @@
 	DefaultMaxQueued       = 2048
 	DefaultEntryLifetimeMS = 3 * clock.Second / 2
 	DefaultDrainMS         = 60 * clock.Second
+
+	DefaultVersionsPerEndpoint = 4
+	DefaultLoadsPerMinute      = 6
 )
 
 // Load reads and checks the settings in file.
@@ -98,6 +111,12 @@
 	if l.DrainMS == 0 {
 		l.DrainMS = DefaultDrainMS
 	}
+	if l.VersionsPerEndpoint == 0 {
+		l.VersionsPerEndpoint = DefaultVersionsPerEndpoint
+	}
+	if l.LoadsPerMinute == 0 {
+		l.LoadsPerMinute = DefaultLoadsPerMinute
+	}
 	return l
 }
 
@@ -177,6 +196,10 @@
 		return d.Errorf([]any{"limits", "max_queued"}, "must be between 1 and %d", maxInFlight)
 	case l.EntryLifetimeMS < minLifetimeMS || l.EntryLifetimeMS > clock.Minute:
 		return d.Errorf([]any{"limits", "entry_lifetime_ms"}, "must be between %d and %d", minLifetimeMS, clock.Minute)
+	case l.VersionsPerEndpoint < 1:
+		return d.Errorf([]any{"limits", "versions_per_endpoint"}, "must be at least 1")
+	case l.LoadsPerMinute < 1:
+		return d.Errorf([]any{"limits", "loads_per_minute"}, "must be at least 1")
 	case l.DrainMS < l.EntryLifetimeMS:
 		return d.Errorf([]any{"limits", "drain_ms"}, "must be at least entry_lifetime_ms (%d)", l.EntryLifetimeMS)
 	}
