--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -23,6 +23,7 @@
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/claimer"
 	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/commander"
 	"rosemaryarch.example/rosemaryarch/committer"
 	"rosemaryarch.example/rosemaryarch/engineclient"
 	"rosemaryarch.example/rosemaryarch/follower"
@@ -97,7 +98,9 @@
 	rater      *rater.Rater
 	supervisor *supervisor.Supervisor
 	archiver   *archiver.Archiver
-	restored   atomic.Bool // the stored counts have been merged
+	restored   atomic.Bool          // the stored counts have been merged
+	commander  *commander.Commander // nil unless the settings ask for placement
+	placing    atomic.Bool          // a step of the placement runs
 	spreader   *spreader.Spreader
 	committer  *committer.Committer
 	ledger     *committer.Committer // of bills
@@ -144,6 +147,7 @@
 	i.buildEndpoints()
 	i.buildState()
 	i.buildRouter()
+	i.buildPlacement()
 	return i, nil
 }
 
@@ -354,6 +358,7 @@
 		{every: clock.Second, run: i.tickRecords},
 		{every: clock.Second, run: i.tickRestore},
 		{every: archiveInterval, run: i.tickArchive},
+		{every: placementInterval, run: i.tickPlacement},
 		{every: clock.Second, run: i.tickPeers},
 		{every: clock.Second, run: i.tickDeaths},
 		{every: clock.Second, run: i.tickMeter},
@@ -371,6 +376,9 @@
 // is announced.
 func (i *Instance) Kill() {
 	i.closeOnce.Do(func() { close(i.done) })
+	if i.commander != nil {
+		i.commander.Close()
+	}
 	if i.callers != nil {
 		_ = i.callers.Close()
 		_ = i.peers.Close()
