--- a/faultmatrix/caller_test.go
+++ b/faultmatrix/caller_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,9 +24,11 @@
 
 const (
 	workspace = "fukuoka-fitters"
-	// attemptPatience is how long a caller waits for a sign of life before it
-	// tries another address.
-	attemptPatience = 4 * time.Second
+	// An attempt's deadline is sent with it, so that its refusal arrives before
+	// the caller gives up and goes to another address.
+	chatDeadline  = 7500 * time.Millisecond
+	orderDeadline = 3500 * time.Millisecond
+	slack         = 500 * time.Millisecond
 )
 
 // caller keeps the entries for their lifetime, goes to another address after a
@@ -43,7 +46,7 @@
 func newCaller(dial func(context.Context, string, string) (net.Conn, error), bootstrap []string) *caller {
 	return &caller{
 		client: &http.Client{Transport: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: 64, ResponseHeaderTimeout: attemptPatience,
+			DialContext: dial, MaxIdleConnsPerHost: 64,
 		}},
 		bootstrap: bootstrap, random: rand.New(rand.NewPCG(seed, 1)),
 	}
@@ -135,6 +138,15 @@
 	return o.refusals[len(o.refusals)-1]
 }
 
+// story describes the attempts in short.
+func (o outcome) story() string {
+	counts := map[callError]int{}
+	for _, e := range o.refusals {
+		counts[e]++
+	}
+	return fmt.Sprintf("refusals %v, without an answer: %v", counts, o.unknown)
+}
+
 var errBroken = errors.New("the answer broke off")
 
 // chat sends a request until the answer is whole or ctx ends.
@@ -167,7 +179,7 @@
 }
 
 func (c *caller) stream(ctx context.Context, address string, r chatCall, o *outcome) error {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, chatDeadline+slack)
 	defer cancel()
 	model, token := r.model, r.token
 	if o.text != "" {
@@ -186,6 +198,7 @@
 	}
 	resp, err := c.post(ctx, address, "/v1/chat/completions", body, map[string]string{
 		"X-Request-Id": r.id, "X-Session-Id": r.session, "X-Session-Token": token,
+		"X-Deadline-Ms": strconv.FormatInt(chatDeadline.Milliseconds(), 10),
 	})
 	if err != nil {
 		o.unknown = true
@@ -196,9 +209,7 @@
 		return o.refuse(resp.Body)
 	}
 	o.version, o.token = resp.Header.Get("X-Model-Version"), resp.Header.Get("X-Session-Token")
-	stall := time.AfterFunc(attemptPatience, cancel)
-	defer stall.Stop()
-	return readEvents(resp.Body, o, func() { stall.Reset(attemptPatience) })
+	return readEvents(resp.Body, o)
 }
 
 func (c *caller) post(
@@ -232,7 +243,7 @@
 
 // readEvents adds the pieces of a stream to o. It returns nil only after the
 // end marker.
-func readEvents(r io.Reader, o *outcome, alive func()) error {
+func readEvents(r io.Reader, o *outcome) error {
 	events := framer.NewReader(r, framer.MaxEventBytes)
 	for {
 		name, data, err := events.Next()
@@ -240,7 +251,6 @@
 			o.unknown = true
 			return errBroken
 		}
-		alive()
 		if string(data) == "[DONE]" {
 			return nil
 		}
@@ -296,8 +306,11 @@
 }
 
 func (c *caller) deliver(ctx context.Context, address, key string, o *order) bool {
-	resp, err := c.post(ctx, address, "/v1/services/bookings/bookings", []byte(`{"visit":"`+key+`"}`),
-		map[string]string{"Idempotency-Key": key})
+	ctx, cancel := context.WithTimeout(ctx, orderDeadline+slack)
+	defer cancel()
+	resp, err := c.post(ctx, address, "/v1/services/bookings/bookings", []byte(`{"visit":"`+key+`"}`), map[string]string{
+		"Idempotency-Key": key, "X-Deadline-Ms": strconv.FormatInt(orderDeadline.Milliseconds(), 10),
+	})
 	if err != nil {
 		o.unknown = true
 		return false
--- a/faultmatrix/harness_test.go
+++ b/faultmatrix/harness_test.go
@@ -107,6 +107,7 @@
 	x.caller = newCaller(x.net.Dial("caller"), addresses)
 	x.watching.Add(1)
 	go x.watch()
+	t.Cleanup(x.close)
 	x.change("first configuration", func(ctx context.Context, a administrator.Administrator, id string) error {
 		_, err := a.Apply(ctx, administrator.ApplyCall{Text: x.text, ChangeID: id})
 		return err
@@ -125,9 +126,10 @@
 		x.t.Fatal(err)
 	}
 	permits := permitter.DefaultOptions()
-	for _, service := range x.parsed.Services {
-		permits.Work = max(permits.Work, service.DeadlineMS)
-	}
+	// The fleet is young when an instance crashes, so that no endpoint is known
+	// to be warm. The wait of a new granter is then 15 s, within the callers'
+	// deadline; callers send deadlines of chatDeadline at most.
+	permits.Work, permits.WarmLifetime = 8*clock.Second, 3*clock.Second
 	dead := new(atomic.Bool)
 	dial := x.net.Dial(s.Instance)
 	i, err := assembler.New(s, assembler.Options{
--- a/faultmatrix/matrix_test.go
+++ b/faultmatrix/matrix_test.go
@@ -54,7 +54,7 @@
 
 func cell(t *testing.T, dir, row, column, when string, f fault, step func(*run)) {
 	x := newFleet(t, dir, f.lag)
-	defer x.close()
+
 	r := &run{x: x, f: f, on: when == "before", began: func() {}}
 	switch when {
 	case "before":
@@ -81,6 +81,7 @@
 		time.Sleep(holdTime)
 		f.clear(x)
 	}
+	x.restore()
 	x.recovered("after the fault")
 	x.settle()
 	if allowed := instead[row+"/"+column]; allowed == "" || when == "after" {
--- a/faultmatrix/steps_test.go
+++ b/faultmatrix/steps_test.go
@@ -63,7 +63,7 @@
 	}
 	if !o.whole {
 		if o.last().Reason != refuser.ErrWithdrawn.Reason {
-			r.fail("request %s got no whole answer: %v", c.id, o.refusals)
+			r.fail("request %s got no whole answer: %s", c.id, o.story())
 		}
 		return o
 	}
@@ -108,7 +108,7 @@
 			}
 			body = o.body
 		} else {
-			r.fail("delivery %d of %s: %v", k+1, key, o.refusals)
+			r.fail("delivery %d of %s: %s", k+1, key, o.story())
 		}
 		notRun = notRun && !o.whole && !o.unknown && len(o.refusals) > 0
 		for _, e := range o.refusals {
@@ -280,6 +280,17 @@
 	stop()
 }
 
+// restore undoes what a step could not undo during a fault.
+func (x *fleet) restore() {
+	r := &run{x: x}
+	if c, err := x.config(2); err != nil || len(c.DataCentresOut) == 0 {
+		return
+	}
+	if _, ok := r.setDataCentre(false); !ok {
+		x.t.Error("the data centre could not be brought back after the fault")
+	}
+}
+
 // shutdownStep ends an instance gracefully under load and starts it again.
 func shutdownStep(r *run) {
 	x := r.x
