Name a process apart from its gossip incarnation

Cause: an instance that refutes a suspicion or leaves raises its incarnation, and the permits' assignment, the entry addresses and the bills' backups named processes by id and incarnation. After one refutation an instance no longer matched its own name: its votes did not count, so an assignment with that name was never settled, and a new instance never joined.

Change: the low 16 bits of an incarnation count refutations, and gossiper.Member.Process is the rest, which names the process.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -234,7 +234,7 @@
 	found := map[string]string{}
 	for _, m := range a.Members() {
 		if m.State == gossiper.Alive || m.State == gossiper.Suspect || m.State == gossiper.Leaving {
-			found[MemberName(m.ID, m.Incarnation)] = m.Address
+			found[MemberName(m.ID, m.Process())] = m.Address
 		}
 	}
 	return found
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -52,7 +52,7 @@
 	a.Members = func() []gossiper.Member {
 		var all []gossiper.Member
 		for j := range f.allocators {
-			m := gossiper.Member{ID: fmt.Sprint(j), Address: fmt.Sprint(j), Incarnation: 1}
+			m := gossiper.Member{ID: fmt.Sprint(j), Address: fmt.Sprint(j), Incarnation: gossiper.FirstIncarnation(1)}
 			if f.down[j] {
 				m.State = gossiper.Dead
 			}
--- a/assembler/admin.go
+++ b/assembler/admin.go
@@ -109,7 +109,7 @@
 			revision = binary.BigEndian.Uint64(m.Digest[:])
 		}
 		s.Instances = append(s.Instances, administrator.InstanceStatus{
-			ID: m.ID, DataCentre: m.DataCentre, State: memberState(m.State), Incarnation: m.Incarnation, Revision: revision,
+			ID: m.ID, DataCentre: m.DataCentre, State: memberState(m.State), Incarnation: m.Process(), Revision: revision,
 		})
 		if m.State == gossiper.Alive {
 			live[m.DataCentre]++
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -48,10 +48,10 @@
 	i.fleet.serverTLS = serverTLS
 	self := gossiper.Member{
 		ID: i.settings.Instance, Address: i.settings.PeerListen, DataCentre: i.settings.DataCentre,
-		Region: i.settings.Region, Incarnation: i.incarnation,
+		Region: i.settings.Region, Incarnation: gossiper.FirstIncarnation(i.incarnation),
 	}
 	i.links = linker.New(linker.Options{
-		ID: self.ID, Incarnation: self.Incarnation, Address: self.Address, Secrets: i.peerSecrets, TLS: clientTLS,
+		ID: self.ID, Incarnation: i.incarnation, Address: self.Address, Secrets: i.peerSecrets, TLS: clientTLS,
 		Path: "/", Dial: i.options.Dial, Dropped: func(reason string) { i.meter.Event("peer_message_dropped_" + reason) },
 	}, i.done)
 	i.gossip = gossiper.New(self, i.seeded(3))
@@ -70,7 +70,7 @@
 	i.spreader.Members = i.gossip.Members
 	i.spreader.Connect(i.links, i.clock)
 	i.allocator = allocator.New(
-		allocator.MemberName(self.ID, self.Incarnation), i.store, i.options.Permits, i.clock, i.seeded(6))
+		i.memberName(), i.store, i.options.Permits, i.clock, i.seeded(6))
 	i.allocator.Members = i.gossip.Members
 	i.allocator.Processes = func() []permitter.Process { return i.tracker.Processes() }
 	i.allocator.Connect(i.links)
@@ -165,7 +165,7 @@
 func (e *entries) get(m gossiper.Member) (entryReply, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r, ok := e.known[allocator.MemberName(m.ID, m.Incarnation)]
+	r, ok := e.known[allocator.MemberName(m.ID, m.Process())]
 	return r, ok
 }
 
@@ -175,7 +175,7 @@
 	if e.known == nil {
 		e.known = map[string]entryReply{}
 	}
-	e.known[allocator.MemberName(m.ID, m.Incarnation)] = r
+	e.known[allocator.MemberName(m.ID, m.Process())] = r
 }
 
 // entries returns the addresses that callers may use now: this instance and
--- a/assembler/records.go
+++ b/assembler/records.go
@@ -146,11 +146,11 @@
 func (i *Instance) tickDeaths(clock.Millis) {
 	for _, m := range i.gossip.Members() {
 		last, known := i.incarnations[m.ID]
-		if known && m.Incarnation > last {
+		if known && m.Process() > last {
 			i.biller.Died(allocator.MemberName(m.ID, last))
 		}
-		i.incarnations[m.ID] = m.Incarnation
-		if name := allocator.MemberName(m.ID, m.Incarnation); m.State == gossiper.Dead && !i.buried[name] {
+		i.incarnations[m.ID] = m.Process()
+		if name := allocator.MemberName(m.ID, m.Process()); m.State == gossiper.Dead && !i.buried[name] {
 			i.buried[name] = true
 			i.biller.Died(name)
 		}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -57,6 +57,19 @@
 	Heard clock.Millis
 }
 
+// refutationBits are the low bits of an incarnation. They count how often one
+// process has refuted a suspicion or announced its leave.
+const refutationBits = 16
+
+// FirstIncarnation returns the incarnation with which a process joins. The
+// number must exceed that of every earlier process under the same id or address
+// and stay below 1<<48; the start time in milliseconds does.
+func FirstIncarnation(process uint64) uint64 { return process << refutationBits }
+
+// Process returns the number of the member's process. Unlike the incarnation it
+// stays the same when the process refutes a suspicion or leaves.
+func (m Member) Process() uint64 { return m.Incarnation >> refutationBits }
+
 type entry struct {
 	Member
 	queued   bool
@@ -118,8 +131,7 @@
 }
 
 // New returns a gossiper for an instance that knows only itself. The
-// incarnation of self must exceed that of every earlier process under the same
-// id or address; the start time in milliseconds does.
+// incarnation of self is that of FirstIncarnation.
 func New(self Member, r *rand.Rand) *Gossiper {
 	self.State = Alive
 	e := &entry{Member: self}
