--- a/faultmatrix/faults_test.go
+++ b/faultmatrix/faults_test.go
@@ -20,11 +20,11 @@
 
 // fault is a row of the matrix.
 type fault struct {
-	inject  func(x *fleet)
-	clear   func(x *fleet)
-	lag     clock.Millis // of the instance list
-	lost    bool         // the victim does not serve while the fault lasts
-	noStore bool         // the store does not take writes in time
+	inject func(x *fleet)
+	clear  func(x *fleet)
+	verify func(x *fleet, injected time.Time) // before clear
+	lag    clock.Millis                       // of the instance list
+	lost   bool                               // the victim does not serve while the fault lasts
 }
 
 func store(f storeemulator.Faults) fault {
@@ -143,6 +143,14 @@
 	})
 }
 
+// notUsed checks that leaving endpoints get no new work.
+func notUsed(x *fleet, injected time.Time) {
+	time.Sleep(time.Until(injected.Add(noWorkBound + time.Second)))
+	if n := x.workIn(x.dataCentre(victim), injected.Add(noWorkBound)); n > 0 {
+		x.t.Errorf("I10: leaving endpoints got %d requests more than %v after the list showed it", n, noWorkBound)
+	}
+}
+
 func eachEngine(x *fleet, do func(hoster.Engine)) {
 	for _, e := range x.engines(victim) {
 		do(e)
@@ -166,11 +174,9 @@
 
 func rows() map[string]fault {
 	none := func(*fleet) {}
-	down := store(storeemulator.Faults{Down: true})
-	down.noStore = true
 	return map[string]fault{
 		"no fault":            {inject: none, clear: none},
-		"store down":          down,
+		"store down":          store(storeemulator.Faults{Down: true}),
 		"store slow":          store(storeemulator.Faults{Delay: 800}),
 		"store answer lost":   store(storeemulator.Faults{LoseWrites: 4}),
 		"frozen watch":        store(storeemulator.Faults{FreezeFeed: true}),
@@ -205,6 +211,7 @@
 		"endpoint leaving": {
 			inject: func(x *fleet) { listed(x, listclient.StateLeaving) },
 			clear:  func(x *fleet) { listed(x, listclient.StateLive) },
+			verify: notUsed,
 		},
 		"list lagging": {
 			lag:    8 * clock.Second,
--- a/faultmatrix/harness_test.go
+++ b/faultmatrix/harness_test.go
@@ -84,7 +84,9 @@
 	x.hoster, err = hoster.New(hoster.Options{
 		Fleet: x.parsed, Models: 12, Plain: 4, Instances: instances, Dir: dir, BasePort: 20_000, ListLag: lag,
 		Listen: x.net.Listen,
-		Engine: engineemulator.Options{Seed: seed, AnswerTokens: answerTokens, ColdLimit: coldLimit, Warm: true, LoadLag: 200},
+		Engine: engineemulator.Options{
+			Seed: seed, AnswerTokens: answerTokens, ColdLimit: coldLimit, Warm: true, LoadLag: 200,
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/faultmatrix/steps_test.go
+++ b/faultmatrix/steps_test.go
@@ -17,7 +17,6 @@
 type run struct {
 	x     *fleet
 	f     fault
-	on    bool // the fault was injected before the step
 	began func()
 	// failed are the parts of the step that did not succeed but ended in an
 	// explicit, true error.
