--- a/faultmatrix/faults_test.go
+++ b/faultmatrix/faults_test.go
@@ -206,7 +206,7 @@
 			inject: func(x *fleet) { eachEngine(x, func(e hoster.Engine) { e.TurnCold() }) }, clear: none,
 		},
 		"endpoint restarted": {
-			inject: func(x *fleet) { eachEngine(x, func(e hoster.Engine) { e.Restart() }) }, clear: none,
+			inject: func(x *fleet) { eachEngine(x, func(e hoster.Engine) { e.Restart(); x.net.Drop(e.ID) }) }, clear: none,
 		},
 		"endpoint leaving": {
 			inject: func(x *fleet) { listed(x, listclient.StateLeaving) },
--- a/switcher/switcher.go
+++ b/switcher/switcher.go
@@ -81,6 +81,17 @@
 			listeners = append(listeners, l)
 		}
 	}
+	s.mu.Unlock()
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	s.Drop(node)
+}
+
+// Drop closes the connections of a node, as a process does that is replaced by
+// another one at the same address.
+func (s *Switcher) Drop(node string) {
+	s.mu.Lock()
 	var conns []*conn
 	for c := range s.conns {
 		if c.local == node {
@@ -88,9 +99,6 @@
 		}
 	}
 	s.mu.Unlock()
-	for _, l := range listeners {
-		_ = l.Close()
-	}
 	for _, c := range conns {
 		c.reset()
 	}
