router: look at the configuration again before each attempt

Cause: a request that waited for an endpoint, or that tried again after a failed attempt, kept the version that it got when it was admitted.

Change: each look for an endpoint asks first whether the configuration is confirmed and, until the answer has begun, whether the workspace may still use the version. A request that is not bound to the version goes to another one.

--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -215,7 +215,7 @@
 
 func (i *Instance) buildRouter() {
 	i.router = router.New(router.Options{
-		Now: i.clock.Now, View: i.view, Ready: i.ready, Engine: i.engine, Rate: i.rate,
+		Now: i.clock.Now, View: i.view, Ready: i.ready, Confirmed: i.confirmed, Engine: i.engine, Rate: i.rate,
 		Pinned: i.pinned, Pin: i.pin, Bill: i.bill, Once: i.once, Send: i.send, AttemptID: i.attemptID,
 		Gate: i.gate, Tracker: i.tracker, Rater: i.rater, Planner: planner.Default(),
 		Limiter: limiter.New(limiter.Options{
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -122,7 +122,7 @@
 	slot := u.last
 	if !resume {
 		var err error
-		if slot, err = u.r.acquire(ctx, u.want(), u.waitUntil()); err != nil {
+		if slot, err = u.r.acquire(ctx, u.want(), u.waitUntil(), u.permitted); err != nil {
 			return err
 		}
 		u.last = slot
@@ -244,9 +244,30 @@
 	}()
 }
 
-// acquire waits until an endpoint has room, at most until the given instant.
-func (r *Router) acquire(ctx context.Context, w tracker.Want, until clock.Millis) (tracker.Slot, error) {
+// permitted returns a refusal if the configuration in force now withholds the
+// version, which may have changed while the request waited or failed elsewhere.
+// An answer that has begun may be finished.
+func (u *run) permitted() error {
+	if err := u.r.o.Confirmed(); err != nil || u.stream.Tokens() > 0 {
+		return err
+	}
+	v := u.r.o.View()
+	w, s, err := permission(v.Fleet, u.q.Workspace, u.q.Service, parser.KindModel)
+	if err == nil && !v.usable(w, s, u.version) {
+		return v.refusal(w, u.version)
+	}
+	return err
+}
+
+// acquire waits until an endpoint has room, at most until the given instant. It
+// returns the error of permitted, which is asked before each look.
+func (r *Router) acquire(
+	ctx context.Context, w tracker.Want, until clock.Millis, permitted func() error,
+) (tracker.Slot, error) {
 	for {
+		if err := permitted(); err != nil {
+			return tracker.Slot{}, err
+		}
 		slot, err := r.o.Tracker.Acquire(w, r.o.Now())
 		if err == nil {
 			return slot, nil
--- a/router/call.go
+++ b/router/call.go
@@ -102,7 +102,8 @@
 // send makes one attempt at an endpoint and returns the endpoint's id. An error
 // before the call left is marked with exchanger.ErrNotSent.
 func (r *Router) send(ctx context.Context, c Call, attempt string, exclude []string) (Reply, string, error) {
-	slot, err := r.acquire(ctx, tracker.Want{Class: c.Service, Exclude: exclude, Deadline: c.Deadline}, c.Deadline)
+	want := tracker.Want{Class: c.Service, Exclude: exclude, Deadline: c.Deadline}
+	slot, err := r.acquire(ctx, want, c.Deadline, r.o.Confirmed)
 	if err != nil {
 		return Reply{}, "", errors.Mark(err, exchanger.ErrNotSent)
 	}
--- a/router/chat.go
+++ b/router/chat.go
@@ -192,7 +192,7 @@
 			t.sample(u, step, at)
 			return u, nil
 		}
-		if !hasOther || t.out.begun || !errors.Is(err, refuser.ErrNoEndpoint) {
+		if !hasOther || t.out.begun || !errors.IsAny(err, refuser.ErrNoEndpoint, refuser.ErrWithdrawn) {
 			return nil, err
 		}
 		t.r.o.Meter.Event("version_without_room")
--- a/router/router.go
+++ b/router/router.go
@@ -43,10 +43,13 @@
 
 // Options are the parts that a router calls. All fields must be set.
 type Options struct {
-	Now    func() clock.Millis
-	View   func() View
-	Ready  func() error // nil if the instance may take new work
-	Engine func(address string) engineclient.Client
+	Now   func() clock.Millis
+	View  func() View
+	Ready func() error // nil if the instance may take new work
+	// Confirmed tells why no work may start under the configuration in force, or
+	// returns nil. Unlike Ready, it does not look at a shutdown.
+	Confirmed func() error
+	Engine    func(address string) engineclient.Client
 	// Rate asks the rating service for the quality of an answer, 0 to 1.
 	Rate func(ctx context.Context, requestID, version, prompt, answer string) (float64, error)
 	// Pinned returns the version that a session keeps, "" if none is known.
