--- a/faultmatrix/caller_test.go
+++ b/faultmatrix/caller_test.go
@@ -138,6 +138,12 @@
 	return o.refusals[len(o.refusals)-1]
 }
 
+// remaining returns the time until the deadline of ctx.
+func remaining(ctx context.Context) time.Duration {
+	end, _ := ctx.Deadline()
+	return time.Until(end)
+}
+
 // story describes the attempts in short.
 func (o outcome) story() string {
 	counts := map[callError]int{}
@@ -154,7 +160,7 @@
 	var o outcome
 	avoid := map[string]bool{}
 	address := r.first
-	for ctx.Err() == nil {
+	for remaining(ctx) > slack {
 		if address == "" {
 			address = c.entry(ctx, avoid)
 		}
@@ -179,7 +185,8 @@
 }
 
 func (c *caller) stream(ctx context.Context, address string, r chatCall, o *outcome) error {
-	ctx, cancel := context.WithTimeout(ctx, chatDeadline+slack)
+	limit := min(chatDeadline, remaining(ctx)-slack)
+	ctx, cancel := context.WithTimeout(ctx, limit+slack)
 	defer cancel()
 	model, token := r.model, r.token
 	if o.text != "" {
@@ -198,7 +205,7 @@
 	}
 	resp, err := c.post(ctx, address, "/v1/chat/completions", body, map[string]string{
 		"X-Request-Id": r.id, "X-Session-Id": r.session, "X-Session-Token": token,
-		"X-Deadline-Ms": strconv.FormatInt(chatDeadline.Milliseconds(), 10),
+		"X-Deadline-Ms": strconv.FormatInt(max(1, limit.Milliseconds()), 10),
 	})
 	if err != nil {
 		o.unknown = true
@@ -289,7 +296,7 @@
 	var o order
 	avoid := map[string]bool{}
 	address := first
-	for ctx.Err() == nil {
+	for remaining(ctx) > slack {
 		if address == "" {
 			address = c.entry(ctx, avoid)
 		}
@@ -306,10 +313,11 @@
 }
 
 func (c *caller) deliver(ctx context.Context, address, key string, o *order) bool {
-	ctx, cancel := context.WithTimeout(ctx, orderDeadline+slack)
+	limit := min(orderDeadline, remaining(ctx)-slack)
+	ctx, cancel := context.WithTimeout(ctx, limit+slack)
 	defer cancel()
 	resp, err := c.post(ctx, address, "/v1/services/bookings/bookings", []byte(`{"visit":"`+key+`"}`), map[string]string{
-		"Idempotency-Key": key, "X-Deadline-Ms": strconv.FormatInt(orderDeadline.Milliseconds(), 10),
+		"Idempotency-Key": key, "X-Deadline-Ms": strconv.FormatInt(max(1, limit.Milliseconds()), 10),
 	})
 	if err != nil {
 		o.unknown = true
--- a/faultmatrix/harness_test.go
+++ b/faultmatrix/harness_test.go
@@ -25,6 +25,7 @@
 	"rosemaryarch.example/rosemaryarch/listclient"
 	"rosemaryarch.example/rosemaryarch/parser"
 	"rosemaryarch.example/rosemaryarch/permitter"
+	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/switcher"
 )
 
@@ -56,6 +57,7 @@
 	answered  map[string]string // version by workspace and request id
 	orders    map[string]bool   // confirmed, by key
 	changes   int
+	refused   refuser.Reason // of the last change that was not accepted
 	requests  int
 }
 
@@ -268,6 +270,9 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	x.t.Logf("%s was not accepted: %v", what, last)
+	x.mu.Lock()
+	x.refused = refuser.From(last).Reason
+	x.mu.Unlock()
 	return time.Time{}, false
 }
 
--- a/faultmatrix/matrix_test.go
+++ b/faultmatrix/matrix_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"rosemaryarch.example/rosemaryarch/refuser"
 )
 
 const (
@@ -30,42 +33,54 @@
 	return false
 }
 
-// instead says what must hold in a cell in which the step may fail, by row and
-// column. All other checks stay: whole or explicitly refused answers, true run
+// exception is what must hold in a cell in which the step may fail while the
+// fault lasts. A part of the step may end only with one of the given reasons.
+type exception struct {
+	rule    string
+	reasons []refuser.Reason
+}
+
+// notConfirmed stands for an order that no delivery got confirmed.
+const notConfirmed refuser.Reason = "not_confirmed"
+
+// instead holds the exceptions by row and column, for faults that begin before
+// the step. All other checks stay: whole or explicitly refused answers, true run
 // states, and every invariant.
-var instead = map[string]string{
-	"store down/order":               "held within the deadline, then a true \"not run\"",
-	"store down/configuration":       "refused as store_unavailable, nothing changes",
-	"store down/data centre":         "refused as store_unavailable, nothing changes",
-	"store slow/order":               "confirmed, or a true \"not run\" at the deadline",
-	"stale reads/order":              "confirmed, or explicitly not run, running or unknown; runs at most once",
-	"stale reads/configuration":      "refused as a conflict; no new work while no revision can be confirmed",
-	"stale reads/data centre":        "refused as a conflict; no new work while no revision can be confirmed",
-	"peer link cut/order":            "confirmed at one of the two instances; the other may say outcome_unknown",
-	"peer link one way/order":        "confirmed at one of the two instances; the other may say outcome_unknown",
-	"data centre cut/order":          "confirmed, or outcome_unknown; runs at most once",
-	"instance killed/order":          "confirmed, or outcome_unknown; runs at most once",
-	"instance paused/order":          "confirmed, or outcome_unknown; runs at most once",
-	"instance restarted/order":       "confirmed, or outcome_unknown; runs at most once",
-	"endpoint dead/order":            "confirmed, or outcome_unknown; runs at most once",
-	"list lagging/order":             "confirmed, or outcome_unknown; runs at most once",
-	"store down/session":             "without its token a session may get another version",
-	"instance killed/stream":         "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance killed/session":        "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance paused/stream":         "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance paused/session":        "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance paused/data centre":    "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance paused/shutdown":       "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"data centre cut/stream":         "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"data centre cut/session":        "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"data centre cut/data centre":    "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"data centre cut/shutdown":       "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance restarted/session":     "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance restarted/stream":      "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance killed/shutdown":       "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance killed/data centre":    "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance restarted/shutdown":    "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
-	"instance restarted/data centre": "a true no_endpoint until a new granter may act, if no endpoint is known as warm",
+var instead = map[string]exception{
+	"store down/order": {
+		`held within the deadline, then a true "not run"`,
+		[]refuser.Reason{refuser.ErrStoreUnavailable.Reason, notConfirmed},
+	},
+	"store slow/order": {
+		`confirmed, still running, or a true "not run" at the deadline`,
+		[]refuser.Reason{refuser.ErrStoreUnavailable.Reason, refuser.ErrStillRunning.Reason, notConfirmed},
+	},
+	"stale reads/order": {
+		"confirmed, not run, or still running; runs at most once",
+		[]refuser.Reason{refuser.ErrStoreUnavailable.Reason, refuser.ErrStillRunning.Reason, notConfirmed},
+	},
+	"peer link cut/order": {
+		"confirmed at one of the two instances; the other may not know the outcome",
+		[]refuser.Reason{refuser.ErrOutcomeUnknown.Reason},
+	},
+	"peer link one way/order": {
+		"confirmed at one of the two instances; the other may not know the outcome",
+		[]refuser.Reason{refuser.ErrOutcomeUnknown.Reason},
+	},
+	"store down/configuration": {
+		"the change is refused and does not take effect", []refuser.Reason{refuser.ErrStoreUnavailable.Reason},
+	},
+	"store down/data centre": {
+		"the change is refused and does not take effect", []refuser.Reason{refuser.ErrStoreUnavailable.Reason},
+	},
+	"stale reads/configuration": {
+		"the change is refused; no new work while no revision can be confirmed",
+		[]refuser.Reason{refuser.ErrRevisionConflict.Reason, refuser.ErrNotReady.Reason},
+	},
+	"stale reads/data centre": {
+		"the change is refused; no new work while no revision can be confirmed",
+		[]refuser.Reason{refuser.ErrRevisionConflict.Reason, refuser.ErrNotReady.Reason},
+	},
 }
 
 var timings = []string{"before", "during", "after"}
@@ -133,12 +148,13 @@
 	r.effective("the newest revision after the fault")
 	x.recovered("after the fault")
 	x.settle()
-	for _, what := range r.failed {
-		if rule := instead[row+"/"+column]; rule != "" && when != "after" {
-			t.Logf("step failed, %s: %s", rule, what)
+	e, ok := instead[row+"/"+column]
+	for _, f := range r.failed {
+		if ok && when == "before" && slices.Contains(e.reasons, f.reason) {
+			t.Logf("step failed, %s: %s", e.rule, f.what)
 			continue
 		}
-		t.Errorf("step failed: %s", what)
+		t.Errorf("step failed: %s (%s)", f.what, f.reason)
 	}
 }
 
--- a/faultmatrix/steps_test.go
+++ b/faultmatrix/steps_test.go
@@ -21,13 +21,19 @@
 	// failed are the parts of the step that did not succeed but ended in an
 	// explicit, true error.
 	mu     sync.Mutex
-	failed []string
+	failed []failure
 }
 
-func (r *run) fail(format string, args ...any) {
+// failure is a part of a step that ended in an explicit refusal.
+type failure struct {
+	reason refuser.Reason
+	what   string
+}
+
+func (r *run) fail(reason refuser.Reason, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.failed = append(r.failed, fmt.Sprintf(format, args...))
+	r.failed = append(r.failed, failure{reason, fmt.Sprintf(format, args...)})
 }
 
 // columns are the steps of the matrix.
@@ -62,7 +68,7 @@
 	}
 	if !o.whole {
 		if o.last().Reason != refuser.ErrWithdrawn.Reason {
-			r.fail("request %s got no whole answer: %s", c.id, o.story())
+			r.fail(o.last().Reason, "request %s got no whole answer: %s", c.id, o.story())
 		}
 		return o
 	}
@@ -107,13 +113,16 @@
 			}
 			body = o.body
 		} else {
-			r.fail("delivery %d of %s: %s", k+1, key, o.story())
+			r.fail(o.last().Reason, "delivery %d of %s: %s", k+1, key, o.story())
 		}
 		notRun = notRun && !o.whole && !o.unknown && len(o.refusals) > 0
 		for _, e := range o.refusals {
 			notRun = notRun && e.Run == refuser.RunNo
 		}
 	}
+	if !confirmed {
+		r.fail(notConfirmed, "no delivery of %s was confirmed", key)
+	}
 	x.mu.Lock()
 	x.orders[key] = confirmed
 	if confirmed {
@@ -159,7 +168,7 @@
 		x.t.Errorf("I3: the session moved from %s to %s with its token", first.version, second.version)
 	}
 	if third.version != first.version {
-		r.fail("I3: the session moved from %s to %s without its token", first.version, third.version)
+		r.fail("session_moved", "I3: the session moved from %s to %s without its token", first.version, third.version)
 	}
 }
 
@@ -235,13 +244,13 @@
 			x.t.Errorf("I2: a withdrawn version got %d requests more than %v after its withdrawal", n, noWorkBound)
 		}
 	} else {
-		r.fail("the withdrawal was not accepted")
+		r.fail(x.refused, "the withdrawal was not accepted")
 	}
 	stop()
 	if _, ok := r.apply(x.text); ok {
 		r.effective("the return of the version")
 	} else {
-		r.fail("the return of the version was not accepted")
+		r.fail(x.refused, "the return of the version was not accepted")
 	}
 }
 
@@ -268,13 +277,13 @@
 			x.t.Errorf("I6: a removed data centre got %d requests more than %v after its removal", n, noWorkBound)
 		}
 	} else {
-		r.fail("the removal was not accepted")
+		r.fail(x.refused, "the removal was not accepted")
 	}
 	if _, ok := r.setDataCentre(false); ok {
 		r.effective("the return")
 		time.Sleep(time.Second)
 	} else {
-		r.fail("the return was not accepted")
+		r.fail(x.refused, "the return was not accepted")
 	}
 	stop()
 }
