--- /dev/null
+++ b/switcher/switcher_test.go
@@ -0,0 +1,74 @@
+package switcher
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestFaults guards against a fault that loses or reorders data, acts on the
+// other direction, or does not end: one side sends two pieces under the fault.
+func TestFaults(t *testing.T) {
+	tests := map[string]struct {
+		fault func(s *Switcher)
+		heal  func(s *Switcher) // after 5 s
+		after time.Duration     // of the arrival
+		err   bool
+	}{
+		"none":        {after: 0},
+		"delay":       {fault: func(s *Switcher) { s.Delay("a", "b", time.Second) }, after: time.Second},
+		"other delay": {fault: func(s *Switcher) { s.Delay("b", "a", time.Second) }},
+		"cut": {
+			fault: func(s *Switcher) { s.Cut("a", "b") }, heal: func(s *Switcher) { s.Heal("a", "b") }, after: 5 * time.Second,
+		},
+		"other cut": {fault: func(s *Switcher) { s.Cut("b", "a") }},
+		"frozen sender": {
+			fault: func(s *Switcher) { s.Freeze("a") }, heal: func(s *Switcher) { s.Thaw("a") }, after: 5 * time.Second,
+		},
+		"frozen receiver": {
+			fault: func(s *Switcher) { s.Freeze("b") }, heal: func(s *Switcher) { s.Thaw("b") }, after: 5 * time.Second,
+		},
+		"reset": {fault: func(s *Switcher) { s.Reset("a") }, err: true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New()
+				l, err := s.Listen("tcp", "b")
+				if err != nil {
+					t.Fatal(err)
+				}
+				near, err := s.Dial("a")(context.Background(), "tcp", "b")
+				if err != nil {
+					t.Fatal(err)
+				}
+				far, err := l.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer s.Close()
+				start := time.Now()
+				if c.fault != nil {
+					c.fault(s)
+				}
+				go func() {
+					_, _ = near.Write([]byte("one "))
+					_, _ = near.Write([]byte("two"))
+					_ = near.Close()
+				}()
+				if c.heal != nil {
+					time.AfterFunc(5*time.Second, func() { c.heal(s) })
+				}
+				data, err := io.ReadAll(far)
+				if c.err != (err != nil) || !c.err && string(data) != "one two" {
+					t.Errorf("got %q and error %v, want error: %v", data, err, c.err)
+				}
+				if got := time.Since(start); got != c.after {
+					t.Errorf("arrival: got after %v, want %v", got, c.after)
+				}
+			})
+		})
+	}
+}
