--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -240,7 +240,7 @@
 	found := map[string]string{}
 	for _, m := range a.Members() {
 		if slices.Contains(states, m.State) {
-			found[MemberName(m.ID, m.Incarnation)] = m.Address
+			found[MemberName(m.ID, m.Process())] = m.Address
 		}
 	}
 	return found
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -54,7 +54,8 @@
 	a.Members = func() []gossiper.Member {
 		var all []gossiper.Member
 		for j := range f.allocators {
-			m := gossiper.Member{ID: fmt.Sprint(j), Address: fmt.Sprint(j), Incarnation: 1}
+			id := fmt.Sprint(j)
+			m := gossiper.Member{ID: id, Address: id, Incarnation: gossiper.FirstIncarnation(1)}
 			switch {
 			case f.leaving[j]: // stays in this state after the process has ended
 				m.State = gossiper.Leaving
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -68,6 +68,9 @@
 	if errors.As(cause, &refusal) {
 		return "", u.refusal(refusal)
 	}
+	if errors.Is(cause, errStale) {
+		return "", errStale
+	}
 	u.mayRun = u.mayRun || !errors.IsAny(cause, exchanger.ErrNotSent, exchanger.ErrRefused)
 	now := u.r.o.Now()
 	step, err := streamer.Plan(cause, u.stream.Tokens(), u.canResume(cause), now < u.q.Deadline)
@@ -124,7 +127,7 @@
 	slot := u.last
 	if !resume {
 		var err error
-		if slot, err = u.r.acquire(ctx, u.want(), u.waitUntil()); err != nil {
+		if slot, err = u.r.acquire(ctx, u.want(), u.waitUntil(), u.permitted); err != nil {
 			return err
 		}
 		u.last = slot
@@ -287,13 +290,34 @@
 	}()
 }
 
+// permitted returns errStale if the configuration in force now withholds the
+// version, which may have changed while the request waited or failed elsewhere.
+// An answer that has begun may be finished.
+func (u *run) permitted() error {
+	if err := u.r.o.Confirmed(); err != nil || u.stream.Tokens() > 0 {
+		return err
+	}
+	v := u.r.o.View()
+	w, s, err := permission(v.Fleet, u.q.Workspace, u.q.Service, parser.KindModel)
+	if err == nil && !v.usable(w, s, u.version) {
+		return errStale
+	}
+	return err
+}
+
 // longWait is how long a request waits for an endpoint before that is noted.
 const longWait = 2 * clock.Second
 
-// acquire waits until an endpoint has room, at most until the given instant.
-func (r *Router) acquire(ctx context.Context, w tracker.Want, until clock.Millis) (tracker.Slot, error) {
+// acquire waits until an endpoint has room, at most until the given instant. It
+// returns the error of permitted, which is asked before each look.
+func (r *Router) acquire(
+	ctx context.Context, w tracker.Want, until clock.Millis, permitted func() error,
+) (tracker.Slot, error) {
 	began := r.o.Now()
 	for noted := false; ; {
+		if err := permitted(); err != nil {
+			return tracker.Slot{}, err
+		}
 		slot, err := r.o.Tracker.Acquire(w, r.o.Now())
 		if err == nil {
 			return slot, nil
--- a/router/chat.go
+++ b/router/chat.go
@@ -189,7 +189,7 @@
 			t.sample(u, step, at)
 			return u, nil
 		}
-		if !hasOther || t.out.begun || !errors.Is(err, refuser.ErrNoEndpoint) {
+		if !hasOther || t.out.begun || !errors.IsAny(err, refuser.ErrNoEndpoint, refuser.ErrWithdrawn) {
 			return nil, err
 		}
 		t.r.o.Meter.Event("version_without_room")
@@ -255,7 +255,7 @@
 	err = u.answer(ctx)
 	now := t.r.o.Now()
 	callerLeft := err != nil && ctx.Err() != nil
-	if !callerLeft && !errors.Is(err, refuser.ErrNoEndpoint) {
+	if !callerLeft && !errors.IsAny(err, refuser.ErrNoEndpoint, errStale) {
 		counted(t.c.key(t.w.Name, t.s.Name, step), func(k rater.Key) { t.r.o.Rater.Serve(k, at, now, err != nil) })
 	}
 	if err == nil {
