--- /dev/null
+++ b/rater/example_test.go
@@ -0,0 +1,18 @@
+package rater_test
+
+import (
+	"fmt"
+
+	"rosemaryarch.example/rosemaryarch/rater"
+)
+
+// The one-sided bounds of the same mean are wider after fewer ratings.
+func ExampleWilson() {
+	for _, trials := range []float64{10, 1000} {
+		lower, upper := rater.Wilson(0.9*trials, trials, 0.05)
+		fmt.Printf("%.2f to %.2f\n", lower, upper)
+	}
+	// Output:
+	// 0.65 to 0.98
+	// 0.88 to 0.91
+}
--- /dev/null
+++ b/roller/example_test.go
@@ -0,0 +1,20 @@
+package roller_test
+
+import (
+	"fmt"
+
+	"rosemaryarch.example/rosemaryarch/roller"
+)
+
+// Raising the share moves no session away from the new version.
+func ExampleTakes() {
+	kept := true
+	for i := range 1000 {
+		session := fmt.Sprint(i)
+		if roller.Takes("small@v2", session, 0.05) && !roller.Takes("small@v2", session, 0.2) {
+			kept = false
+		}
+	}
+	fmt.Println(kept, roller.Takes("small@v2", "s", 0), roller.Takes("small@v2", "s", 1))
+	// Output: true false true
+}
