--- a/biller/biller.go
+++ b/biller/biller.go
@@ -288,6 +288,7 @@
 }
 
 // CommitLocal commits bills of one shard through this instance's committer.
+// The error is the first of those of committer; the other bills are submitted all the same.
 func (b *Biller) CommitLocal(ctx context.Context, shard string, bills []Bill) error {
 	var group errgroup.Group
 	for _, bill := range bills {
--- a/biller/stored.go
+++ b/biller/stored.go
@@ -14,6 +14,7 @@
 
 // Stored returns the committed bills that the store holds, in no order. It reads
 // every segment and is meant for billing runs, not for the request path.
+// The errors are those of the store and of a malformed segment.
 func Stored(ctx context.Context, s storer.Store) ([]Bill, error) {
 	objects, err := s.List(ctx, "bills/")
 	if err != nil {
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -125,6 +125,7 @@
 const recordOverhead = 320
 
 // CommitLocal applies an encoded change through this instance's committer.
+// The errors are those of committer.
 func (c *Claimer) CommitLocal(ctx context.Context, shard, key string, change []byte) ([]byte, error) {
 	apply := func(old []byte) ([]byte, error) { return Apply(old, change) }
 	reserve := c.AnswerBytes + recordOverhead
--- a/claimer/record.go
+++ b/claimer/record.go
@@ -44,6 +44,7 @@
 
 // Apply returns the record after an encoded change, or nil if the change does
 // not concern the record as it stands. It has the form of a committer's change.
+// The error tells that the change or the record is malformed.
 func Apply(old, encoded []byte) ([]byte, error) {
 	var h change
 	if err := cbor.Unmarshal(encoded, &h); err != nil {
--- a/follower/driver.go
+++ b/follower/driver.go
@@ -82,6 +82,7 @@
 
 // MayAccept runs Reach and waits for its result, at most a second. It serves as
 // reviser.Reviser.MayWrite; it must be asked again for each write.
+// The error is refuser.ErrNotReady.
 func (f *Follower) MayAccept(c clock.Clock) error {
 	result := make(chan bool, 1)
 	f.Reach(c.Now(), func(ok bool) { result <- ok })
--- a/follower/relay.go
+++ b/follower/relay.go
@@ -162,6 +162,7 @@
 
 // Hinted handles a message of kind "revision" and asks the sender if it has
 // something newer. A hint by itself proves nothing, because it may be late.
+// The error tells that the body is malformed; nothing is changed then.
 func (f *Follower) Hinted(now clock.Millis, from string, body []byte) error {
 	var n news
 	if err := cbor.Unmarshal(body, &n); err != nil {
@@ -222,6 +223,7 @@
 }
 
 // Answer handles a call of kind "revision_get".
+// The error tells that the question is malformed.
 func (f *Follower) Answer(now clock.Millis, body []byte) ([]byte, error) {
 	var q question
 	if err := cbor.Unmarshal(body, &q); err != nil {
--- a/gossiper/packet.go
+++ b/gossiper/packet.go
@@ -72,6 +72,7 @@
 
 // Encode returns the packet without kind and receiver, which the transport
 // carries. Members are arrays, not maps, to keep packets small.
+// The error is that of the encoder.
 func (p Packet) Encode() ([]byte, error) {
 	w := wirePacket{From: wire(p.From), Number: p.Number, Target: p.Target, Digest: p.Digest[:]}
 	for _, m := range p.Updates {
@@ -82,6 +83,7 @@
 }
 
 // Decode reads a packet of the given kind. It is safe against any input.
+// The error tells that the bytes are no packet of the kind.
 func Decode(kind string, b []byte) (Packet, error) {
 	if kind != KindPing && kind != KindAck && kind != KindPingReq {
 		return Packet{}, errors.Newf("gossiper: unknown kind %q", kind)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -9,12 +9,12 @@
 
 // Options are the settings of a limiter.
 type Options struct {
-	Share   float64 // retries earned by one successful request, such as 0.08
-	Burst   float64 // most retries that a budget holds
-	Initial float64 // retries that a new budget holds
-	Keys    int     // most services and most workspaces that are remembered
-	Base    clock.Millis
-	Max     clock.Millis
+	Share   float64      // retries earned by one successful request, such as 0.08
+	Burst   float64      // most retries that a budget holds
+	Initial float64      // retries that a new budget holds
+	Keys    int          // most services and most workspaces that are remembered
+	Base    clock.Millis // pause before the first retry
+	Max     clock.Millis // longest pause
 }
 
 // Limiter holds the budgets.
--- a/linker/envelope.go
+++ b/linker/envelope.go
@@ -57,6 +57,7 @@
 }
 
 // Decode reads an envelope. It is safe against any input.
+// The error is ErrTooLarge or tells that the bytes are no envelope.
 func Decode(b []byte) (Envelope, error) {
 	if len(b) > MaxMessageBytes {
 		return Envelope{}, ErrTooLarge
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -143,6 +143,8 @@
 
 // Send queues a one-way message for the peer at address and returns at once.
 // The message is dropped and counted if the queue is full or the link fails.
+// The errors are ErrClosed, ErrUnreachable, ErrQueueFull and ErrTooLarge; without one,
+// the message may still be lost.
 func (l *Linker) Send(address, kind string, body []byte) error {
 	k, err := l.linkTo(address)
 	if err != nil {
--- a/permitter/registry.go
+++ b/permitter/registry.go
@@ -22,6 +22,7 @@
 }
 
 // Load reads the assignment. A missing object is the assignment of epoch 0.
+// The errors are those of the store and of a malformed object.
 func (r *Registry) Load(ctx context.Context) (Assignment, error) {
 	o, err := r.Get(ctx, r.Key)
 	if errors.Is(err, storer.ErrNotFound) {
--- a/pinner/pinner.go
+++ b/pinner/pinner.go
@@ -24,6 +24,7 @@
 // Apply returns the pin after an encoded change, or nil to leave it: the first
 // pin stays unless it names the displaced version. It has the form of a
 // committer's change.
+// The error tells that the change is malformed.
 func Apply(old, encoded []byte) ([]byte, error) {
 	var h change
 	if err := cbor.Unmarshal(encoded, &h); err != nil {
@@ -70,6 +71,7 @@
 }
 
 // CommitLocal applies an encoded change through this instance's committer.
+// The errors are those of committer.
 func (p *Pinner) CommitLocal(ctx context.Context, shard, key string, change []byte) ([]byte, error) {
 	apply := func(old []byte) ([]byte, error) { return Apply(old, change) }
 	return p.committer.Submit(ctx, shard, key, committer.Change{Apply: apply})
--- a/placer/lease.go
+++ b/placer/lease.go
@@ -62,6 +62,7 @@
 
 // Tick reads the record if it is not held, and renews or takes the lease when
 // it may. It is called several times in a lifetime.
+// The errors are those of the store and of a malformed record.
 func (l *Lease) Tick(ctx context.Context) error {
 	if !l.Held() || l.pending != nil {
 		if err := l.read(ctx); err != nil {
@@ -102,6 +103,7 @@
 
 // Release gives the lease up, so that another instance need not wait for its
 // end. No command may be sent afterwards.
+// The error is ErrNotHeld or one of the store.
 func (l *Lease) Release(ctx context.Context) error {
 	if !l.Held() {
 		return ErrNotHeld
--- a/rater/gossip.go
+++ b/rater/gossip.go
@@ -51,6 +51,7 @@
 // Snapshot encodes the cells that changed after the change number since, oldest
 // change first, in at most maxBytes. It returns the number to continue from; a
 // call with since 0 starts over. Without changes the bytes are nil.
+// The error is that of the encoder.
 func (r *Rater) Snapshot(since uint64, maxBytes int) (body []byte, next uint64, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -119,6 +120,7 @@
 // Merge adopts the larger counts of a snapshot and reports whether anything
 // changed. Cells older than the kept buckets, or more than one bucket ahead of
 // now, are left out. Of an invalid snapshot nothing is adopted.
+// The error is ErrInvalidSnapshot.
 func (r *Rater) Merge(body []byte, now clock.Millis) (changed bool, err error) {
 	var s snapshot
 	if err := decoder.Unmarshal(body, &s); err != nil {
--- a/reviser/object.go
+++ b/reviser/object.go
@@ -40,6 +40,7 @@
 }
 
 // Decode reads the stored value of the fleet object.
+// The error tells that the value is malformed or has no revision.
 func Decode(value []byte) (Object, error) {
 	var o Object
 	if err := json.Unmarshal(value, &o); err != nil {
@@ -52,6 +53,7 @@
 }
 
 // Encode returns the value to store.
+// The error is that of the encoder.
 func (o Object) Encode() ([]byte, error) {
 	b, err := json.Marshal(o)
 	return b, errors.Wrap(err, "reviser: encode the fleet object")
--- a/reviser/reviser.go
+++ b/reviser/reviser.go
@@ -78,6 +78,9 @@
 
 // Apply replaces the text that was edited from the given revision (0 creates
 // the object) and returns the accepted object. What is out stays out.
+// The refusals are refuser.ErrInvalidBody (no id), ErrKeyReused, ErrNotReady, ErrStoreUnavailable,
+// ErrDeadline, ErrRevisionConflict, ErrBodyTooLarge and ErrChangeUnknown, and
+// refuser.ErrInvalidConfig if Validate refuses the text.
 func (r *Reviser) Apply(ctx context.Context, text string, fromRevision uint64, changeID string) (Object, error) {
 	if r.Validate != nil {
 		if err := r.Validate(text); err != nil {
@@ -103,6 +106,7 @@
 }
 
 // SetDataCentre takes a data centre out of service or brings it back.
+// The errors are those of Apply and of the check of the name.
 func (r *Reviser) SetDataCentre(ctx context.Context, name string, out bool, changeID string) (Object, error) {
 	what := fmt.Sprintf("data_centre %s %s", name, direction(out))
 	return r.write(ctx, edit{changeID, what, func(o Object) (func(*Object), error) {
@@ -114,6 +118,7 @@
 }
 
 // SetEndpoint takes an endpoint out of service or brings it back.
+// The errors are those of Apply and of the check of the name.
 func (r *Reviser) SetEndpoint(ctx context.Context, name string, out bool, changeID string) (Object, error) {
 	what := fmt.Sprintf("endpoint %s %s", name, direction(out))
 	return r.write(ctx, edit{changeID, what, func(o Object) (func(*Object), error) {
@@ -125,6 +130,7 @@
 }
 
 // RotateSessionKey adds a new session key in front and drops the oldest.
+// The errors are those of Apply.
 func (r *Reviser) RotateSessionKey(ctx context.Context, changeID string) (Object, error) {
 	key := make([]byte, sessionKeyBytes)
 	r.Random(key)
