--- a/server/server_test.go
+++ b/server/server_test.go
@@ -113,7 +113,9 @@
 		"long session id":       {request(chatPath, someKey, goodChat, headerSession, long), refuser.ErrInvalidBody},
 		"deadline of a word":    {request(chatPath, someKey, goodChat, headerDeadline, "soon"), refuser.ErrInvalidBody},
 		"deadline of zero":      {request(orderPath, someKey, "", headerDeadline, "0"), refuser.ErrInvalidBody},
-		"deadline overflow":     {request(chatPath, someKey, goodChat, headerDeadline, "9223372036854775808"), refuser.ErrInvalidBody},
+		"deadline overflow": {
+			request(chatPath, someKey, goodChat, headerDeadline, "9223372036854775808"), refuser.ErrInvalidBody,
+		},
 		"operator without key":  {request(adminPath, "", goodSet), refuser.ErrMissingKey},
 		"operator, wrong key":   {request(adminPath, someKey, goodSet), refuser.ErrUnknownKey},
 		"operator, bad, no key": {request(adminPath, "", `{"nam":1}`), refuser.ErrMissingKey},
