--- a/commander/decide.go
+++ b/commander/decide.go
@@ -29,9 +29,7 @@
 				next.Desired, inputs = placer.Desire(present, shares, c.former(r)), key
 			}
 		}
-		if len(readable) > 0 && len(r.Desired) > 0 {
-			next.Stage = c.placer.Stage(now, r, rows(readable))
-		}
+		next.Stage = c.stage(now, r, readable)
 	}
 	c.o.Set("placement_stage", float64(next.Stage))
 	seen := c.highest(readable)
@@ -55,6 +53,18 @@
 		c.o.Lease.Key, c.o.Lease.Record().Number, next.Stage)
 }
 
+// stage returns the stage that the record should have. A first placement is no
+// return, so its record has the last stage from the beginning.
+func (c *Commander) stage(now clock.Millis, r placer.Record, readable []*state) int {
+	switch {
+	case len(r.Desired) == 0:
+		return len(c.o.Placer.Stages)
+	case len(readable) == 0:
+		return r.Stage
+	}
+	return c.placer.Stage(now, r, rows(readable))
+}
+
 // present returns the endpoints that can be given versions. A first placement
 // waits until all of them have been read, so that it keeps what is loaded.
 func (c *Commander) present(now clock.Millis, list []Endpoint, r placer.Record) ([]placer.Endpoint, bool) {
