--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -15,6 +15,7 @@
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/engineemulator"
 	"rosemaryarch.example/rosemaryarch/hoster"
+	"rosemaryarch.example/rosemaryarch/loader"
 	"rosemaryarch.example/rosemaryarch/parser"
 	"rosemaryarch.example/rosemaryarch/permitter"
 )
@@ -31,7 +32,7 @@
 // patience bounds the waits of a test; reaching it is a failure.
 const patience = 30 * time.Second
 
-func newTestFleet(t *testing.T, instances int) *testFleet {
+func newTestFleet(t *testing.T, instances int, change func(n int, s *loader.Settings)) *testFleet {
 	t.Helper()
 	text, err := os.ReadFile("../examples/kyushu.yaml")
 	if err != nil {
@@ -52,7 +53,10 @@
 	t.Cleanup(x.close)
 	permits := permitter.DefaultOptions()
 	permits.Work = clock.Minute
-	for _, s := range h.Settings() {
+	for n, s := range h.Settings() {
+		if change != nil {
+			change(n, &s)
+		}
 		parsed, err := s.Checked()
 		if err != nil {
 			t.Fatal(err)
@@ -158,7 +162,7 @@
 // streamed and a plain answer, a booking through two instances, its look-up and
 // a graceful shutdown.
 func TestWholePath(t *testing.T) {
-	x := newTestFleet(t, 3)
+	x := newTestFleet(t, 3, nil)
 	x.start()
 	const key = "demo-key-booking-desk"
 	a := x.post(0, "/v1/chat/completions", key, chatBody("answers", "is my window fogged?", true), nil)
