--- a/assembler/keys_test.go
+++ b/assembler/keys_test.go
@@ -117,6 +117,24 @@
 	}
 }
 
+// rewriteKeys replaces the keys file and lets all instances read it again.
+func (x *testFleet) rewriteKeys(operator string, secrets []string) {
+	x.t.Helper()
+	text := fmt.Sprintf("operator_sha256:\n  - %s\npeer_secrets:\n", parser.HashKey(operator))
+	for _, s := range secrets {
+		text += fmt.Sprintf("  - %s\n", s)
+	}
+	if err := os.WriteFile(x.hoster.KeysFile(), []byte(text), 0o600); err != nil {
+		x.t.Fatal(err)
+	}
+	for _, i := range x.instances {
+		i.tickKeys(i.clock.Now())
+		if got := i.peerSecrets(); len(got) != len(secrets) || string(got[0]) != secrets[0] {
+			x.t.Fatalf("%s: got %d secrets, want %d, the new first one first", i.settings.Instance, len(got), len(secrets))
+		}
+	}
+}
+
 // TestKeyRotation guards against keys that need a restart: the peer secret is
 // rotated in two steps, the operators' key is replaced, and tokens that were
 // signed before the session key was rotated stay valid.
@@ -133,23 +151,8 @@
 	if first.status != http.StatusOK || token == "" {
 		t.Fatalf("first request: got %+v, want a token", first)
 	}
-	write := func(operator string, secrets ...string) {
-		text := fmt.Sprintf("operator_sha256:\n  - %s\npeer_secrets:\n", parser.HashKey(operator))
-		for _, s := range secrets {
-			text += fmt.Sprintf("  - %s\n", s)
-		}
-		if err := os.WriteFile(x.hoster.KeysFile(), []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		for _, i := range x.instances {
-			i.tickKeys(i.clock.Now())
-			if len(i.peerSecrets()) != len(secrets) || string(i.peerSecrets()[0]) != secrets[0] {
-				t.Fatalf("secrets of %s: got %d, want %v", i.settings.Instance, len(i.peerSecrets()), len(secrets))
-			}
-		}
-	}
 	for _, secrets := range [][]string{{hoster.PeerSecret, next}, {next, hoster.PeerSecret}, {next}} {
-		write(operator, secrets...)
+		x.rewriteKeys(operator, secrets)
 		for a, b := range map[int]int{0: 1, 1: 0} {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			if _, err := x.instances[a].links.Call(ctx, x.instances[b].settings.PeerListen, kindEntry, nil); err != nil {
