--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -32,7 +32,7 @@
 // patience bounds the waits of a test; reaching it is a failure.
 const patience = 30 * time.Second
 
-func newTestFleet(t *testing.T, instances int, change ...func(*loader.Settings)) *testFleet {
+func newTestFleet(t *testing.T, instances int, change func(n int, s *loader.Settings)) *testFleet {
 	t.Helper()
 	text, err := os.ReadFile("../examples/kyushu.yaml")
 	if err != nil {
@@ -53,9 +53,9 @@
 	t.Cleanup(x.close)
 	permits := permitter.DefaultOptions()
 	permits.Work = clock.Minute
-	for _, s := range h.Settings() {
-		for _, c := range change {
-			c(&s)
+	for n, s := range h.Settings() {
+		if change != nil {
+			change(n, &s)
 		}
 		parsed, err := s.Checked()
 		if err != nil {
@@ -162,7 +162,7 @@
 // streamed and a plain answer, a booking through two instances, its look-up and
 // a graceful shutdown.
 func TestWholePath(t *testing.T) {
-	x := newTestFleet(t, 3)
+	x := newTestFleet(t, 3, nil)
 	x.start()
 	const key = "demo-key-booking-desk"
 	a := x.post(0, "/v1/chat/completions", key, chatBody("answers", "is my window fogged?", true), nil)
--- a/assembler/isolation_test.go
+++ b/assembler/isolation_test.go
@@ -13,7 +13,7 @@
 // TestWorkspacesAreApart guards against a key that reaches another workspace's
 // session, order or answer.
 func TestWorkspacesAreApart(t *testing.T) {
-	x := newTestFleet(t, 1)
+	x := newTestFleet(t, 1, nil)
 	x.start()
 	const north, south = "demo-key-homeowners-north", "demo-key-homeowners-south"
 
--- a/assembler/placement_test.go
+++ b/assembler/placement_test.go
@@ -18,7 +18,7 @@
 // TestPlacement guards against a commander that is not connected: a version that
 // a new text names is loaded by command, and a shutdown releases the lease.
 func TestPlacement(t *testing.T) {
-	x := newTestFleet(t, 2, func(s *loader.Settings) { s.Placement, s.Limits.LoadsPerMinute = true, 600 })
+	x := newTestFleet(t, 2, func(_ int, s *loader.Settings) { s.Placement, s.Limits.LoadsPerMinute = true, 600 })
 	x.start()
 	const v1 = "      - {name: v1, state: serving}\n"
 	text := strings.Replace(x.text, v1, v1+"      - {name: v2, state: canary, share_percent: 20}\n", 1)
