allocator: permits after a restart of the whole fleet

All instances restarted at once, and the new assignment waited for votes of members that no longer existed: no entries for 188 s. Members that left gracefully record it in the object API, and a member counts as gone once another process of its instance is live, since nobody can collect votes in its name. After: the first permit within 10 s of a graceful restart, and within 10 s plus the quiet time of a crash of all (test with four instances).

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -55,6 +55,7 @@
 	self     string
 	options  permitter.Options
 	registry *permitter.Registry
+	store    storer.Store
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -63,6 +64,7 @@
 	demands   map[permitter.Process]*demand
 	asking    map[string]bool // granters with an open call
 	confirmed clock.Millis    // instant of the last confirmation, 0 if none
+	left      bool            // grants and votes no more
 	joined    bool            // has been a member of a settled assignment
 	drained   []string
 	departed  map[string]clock.Millis // since when each departed member has been gone
@@ -79,7 +81,7 @@
 // be set before it runs.
 func New(self string, s storer.Store, o permitter.Options, c clock.Clock, random *rand.Rand) *Allocator {
 	return &Allocator{
-		clock: c, self: self, options: o, random: random,
+		clock: c, self: self, options: o, random: random, store: s,
 		registry: &permitter.Registry{Get: s.Get, Put: s.Put, Key: Key},
 		holder:   permitter.NewHolder(self, o), granter: permitter.NewGranter(self, o),
 		demands: map[permitter.Process]*demand{}, asking: map[string]bool{}, departed: map[string]clock.Millis{},
@@ -194,7 +196,14 @@
 
 // Leave tells every peer that this instance has no running requests and starts
 // no more, so that its departure delays no permits.
-func (a *Allocator) Leave() { a.tellAll(KindDrained, drained{Member: a.self}) }
+// The object API is told too, for the case that every peer leaves at the same time.
+func (a *Allocator) Leave() {
+	a.mu.Lock()
+	a.left = true
+	a.mu.Unlock()
+	a.recordDrained()
+	a.tellAll(KindDrained, drained{Member: a.self})
+}
 
 // tellAll sends a message to every live peer and waits for the answers.
 func (a *Allocator) tellAll(kind string, message any) {
@@ -262,6 +271,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var r permits
+	if a.left {
+		return r
+	}
 	for _, ask := range q.Asks {
 		if _, here := live[ask.Holder]; !here {
 			continue
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -25,6 +25,7 @@
 	allocators []*Allocator
 	down       map[int]bool
 	leaving    map[int]bool
+	generation uint64 // of the processes, from 0
 	process    permitter.Process
 	work       []held
 }
@@ -40,22 +41,26 @@
 		clock: clock.NewManual(clock.Hour), store: storeemulator.New(), down: map[int]bool{}, leaving: map[int]bool{},
 		process: permitter.Process{Endpoint: "e1", Restart: "r1"},
 	}
-	options := permitter.DefaultOptions()
-	options.Work = 5 * clock.Second
 	for i := range n {
-		f.allocators = append(f.allocators, f.newAllocator(i, options))
+		f.allocators = append(f.allocators, f.newAllocator(i, testOptions()))
 	}
 	return f
 }
 
+func testOptions() permitter.Options {
+	o := permitter.DefaultOptions()
+	o.Work = 5 * clock.Second
+	return o
+}
+
 func (f *fleet) newAllocator(i int, o permitter.Options) *Allocator {
-	a := New(MemberName(fmt.Sprint(i), 1), f.store.Store(), o, f.clock.Clock(), rand.New(rand.NewPCG(1, uint64(i))))
+	a := New(MemberName(fmt.Sprint(i), 1+f.generation), f.store.Store(), o, f.clock.Clock(), rand.New(rand.NewPCG(1, uint64(i))))
 	a.Processes = func() []permitter.Process { return []permitter.Process{f.process} }
 	a.Members = func() []gossiper.Member {
 		var all []gossiper.Member
 		for j := range f.allocators {
 			id := fmt.Sprint(j)
-			m := gossiper.Member{ID: id, Address: id, Incarnation: gossiper.FirstIncarnation(1)}
+			m := gossiper.Member{ID: id, Address: id, Incarnation: gossiper.FirstIncarnation(1 + f.generation)}
 			switch {
 			case f.leaving[j]: // stays in this state after the process has ended
 				m.State = gossiper.Leaving
@@ -116,6 +121,54 @@
 	f.work = kept
 }
 
+// TestWholeFleetRestart guards against a fleet that gives no permits any more
+// after all its instances were replaced at once: nobody is left to vote for the
+// new assignment or to remember who had no running requests.
+func TestWholeFleetRestart(t *testing.T) {
+	cases := map[string]struct {
+		graceful bool
+		within   clock.Millis // from the restart to the first permit
+	}{
+		"graceful": {true, 10 * clock.Second},
+		"crash":    {false, 10*clock.Second + testOptions().Quiet()},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(4)
+			random := rand.New(rand.NewPCG(7, 7))
+			for range 200 {
+				f.step(random)
+			}
+			if c.graceful {
+				f.finishAll()
+				for i, a := range f.allocators {
+					f.down[i] = true
+					a.Leave()
+				}
+				f.down = map[int]bool{}
+			}
+			f.process.Restart = "r2" // the endpoint's work of before has ended with it
+			f.work = nil
+			f.generation++
+			for i := range f.allocators {
+				f.allocators[i] = f.newAllocator(i, testOptions())
+			}
+			for end := f.clock.Now() + c.within; len(f.work) == 0; f.step(random) {
+				if f.clock.Now() > end {
+					t.Fatalf("no request started within %d ms after the restart", c.within)
+				}
+			}
+		})
+	}
+}
+
+func (f *fleet) finishAll() {
+	for _, h := range f.work {
+		f.allocators[h.instance].Finish(h.work, false)
+	}
+	f.work = nil
+}
+
 // TestColdLimitHolds guards against more work at a cold endpoint than it can
 // handle when several instances hold permits, when the store is down, and when
 // the coordinator or the granter dies with work running. It also guards against
--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -85,6 +85,9 @@
 			return err
 		}
 		a.adopt(loaded)
+		if err := a.readDrained(ctx, loaded); err != nil {
+			return err
+		}
 		a.keeper.loaded = true
 	}
 	current := a.assignment()
@@ -94,7 +97,8 @@
 	case current.Epoch == 0:
 		return nil // waits for a stable membership
 	case !current.Settled():
-		settled, ok := current.Settle(a.votes(ctx, live, current))
+		votes := append(a.votes(ctx, live, current), a.gone(current, names)...)
+		settled, ok := current.Settle(votes)
 		if !ok {
 			return nil
 		}
@@ -187,7 +191,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := assignmentReply{
-		Member: a.self, Assignment: a.holder.Assignment(), Vote: a.holder.Vote(q.Epoch), Age: -1,
+		Member: a.self, Assignment: a.holder.Assignment(), Vote: a.holder.Vote(q.Epoch) && !a.left, Age: -1,
 	}
 	if a.confirmed > 0 {
 		r.Age = a.clock.Now() - a.confirmed
