connector: notice the end of an engine's process by its connections

Until a load report shows the restart of an engine, a request on a new connection reached the new process under a permit of the old one: 3 attempts at a cold engine (limit 2) in 1 of 150 runs of TestMatrix/endpoint_restarted/data_centre/during. The close of the last connection, or a new one right after a close, now makes the process unknown until a report that cannot be older.

--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -54,7 +54,8 @@
 }
 
 func (f *fleet) newAllocator(i int, o permitter.Options) *Allocator {
-	a := New(MemberName(fmt.Sprint(i), 1+f.generation), f.store.Store(), o, f.clock.Clock(), rand.New(rand.NewPCG(1, uint64(i))))
+	random := rand.New(rand.NewPCG(1, uint64(i)))
+	a := New(MemberName(fmt.Sprint(i), 1+f.generation), f.store.Store(), o, f.clock.Clock(), random)
 	a.Processes = func() []permitter.Process { return []permitter.Process{f.process} }
 	a.Members = func() []gossiper.Member {
 		var all []gossiper.Member
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -25,6 +25,7 @@
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/commander"
 	"rosemaryarch.example/rosemaryarch/committer"
+	"rosemaryarch.example/rosemaryarch/connector"
 	"rosemaryarch.example/rosemaryarch/engineclient"
 	"rosemaryarch.example/rosemaryarch/follower"
 	"rosemaryarch.example/rosemaryarch/gossiper"
@@ -116,10 +117,11 @@
 	router       *router.Router
 	list         listclient.Client
 
-	plain  *http.Client // towards endpoints and the platform; no timeout of its own
-	policy policy
-	fleet  fleetTables
-	drain  drainState
+	plain   *http.Client // towards plain services and the platform; no timeout of its own
+	engines *http.Client // towards model engines
+	policy  policy
+	fleet   fleetTables
+	drain   drainState
 
 	callers *http.Server
 	peers   *http.Server
@@ -135,7 +137,9 @@
 		settings: s, options: o.withDefaults(), keys: keys, done: make(chan struct{}),
 		meter: meter.New(), buried: map[string]bool{}, incarnations: map[string]uint64{},
 	}
-	i.plain = newHTTPClient(i.options)
+	i.plain = newHTTPClient(i.options.Dial)
+	engines := &connector.Connector{DialContext: i.options.Dial, Ended: i.engineEnded, Now: i.options.Clock.Now}
+	i.engines = newHTTPClient(engines.Dial)
 	i.clock = i.options.Clock
 	i.incarnation = uint64(i.clock.Now())
 	i.store = i.counted(storer.NewHTTP(s.Store, i.plain))
@@ -184,9 +188,9 @@
 
 // newHTTPClient returns a client with enough idle connections for the endpoints
 // of one instance.
-func newHTTPClient(o Options) *http.Client {
+func newHTTPClient(dial func(context.Context, string, string) (net.Conn, error)) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: o.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second,
+		DialContext: dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second,
 	}}
 }
 
@@ -238,9 +242,12 @@
 }
 
 func (i *Instance) engine(address string) engineclient.Client {
-	return engineclient.NewHTTP(address, i.keys.Keys().EndpointKey, i.plain)
+	return engineclient.NewHTTP(address, i.keys.Keys().EndpointKey, i.engines)
 }
 
+// engineEnded forgets which process runs at an engine's address.
+func (i *Instance) engineEnded(address string) { i.tracker.Distrust("http://"+address, i.clock.Now()) }
+
 // attemptID returns an id that no attempt of any instance has or will have.
 func (i *Instance) attemptID() string {
 	return fmt.Sprintf("%s/%d/%d", i.settings.Instance, i.incarnation, i.attempts.Add(1))
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -206,6 +206,19 @@
 	t.table.Report(i, float64(l.Running+l.Queued), min(l.AsOf, now), now)
 }
 
+// Distrust forgets which process runs at the endpoint with the given address,
+// until a report shows it that cannot be older than now.
+func (t *Tracker) Distrust(address string, now clock.Millis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range t.rows {
+		if t.rows[i].Address == address && t.rows[i].Service == "" {
+			t.rows[i].distrust(now)
+			t.refresh(i, now)
+		}
+	}
+}
+
 // Cached notes that the endpoint's cache holds or lost a prompt prefix.
 func (t *Tracker) Cached(id string, events []engineclient.CacheEvent, now clock.Millis) {
 	t.mu.Lock()
