--- a/allocator/keeper.go
+++ b/allocator/keeper.go
@@ -93,7 +93,11 @@
 	current := a.assignment()
 	switch {
 	case !slices.Equal(current.Members, names) && now >= a.keeper.seenAt+stableFor:
-		return a.save(ctx, current.Next(a.self, names, a.drainedMembers()))
+		next := current.Next(a.self, names, a.drainedMembers())
+		if !a.reaches(ctx, live, names, current, next) {
+			return nil
+		}
+		return a.save(ctx, next)
 	case current.Epoch == 0:
 		return nil // waits for a stable membership
 	case !current.Settled():
@@ -114,6 +118,17 @@
 	return nil
 }
 
+// reaches reports whether the next assignment can be settled at all: the members
+// that would have to vote answer now. Without that an instance that reaches the
+// store, but not the fleet, would keep the fleet from settling.
+func (a *Allocator) reaches(
+	ctx context.Context, live map[string]string, names []string, current, next permitter.Assignment,
+) bool {
+	votes := append(a.votes(ctx, live, current), a.gone(next, names)...)
+	_, ok := next.Settle(votes)
+	return ok
+}
+
 func (a *Allocator) save(ctx context.Context, n permitter.Assignment) error {
 	if err := a.registry.Save(ctx, n); err != nil {
 		return err
