--- a/assembler/keys_test.go
+++ b/assembler/keys_test.go
@@ -81,7 +81,7 @@
 func TestMutualTLS(t *testing.T) { checkMutualTLS(t, false) }
 
 // TestMutualTLSOneStore guards against strangers that keep a fleet from listing
-// its entries because they have access to its store. It is in KNOWN-RED.txt.
+// its entries because they have access to its store.
 func TestMutualTLSOneStore(t *testing.T) { checkMutualTLS(t, true) }
 
 func checkMutualTLS(t *testing.T, oneStore bool) {
