Bound requests by longest_request_ms, and answer no error to a caller that has gone

serve used a bound of 60 s for the work under a permit, so that a service with a longer deadline, such as the layouts of the Kerala example (300 s), would have got no endpoint at all. The bound is now a setting, and deadlines are cut to it. An error after the header was written no longer counts as an internal refusal.

--- a/assembler/admin.go
+++ b/assembler/admin.go
@@ -31,7 +31,7 @@
 			if !ok {
 				return 0, false
 			}
-			return s.DeadlineMS, true
+			return min(s.DeadlineMS, i.options.Permits.Work), true
 		},
 		NewID: newID, Admin: i.administrator(), Meter: i.meter, MaxBodyBytes: i.settings.Limits.MaxBodyBytes,
 	}
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -134,7 +134,7 @@
 		return nil, err
 	}
 	i := &Instance{
-		settings: s, options: o.withDefaults(), keys: keys, done: make(chan struct{}),
+		settings: s, options: o.withDefaults(s.Limits), keys: keys, done: make(chan struct{}),
 		meter: meter.New(), buried: map[string]bool{}, incarnations: map[string]uint64{},
 	}
 	i.plain = newHTTPClient(i.options.Dial)
@@ -155,7 +155,7 @@
 	return i, nil
 }
 
-func (o Options) withDefaults() Options {
+func (o Options) withDefaults(l loader.Limits) Options {
 	if o.Clock.Now == nil {
 		o.Clock = clock.System()
 	}
@@ -164,6 +164,7 @@
 	}
 	if o.Permits == (permitter.Options{}) {
 		o.Permits = permitter.DefaultOptions()
+		o.Permits.Work = l.LongestRequestMS
 		o.Permits.StepWork = 1 // requests count only once the engine reports that it is warm
 	}
 	if o.Timing == (router.Timing{}) {
--- a/assembler/policy.go
+++ b/assembler/policy.go
@@ -64,6 +64,12 @@
 		weights[w.Name] = w.Share
 	}
 	i.admitter.SetWeights(weights)
+	for _, service := range f.Services {
+		if service.DeadlineMS > i.options.Permits.Work {
+			klog.Warningf("assembler: deadline of service %s is cut to longest_request_ms, %d",
+				service.Name, i.options.Permits.Work)
+		}
+	}
 	i.refreshView()
 	i.refreshEndpoints()
 	klog.Infof("assembler: revision %d is in force", o.Revision)
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -20,7 +20,6 @@
 	"rosemaryarch.example/rosemaryarch/engineemulator"
 	"rosemaryarch.example/rosemaryarch/hoster"
 	"rosemaryarch.example/rosemaryarch/parser"
-	"rosemaryarch.example/rosemaryarch/permitter"
 	"rosemaryarch.example/rosemaryarch/roller"
 	"rosemaryarch.example/rosemaryarch/server"
 )
@@ -158,7 +157,7 @@
 // demoRoller moves in seconds instead of hours.
 func demoRoller(instance string) roller.Roller {
 	r := roller.Default(instance)
-	r.Steps = []float64{0.05, 0.25, 1}
+	r.Steps = []float64{0.1, 0.3, 1}
 	r.QualityMargins = []float64{0.20, 0.10}
 	r.ErrorMargins = []float64{0.20, 0.10}
 	r.Dwell = 2 * clock.Second
@@ -202,11 +201,7 @@
 	if err != nil {
 		return nil, err
 	}
-	permits := permitter.DefaultOptions()
-	for _, service := range d.fleet.Services {
-		permits.Work = max(permits.Work, service.DeadlineMS)
-	}
-	i, err := assembler.New(s, assembler.Options{Roller: demoRoller, Permits: permits})
+	i, err := assembler.New(s, assembler.Options{Roller: demoRoller})
 	if err != nil {
 		return nil, err
 	}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -233,12 +233,17 @@
 		return err
 	}
 	callers, peers := addresses[:h.o.Instances], addresses[h.o.Instances:]
+	var longest clock.Millis
+	for _, s := range h.o.Fleet.Services {
+		longest = max(longest, s.DeadlineMS)
+	}
 	for i := range h.o.Instances {
 		d := h.o.Fleet.DataCentres[i%len(h.o.Fleet.DataCentres)]
 		s := loader.Settings{
 			Instance: fmt.Sprintf("entry-%d", i+1), DataCentre: d.Name, Region: d.Region, Listen: callers[i],
 			PeerListen: peers[i], Store: store, List: platform, Rating: platform, Weights: platform, KeysFile: h.KeysFile(),
 		}
+		s.Limits.LongestRequestMS = longest
 		h.settings = append(h.settings, s)
 		h.Platform.SetMember(listclient.Member{
 			ID: s.Instance, Address: peers[i], DataCentre: d.Name, Kind: listclient.KindEntry, State: listclient.StateLive,
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -40,6 +40,9 @@
 	MaxQueued       int          `yaml:"max_queued"`
 	EntryLifetimeMS clock.Millis `yaml:"entry_lifetime_ms"`
 	DrainMS         clock.Millis `yaml:"drain_ms"`
+	// LongestRequestMS bounds the deadline of every request. It must be the same
+	// on all instances: after the crash of one, cold endpoints wait for it.
+	LongestRequestMS clock.Millis `yaml:"longest_request_ms"`
 	// VersionsPerEndpoint is how many versions fit on a model engine, and
 	// LoadsPerMinute this data centre's part of the weight store's rate. Both
 	// apply only with placement.
@@ -62,6 +65,8 @@
 	DefaultEntryLifetimeMS = 3 * clock.Second / 2
 	DefaultDrainMS         = 60 * clock.Second
 
+	DefaultLongestRequestMS = 60 * clock.Second
+
 	DefaultVersionsPerEndpoint = 4
 	DefaultLoadsPerMinute      = 6
 )
@@ -108,8 +113,11 @@
 	if l.EntryLifetimeMS == 0 {
 		l.EntryLifetimeMS = DefaultEntryLifetimeMS
 	}
+	if l.LongestRequestMS == 0 {
+		l.LongestRequestMS = DefaultLongestRequestMS
+	}
 	if l.DrainMS == 0 {
-		l.DrainMS = DefaultDrainMS
+		l.DrainMS = max(DefaultDrainMS, l.LongestRequestMS)
 	}
 	if l.VersionsPerEndpoint == 0 {
 		l.VersionsPerEndpoint = DefaultVersionsPerEndpoint
@@ -200,6 +208,8 @@
 		return d.Errorf([]any{"limits", "versions_per_endpoint"}, "must be at least 1")
 	case l.LoadsPerMinute < 1:
 		return d.Errorf([]any{"limits", "loads_per_minute"}, "must be at least 1")
+	case l.LongestRequestMS < clock.Second || l.LongestRequestMS > clock.Hour:
+		return d.Errorf([]any{"limits", "longest_request_ms"}, "must be between %d and %d", clock.Second, clock.Hour)
 	case l.DrainMS < l.EntryLifetimeMS:
 		return d.Errorf([]any{"limits", "drain_ms"}, "must be at least entry_lifetime_ms (%d)", l.EntryLifetimeMS)
 	}
--- a/server/call.go
+++ b/server/call.go
@@ -82,6 +82,6 @@
 		w.Header().Set(headerRepeated, "true")
 	}
 	w.WriteHeader(r.Status)
-	_, err := w.Write(r.Body)
-	return err
+	_, _ = w.Write(r.Body) // an error means that the caller is gone
+	return nil
 }
--- a/server/chat.go
+++ b/server/chat.go
@@ -163,7 +163,9 @@
 	if err != nil {
 		return err
 	}
-	return kithttp.EncodeJSONResponse(ctx, w, completion(r.call.request, answer))
+	// An error here means that the caller is gone, after the header was written.
+	_ = kithttp.EncodeJSONResponse(ctx, w, completion(r.call.request, answer))
+	return nil
 }
 
 func completion(r router.Request, a router.Answer) chatCompletion {
