--- a/administrator/http.go
+++ b/administrator/http.go
@@ -46,6 +46,9 @@
 	serve(mux, pathSetEndpoint, a.SetEndpoint, wrap, encodeError)
 	serve(mux, pathRotateSessionKey, a.RotateSessionKey, wrap, encodeError)
 	serve(mux, pathStatus, a.Status, wrap, encodeError)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		encodeError(r.Context(), refuser.ErrUnknownPath.WithMessage("%s %s is not served", r.Method, r.URL.Path), w)
+	})
 	return mux
 }
 
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -92,6 +92,8 @@
 		"the version is withdrawn")
 	ErrUnknownModel = sentinel("unknown_model", RunNo, http.StatusNotFound,
 		"no such model or version")
+	ErrUnknownPath = sentinel("unknown_path", RunNo, http.StatusNotFound,
+		"no such path, or not with this method")
 	ErrUnknownService = sentinel("unknown_service", RunNo, http.StatusNotFound,
 		"no such service")
 	ErrBodyTooLarge = sentinel("body_too_large", RunNo, http.StatusRequestEntityTooLarge,
@@ -144,8 +146,8 @@
 func Refusals() []*Refusal {
 	return []*Refusal{
 		ErrMissingKey, ErrUnknownKey, ErrForbidden, ErrForbiddenVersion, ErrWithdrawn, ErrUnknownModel,
-		ErrUnknownService, ErrBodyTooLarge, ErrInvalidBody, ErrMissingIdemKey, ErrKeyReused, ErrOutcomeUnknown,
-		ErrStillRunning, ErrStoreUnavailable, ErrDeadline, ErrQueueFull, ErrNoEndpoint, ErrNotReady,
+		ErrUnknownPath, ErrUnknownService, ErrBodyTooLarge, ErrInvalidBody, ErrMissingIdemKey, ErrKeyReused,
+		ErrOutcomeUnknown, ErrStillRunning, ErrStoreUnavailable, ErrDeadline, ErrQueueFull, ErrNoEndpoint, ErrNotReady,
 		ErrShuttingDown, ErrRetryBudget, ErrBackEndFailed, ErrStreamBroken, ErrDataCentreOut,
 		ErrRevisionConflict, ErrInvalidConfig, ErrChangeUnknown, ErrUnknownDataCentre, ErrUnknownEndpoint,
 		ErrInternal,
--- a/server/server.go
+++ b/server/server.go
@@ -63,6 +63,9 @@
 	mux.Handle("GET /metrics", s.Meter.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.writeError(r.Context(), w, refuser.ErrUnknownPath.WithMessage("%s %s is not served", r.Method, r.URL.Path), true)
+	})
 	return mux
 }
 
