refuser: one form of a refusal on the wire

Server, stream writer and operators' interface each declared the same JSON body. The refusal now encodes and decodes itself; the fields and their order are as before, and the operators' client keeps retry_after_ms. Three names of the assembler, router and server say what they hold. The bad-input test reads the refusal by the same decoder, with its checks unchanged.

--- a/administrator/http.go
+++ b/administrator/http.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -28,13 +29,6 @@
 // maxCallBytes bounds the body of a call; a text fits into one stored object.
 const maxCallBytes = 1 << 20
 
-// errorBody is the JSON form of a refusal.
-type errorBody struct {
-	Reason  refuser.Reason `json:"reason"`
-	Run     refuser.Run    `json:"run"`
-	Message string         `json:"message"`
-}
-
 // Handler serves a over HTTP. Each call passes through the middleware, which
 // checks the operator's key. Refusals are encoded by encodeError.
 func Handler(a Administrator, wrap endpoint.Middleware, encodeError kithttp.ErrorEncoder) http.Handler {
@@ -149,14 +143,11 @@
 
 // decodeError returns the refusal in an error answer.
 func decodeError(r *http.Response) error {
-	var body struct {
-		Error errorBody `json:"error"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || body.Error.Reason == "" {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxCallBytes))
+	refusal, ok := refuser.Decode(r.StatusCode, body)
+	if err != nil || !ok {
 		return errors.Newf("%s answered with status %d, not as an instance does towards operators",
 			r.Request.URL.Host, r.StatusCode)
 	}
-	return &refuser.Refusal{
-		Reason: body.Error.Reason, Run: body.Error.Run, Status: r.StatusCode, Message: body.Error.Message,
-	}
+	return refusal
 }
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -87,30 +87,30 @@
 	closeOnce   sync.Once
 	running     sync.WaitGroup
 
-	meter      *meter.Meter
-	store      storer.Store
-	links      *linker.Linker
-	gossip     *gossiper.Gossiper
-	follower   *follower.Follower
-	reviser    *reviser.Reviser
-	allocator  *allocator.Allocator
-	tracker    *tracker.Tracker
-	prober     *prober.Prober
-	rater      *rater.Rater
-	supervisor *supervisor.Supervisor
-	archiver   *archiver.Archiver
-	restored   atomic.Bool          // the stored counts have been merged
-	commander  *commander.Commander // nil unless the settings ask for placement
-	placing    atomic.Bool          // a step of the placement runs
-	spreader   *spreader.Spreader
-	committer  *committer.Committer
-	ledger     *committer.Committer // of bills
-	claimer    *claimer.Claimer
-	biller     *biller.Biller
-	pinner     *pinner.Pinner
-	pinsDown   atomic.Int64    // instant until which pins are not read
-	pinning    chan struct{}   // one element for each pin that is being committed
-	buried     map[string]bool // members whose death the biller knows of
+	meter          *meter.Meter
+	store          storer.Store
+	links          *linker.Linker
+	gossip         *gossiper.Gossiper
+	follower       *follower.Follower
+	reviser        *reviser.Reviser
+	allocator      *allocator.Allocator
+	tracker        *tracker.Tracker
+	prober         *prober.Prober
+	rater          *rater.Rater
+	supervisor     *supervisor.Supervisor
+	archiver       *archiver.Archiver
+	restored       atomic.Bool          // the stored counts have been merged
+	commander      *commander.Commander // nil unless the settings ask for placement
+	placing        atomic.Bool          // a step of the placement runs
+	spreader       *spreader.Spreader
+	committer      *committer.Committer
+	ledger         *committer.Committer // of bills
+	claimer        *claimer.Claimer
+	biller         *biller.Biller
+	pinner         *pinner.Pinner
+	pinsDown       atomic.Int64    // instant until which pins are not read
+	pinning        chan struct{}   // one element for each pin that is being committed
+	deathsReported map[string]bool // members whose death the biller knows of
 
 	incarnations map[string]uint64 // the newest seen of each member
 	admitter     *admitter.Admitter
@@ -135,7 +135,7 @@
 	}
 	i := &Instance{
 		settings: s, options: o.withDefaults(s.Limits), keys: keys, done: make(chan struct{}),
-		meter: meter.New(), buried: map[string]bool{}, incarnations: map[string]uint64{},
+		meter: meter.New(), deathsReported: map[string]bool{}, incarnations: map[string]uint64{},
 	}
 	i.plain = newHTTPClient(i.options.Dial)
 	engines := &connector.Connector{DialContext: i.options.Dial, Ended: i.engineEnded, Now: i.options.Clock.Now}
--- a/assembler/records.go
+++ b/assembler/records.go
@@ -157,8 +157,8 @@
 			i.biller.Died(allocator.MemberName(m.ID, last))
 		}
 		i.incarnations[m.ID] = m.Process()
-		if name := allocator.MemberName(m.ID, m.Process()); m.State == gossiper.Dead && !i.buried[name] {
-			i.buried[name] = true
+		if name := allocator.MemberName(m.ID, m.Process()); m.State == gossiper.Dead && !i.deathsReported[name] {
+			i.deathsReported[name] = true
 			i.biller.Died(name)
 		}
 	}
--- a/framer/writer.go
+++ b/framer/writer.go
@@ -47,16 +47,6 @@
 	Content string `json:"content,omitempty"`
 }
 
-// errorBody is the data of the error event.
-type errorBody struct {
-	Error struct {
-		Reason  refuser.Reason `json:"reason"`
-		Run     refuser.Run    `json:"run"`
-		Message string         `json:"message"`
-		Retry   clock.Millis   `json:"retry_after_ms,omitempty"`
-	} `json:"error"`
-}
-
 // NewWriter returns a writer of the answer to requestID by model, created at
 // the given instant. Offset is the number of answer bytes that the caller has
 // from an earlier stream. It sets the content type if w has headers, and
@@ -105,10 +95,7 @@
 		return ErrEnded
 	}
 	w.ended = true
-	var body errorBody
-	body.Error.Reason, body.Error.Run, body.Error.Message = r.Reason, r.Run, r.Message
-	body.Error.Retry = r.RetryAfter
-	data, err := json.Marshal(body)
+	data, err := r.Encode()
 	if err != nil {
 		return errors.Wrap(err, "framer: encode error event")
 	}
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -1,6 +1,7 @@
 package refuser
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 
@@ -24,11 +25,30 @@
 
 // Refusal is an error towards a caller.
 type Refusal struct {
-	Reason     Reason
-	Run        Run
-	Status     int          // HTTP status code
-	RetryAfter clock.Millis // 0 if a retry is of no use
-	Message    string
+	Reason     Reason       `json:"reason"`
+	Run        Run          `json:"run"`
+	Status     int          `json:"-"` // HTTP status code
+	Message    string       `json:"message"`
+	RetryAfter clock.Millis `json:"retry_after_ms,omitempty"` // 0 if a retry is of no use
+}
+
+// envelope is the form of a refusal on the wire.
+type envelope struct {
+	Error *Refusal `json:"error"`
+}
+
+// Encode returns the refusal as the JSON body of an error answer.
+func (r *Refusal) Encode() ([]byte, error) { return json.Marshal(envelope{Error: r}) }
+
+// Decode reads the JSON body of an error answer with the given status. It
+// reports false if the body is no refusal.
+func Decode(status int, body []byte) (*Refusal, bool) {
+	var e envelope
+	if err := json.Unmarshal(body, &e); err != nil || e.Error == nil || e.Error.Reason == "" {
+		return nil, false
+	}
+	e.Error.Status = status
+	return e.Error, true
 }
 
 // Error returns the reason, the run state and the message.
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -22,19 +22,19 @@
 
 // run is one version's answer to one request, over all attempts.
 type run struct {
-	r        *Router
-	q        Request
-	model    parser.Model
-	version  string
-	service  string
-	deliver  func(text string) error
-	stream   *streamer.Streamer
-	attempt  streamer.Request
-	exclude  []string
-	last     tracker.Slot // endpoint of the last attempt
-	attempts int
-	mayRun   bool         // an endpoint may have run an attempt
-	patience clock.Millis // longest wait for the first endpoint; 0: until the deadline
+	r           *Router
+	q           Request
+	model       parser.Model
+	version     string
+	service     string
+	deliver     func(text string) error
+	stream      *streamer.Streamer
+	attempt     streamer.Request
+	exclude     []string
+	last        tracker.Slot // endpoint of the last attempt
+	attempts    int
+	mayRun      bool         // an endpoint may have run an attempt
+	versionWait clock.Millis // longest wait for the first endpoint; 0: until the deadline
 }
 
 // answer generates the whole answer, retrying as the streamer plans.
@@ -158,8 +158,8 @@
 
 // waitUntil returns the instant at which the wait for an endpoint ends.
 func (u *run) waitUntil() clock.Millis {
-	if u.patience > 0 && u.attempts == 0 {
-		return min(u.q.Deadline, u.r.o.Now()+u.patience)
+	if u.versionWait > 0 && u.attempts == 0 {
+		return min(u.q.Deadline, u.r.o.Now()+u.versionWait)
 	}
 	return u.q.Deadline
 }
--- a/router/chat.go
+++ b/router/chat.go
@@ -13,9 +13,9 @@
 	"rosemaryarch.example/rosemaryarch/scheduler"
 )
 
-// patience is how long a request waits for an endpoint of its version before it
+// versionWait is how long a request waits for an endpoint of its version before it
 // looks for another permitted version, if its session does not bind it.
-const patience = clock.Second
+const versionWait = clock.Second
 
 // delivery passes the pieces of an answer to the caller and remembers them.
 type delivery struct {
@@ -181,7 +181,7 @@
 		u.deliver = func(text string) error { return t.out.deliver(version, text, t.r.o.Now()) }
 		other, hasOther := t.alternative(version)
 		if hasOther {
-			u.patience = patience
+			u.versionWait = versionWait
 		}
 		at, err := t.generate(ctx, u, step)
 		if err == nil {
--- a/server/chat.go
+++ b/server/chat.go
@@ -28,10 +28,10 @@
 )
 
 const (
-	maxTokensLimit  = 32_768
-	defaultTokens   = 1024
-	maxHeaderBytes  = 100 // of ids and keys, which become parts of stored keys
-	chunkObjectName = "chat.completion"
+	maxTokensLimit   = 32_768
+	defaultTokens    = 1024
+	maxHeaderBytes   = 100 // of ids and keys, which become parts of stored keys
+	completionObject = "chat.completion"
 )
 
 // chatBody is the body of POST /v1/chat/completions. Model is the name of a
@@ -170,7 +170,7 @@
 
 func completion(r router.Request, a router.Answer) chatCompletion {
 	return chatCompletion{
-		ID: r.ID, Object: chunkObjectName, Created: int64(r.Arrived / clock.Second), Model: a.Version,
+		ID: r.ID, Object: completionObject, Created: int64(r.Arrived / clock.Second), Model: a.Version,
 		Choices: []chatChoice{{Message: chatMessage{Role: "assistant", Content: a.Text}, Finish: a.Finish}},
 		Usage:   chatUsage{Prompt: a.TokensIn, Completion: a.TokensOut, Total: a.TokensIn + a.TokensOut},
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -138,18 +137,9 @@
 		w.Header().Set("Retry-After", strconv.FormatInt(int64((r.RetryAfter+clock.Second-1)/clock.Second), 10))
 	}
 	w.WriteHeader(r.Status)
-	_ = json.NewEncoder(w).Encode(errorBody{Error: errorDetail{
-		Reason: r.Reason, Run: r.Run, Message: r.Message, RetryAfterMS: r.RetryAfter,
-	}})
-}
-
-type errorBody struct {
-	Error errorDetail `json:"error"`
-}
-
-type errorDetail struct {
-	Reason       refuser.Reason `json:"reason"`
-	Run          refuser.Run    `json:"run"`
-	Message      string         `json:"message"`
-	RetryAfterMS clock.Millis   `json:"retry_after_ms,omitempty"`
+	body, err := r.Encode()
+	if err != nil {
+		klog.Errorf("server: encode refusal: %v", err)
+	}
+	_, _ = w.Write(append(body, '\n')) // an error means that the caller is gone
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -131,13 +130,13 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			w := serve(newServer(), test.request)
-			var got errorBody
-			if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
-				t.Fatalf("got status %d with body %q: %v", w.Code, w.Body, err)
+			got, ok := refuser.Decode(w.Code, w.Body.Bytes())
+			if !ok {
+				t.Fatalf("got status %d with body %q, want a refusal", w.Code, w.Body)
 			}
-			if w.Code != test.want.Status || got.Error.Reason != test.want.Reason || got.Error.Run != refuser.RunNo {
+			if w.Code != test.want.Status || got.Reason != test.want.Reason || got.Run != refuser.RunNo {
 				t.Errorf("got status %d, %+v, want status %d, reason %s and run no",
-					w.Code, got.Error, test.want.Status, test.want.Reason)
+					w.Code, got, test.want.Status, test.want.Reason)
 			}
 		})
 	}
