--- /dev/null
+++ b/beater/message.go
@@ -0,0 +1,46 @@
+package beater
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"rosemaryarch.example/rosemaryarch/stager"
+)
+
+// Load is the work that one instance has placed on an endpoint.
+type Load struct {
+	Endpoint uint64  `cbor:"1,keyasint"` // hash of the endpoint's id
+	Work     float32 `cbor:"2,keyasint"` // ms
+	Running  int     `cbor:"3,keyasint"`
+}
+
+// Member is an instance.
+type Member struct {
+	Name        string `cbor:"1,keyasint"`
+	DataCentre  string `cbor:"2,keyasint"`
+	Front       string `cbor:"3,keyasint"` // address for callers
+	Beat        string `cbor:"4,keyasint"` // address for datagrams
+	Incarnation int64  `cbor:"5,keyasint"` // grows with each start
+	Ready       bool   `cbor:"6,keyasint"` // takes new requests
+	Age         int64  `cbor:"7,keyasint"` // ms since it was last heard
+}
+
+// Message is one datagram.
+type Message struct {
+	From       Member          `cbor:"1,keyasint"`
+	Loads      []Load          `cbor:"2,keyasint,omitempty"`
+	Rollouts   []stager.Report `cbor:"3,keyasint,omitempty"`
+	Neighbours []Member        `cbor:"4,keyasint,omitempty"` // of the sender's data centre
+}
+
+// maxDatagram is the largest message that is read.
+const maxDatagram = 60 << 10
+
+func (m *Message) encode() ([]byte, error) { return cbor.Marshal(m) }
+
+func decode(b []byte) (*Message, error) {
+	m := new(Message)
+	if err := cbor.Unmarshal(b, m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
--- /dev/null
+++ b/clock/boot.go
@@ -0,0 +1,34 @@
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Boot returns a clock that starts at the wall time and follows
+// CLOCK_BOOTTIME: a step of the wall time does not move it, and it counts the
+// time during which the machine was suspended. Where that clock is missing, it
+// follows the monotonic clock.
+func Boot() Clock {
+	start, ok := bootTime()
+	if !ok {
+		return System()
+	}
+	base := Millis(time.Now().UnixMilli())
+	return Clock{Now: func() Millis {
+		now, ok := bootTime()
+		if !ok {
+			now = start
+		}
+		return base + now - start
+	}}
+}
+
+func bootTime() (Millis, bool) {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0, false
+	}
+	return Millis(t.Sec)*Second + Millis(t.Nsec)/1e6, true
+}
--- /dev/null
+++ b/forwarder/answer.go
@@ -0,0 +1,137 @@
+package forwarder
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// Answer is an endpoint's answer. Its methods are for one goroutine.
+type Answer struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body; -1 if it is not stated
+
+	forwarder *Forwarder
+	conn      *conn
+	address   string
+	stop      func() bool
+	writing   chan struct{} // closed when the request's body is written; nil if it was written at once
+	unwritten atomic.Bool
+	response  *http.Response
+	closed    bool
+}
+
+// strayBytes bounds the body of a skipped answer.
+const strayBytes = 1 << 20
+
+// readHeader reads the header of the answer that names the request. Other
+// answers are left over from earlier requests on the connection.
+func (a *Answer) readHeader(r *Request, idHeader string) error {
+	want := r.Header.Get(idHeader)
+	for range maxStrayAnswers {
+		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return errors.Wrap(err, "read answer")
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if got := resp.Header.Get(idHeader); got != "" && want != "" && got != want {
+			if _, cut, err := copyLimited(resp.Body, strayBytes); err != nil || cut {
+				return errors.New("answer to another request has no end")
+			}
+			continue
+		}
+		a.Status, a.Header, a.Length, a.response = resp.StatusCode, resp.Header, resp.ContentLength, resp
+		return nil
+	}
+	return errors.New("only answers to other requests arrived")
+}
+
+// Read reads the body. It ends with io.EOF only if the body is complete; the
+// body of an answer without a length ends with its connection.
+func (a *Answer) Read(b []byte) (int, error) { return a.response.Body.Read(b) }
+
+// Framed reports whether the end of the body is marked by more than the end of
+// the connection.
+func (a *Answer) Framed() bool {
+	return a.Length >= 0 || len(a.response.TransferEncoding) > 0
+}
+
+// Within bounds the wait for the next bytes; 0 removes the bound.
+func (a *Answer) Within(d clock.Millis) {
+	t := time.Time{}
+	if d > 0 {
+		t = time.Now().Add(d.Duration())
+	}
+	_ = a.conn.SetReadDeadline(t)
+}
+
+// Close ends the exchange with its connection, which also stops an endpoint
+// that still works on it. A second call does nothing.
+func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.stop()
+	_ = a.conn.Close()
+	if a.writing != nil {
+		<-a.writing
+	}
+}
+
+// Release ends an exchange whose body was read to its end, and keeps the
+// connection if it may be used again.
+func (a *Answer) Release() {
+	if a.closed {
+		return
+	}
+	written := a.writing == nil
+	if !written {
+		select {
+		case <-a.writing:
+			written = !a.unwritten.Load()
+		default:
+		}
+	}
+	again := written && a.Framed() && !a.response.Close && a.conn.reader.Buffered() == 0 && a.stop()
+	if !again {
+		a.Close()
+		return
+	}
+	a.closed = true
+	idle := maxIdle
+	if s := keepAliveSeconds(a.Header.Get("Keep-Alive")); s > 0 {
+		idle = min(idle, s*clock.Second-idleMargin)
+	}
+	if idle <= 0 {
+		_ = a.conn.Close()
+		return
+	}
+	_ = a.conn.SetDeadline(time.Time{})
+	a.conn.until = a.forwarder.options.Clock.Now() + idle
+	a.forwarder.keep(a.address, a.conn)
+}
+
+// keepAliveSeconds returns the idle time of a Keep-Alive header, 0 if none.
+func keepAliveSeconds(header string) clock.Millis {
+	for part := range strings.SplitSeq(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		n, err := strconv.Atoi(value)
+		if err == nil && n > 0 {
+			return clock.Millis(n)
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,289 @@
+package launcher
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/balancer"
+	"rosemaryarch.example/rosemaryarch/beater"
+	"rosemaryarch.example/rosemaryarch/breaker"
+	"rosemaryarch.example/rosemaryarch/budgeter"
+	"rosemaryarch.example/rosemaryarch/cascader"
+	"rosemaryarch.example/rosemaryarch/cataloger"
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/dispatcher"
+	"rosemaryarch.example/rosemaryarch/forwarder"
+	"rosemaryarch.example/rosemaryarch/matcher"
+	"rosemaryarch.example/rosemaryarch/meter"
+	"rosemaryarch.example/rosemaryarch/platform"
+	"rosemaryarch.example/rosemaryarch/recorder"
+	"rosemaryarch.example/rosemaryarch/stager"
+	"rosemaryarch.example/rosemaryarch/warmer"
+	"rosemaryarch.example/rosemaryarch/watcher"
+)
+
+const (
+	// leadWait is the wait of the leading watch: a key that was taken away must
+	// stop working within seconds, so the confirmation may not get much older.
+	leadWait = 1500 * clock.Millis(1)
+	// longWait is the wait of the other watches, which end with each change.
+	longWait = 12 * clock.Second
+	// keyMargin is taken off the revocation bound: the store's watches may be
+	// deaf for a second, and a request that is already on its way counts.
+	keyMargin = 1500 * clock.Millis(1)
+	// dialTimeout bounds a connection to an endpoint; the longest way within
+	// the deployment takes a few ms.
+	dialTimeout = 400 * clock.Millis(1)
+	// dutyInterval is the time between two looks at what is due.
+	dutyInterval = 200 * clock.Millis(1)
+	// sweepInterval is the time between two clean-ups.
+	sweepInterval = 2 * clock.Second
+	// idleTimeout bounds an idle connection of a client. It is above what any
+	// configuration of the deployments asks for.
+	idleTimeout = 5 * time.Minute
+	// headerTimeout bounds the arrival of a request's header.
+	headerTimeout = 30 * time.Second
+	// maxHeaderBytes is the largest header that is read at all; the
+	// configuration's own limit is checked later.
+	maxHeaderBytes = 256 << 10
+	// memoryShare is the part of the memory limit that the runtime tries to
+	// stay below; the rest is for buffers of the kernel.
+	memoryShare = 0.7
+	// leaveStreams is the time after SIGTERM up to which new streams are taken.
+	leaveStreams = 3 * clock.Second
+	// exitMargin is kept before the end of the grace period.
+	exitMargin = 300 * clock.Millis(1)
+	// lingerShare is the part of the grace period during which clients with an
+	// old answer of the directory are still served.
+	lingerShare = 0.8
+	// MetricsPort serves the metrics; deploy/system.toml names it too.
+	MetricsPort = "9464"
+)
+
+// Launcher is one process.
+type Launcher struct {
+	path     string
+	settings *platform.Settings
+	out      io.Writer
+
+	clock      clock.Clock
+	bounds     atomic.Pointer[platform.Bounds]
+	table      atomic.Pointer[matcher.Table]
+	tableAt    atomic.Int64 // revision of the configuration's object
+	evacuated  atomic.Pointer[map[string]bool]
+	listed     atomic.Bool
+	stopping   atomic.Bool
+	recorder   *recorder.Recorder
+	meter      *meter.Meter
+	store      *platform.Store
+	catalog    *cataloger.Cataloger
+	stager     *stager.Stager
+	beater     *beater.Beater
+	watcher    *watcher.Watcher
+	dispatcher *dispatcher.Dispatcher
+	servers    []*http.Server
+
+	mu       sync.Mutex
+	rollouts map[string]rolloutDuty // by service
+	due      map[string]clock.Millis
+	done     chan struct{}
+}
+
+// New prepares a process with the settings at path.
+func New(path string, out io.Writer) (*Launcher, error) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return nil, err
+	}
+	l := &Launcher{
+		path: path, settings: s, out: out, clock: clock.Boot(), meter: meter.New(), catalog: cataloger.New(),
+		stager: stager.New(), rollouts: make(map[string]rolloutDuty), due: make(map[string]clock.Millis),
+		done: make(chan struct{}),
+	}
+	l.bounds.Store(&s.Bounds)
+	l.evacuated.Store(&map[string]bool{})
+	l.recorder = recorder.New(out, s.Instance, time.Now)
+	l.store = platform.NewStore(s.Store.Address, l.meter.StoreCall)
+	l.beater, err = beater.New(beater.Options{
+		Clock: l.clock, Self: l.self(), Fill: l.fill, Heard: l.heard, Changed: l.memberChanged, Failed: l.beatFailed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	l.watcher = watcher.New(watcher.Options{
+		Clock: l.clock, Source: l.store.Source(), Kinds: l.kinds(), Lost: l.storeLost, Regained: l.storeRegained,
+	})
+	l.dispatcher = dispatcher.New(l.dispatcherOptions())
+	return l, nil
+}
+
+func (l *Launcher) dispatcherOptions() dispatcher.Options {
+	b := l.settings.Bounds
+	return dispatcher.Options{
+		Clock: l.clock, DataCentre: l.settings.DataCentre, Names: platform.Names(), Bounds: l.dispatcherBounds,
+		Table: l.table.Load, Confirmed: l.watcher.Confirmed,
+		Evacuated: func(dataCentre string) bool { return (*l.evacuated.Load())[dataCentre] },
+		Catalog:   l.catalog, Stager: l.stager,
+		Budget: budgeter.New(budgeter.Options{Window: b.RetryWindow(), Ratio: b.RetryRatio, Slack: b.RetrySlack}),
+		Warmer: warmer.New(),
+		Forwarder: forwarder.New(forwarder.Options{
+			Clock: l.clock, DialTimeout: dialTimeout, IDHeader: platform.Names().ID,
+			Opened: func(string) { l.meter.Event("endpoint_connection_opened") },
+		}),
+		Balancer: balancer.Default(), Cascader: cascader.Default(),
+		Breaker: breaker.Options{
+			Window: 5 * clock.Second, MinRequests: 6, ErrorRate: 0.45, Consecutive: 3, OpenFor: 700,
+			OpenMax: 4 * clock.Second, Probes: 1, Successes: 2, ProbeTimeout: 3 * clock.Second, MaxShare: 0.5,
+		},
+		Meter: l.meter, Recorder: l.recorder, Members: l.beater.Known, Senders: l.senders, PeerLoad: l.beater.Load,
+	}
+}
+
+func (l *Launcher) dispatcherBounds() dispatcher.Bounds {
+	b := l.bounds.Load()
+	return dispatcher.Bounds{
+		KeyAge: max(leadWait, b.Revoke()-keyMargin), ColdOver: b.ColdOver, ColdSlack: b.ColdSlack,
+	}
+}
+
+// senders returns the number of instances of this data centre and this one's
+// position among them.
+func (l *Launcher) senders() (count, position int) {
+	names := l.beater.Neighbours(l.settings.DataCentre)
+	for i, n := range names {
+		if n == l.settings.Instance {
+			position = i
+		}
+	}
+	return len(names), position
+}
+
+// Run serves until SIGTERM and returns when the last request has ended or the
+// grace period is over.
+func (l *Launcher) Run() error {
+	defer close(l.done)
+	defer l.recorder.Close(flushLimit)
+	runtime.GOMAXPROCS(max(1, l.settings.Limits.Cores))
+	if mb := l.settings.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	failed := make(chan error, 4)
+	if err := l.listen(failed); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l.recorder.Keep("started", recorder.Text("front", l.settings.Listen.Front), recorder.Text("settings", l.path),
+		recorder.Text("data_centre", l.settings.DataCentre))
+	var parts sync.WaitGroup
+	parts.Go(func() { l.watcher.Run(ctx) })
+	parts.Go(func() { l.beater.Run(ctx) })
+	parts.Go(func() { l.duties(ctx) })
+	parts.Go(func() { l.joinMembers(ctx) })
+	err := l.wait(signals, failed)
+	cancel()
+	parts.Wait()
+	l.recorder.Keep("stopped", recorder.Number("active", l.dispatcher.Active()))
+	return err
+}
+
+// flushLimit bounds the wait for the last log lines.
+const flushLimit = 100 * clock.Millis(1)
+
+func (l *Launcher) wait(signals chan os.Signal, failed chan error) error {
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				l.reload("signal")
+				continue
+			}
+			l.drain(signals)
+			return nil
+		}
+	}
+}
+
+// drain lets clients go to other instances, ends what is in progress and
+// returns before the platform kills the process.
+func (l *Launcher) drain(signals chan os.Signal) {
+	begin := l.clock.Now()
+	grace := l.bounds.Load().Grace()
+	l.recorder.Keep("stopping", recorder.Number("active", l.dispatcher.Active()), recorder.Number("grace_ms", grace))
+	l.stopping.Store(true)
+	l.beater.SetReady(false)
+	l.dispatcher.Drain()
+	l.beater.Announce()
+	linger := clock.Millis(float64(grace) * lingerShare)
+	for left := linger; left > 0; left = linger - (l.clock.Now() - begin) {
+		if l.clock.Now()-begin >= leaveStreams {
+			l.dispatcher.Leave()
+		}
+		select {
+		case s := <-signals:
+			l.recorder.Keep("signal_ignored", recorder.Text("signal", s.String()))
+		case <-time.After(min(left, dutyInterval).Duration()):
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), (grace - exitMargin - (l.clock.Now() - begin)).Duration())
+	defer cancel()
+	var closing sync.WaitGroup
+	for _, s := range l.servers {
+		closing.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				l.recorder.Keep("requests_cut", recorder.Text("address", s.Addr), recorder.Text("error", err.Error()))
+			}
+		})
+	}
+	closing.Wait()
+}
+
+// listen opens the addresses of the settings and serves them.
+func (l *Launcher) listen(failed chan error) error {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+platform.ReadyPath, l.serveReady)
+	directory := http.NewServeMux()
+	directory.HandleFunc("GET "+platform.DirectoryPath, l.serveDirectory)
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", l.metricsHandler())
+	for _, s := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{l.settings.Listen.Front, l.dispatcher}, {l.settings.Listen.Ready, ready},
+		{l.settings.Listen.Directory, directory}, {net.JoinHostPort(l.settings.IP, MetricsPort), metrics},
+	} {
+		listener, err := net.Listen("tcp4", s.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", s.address)
+		}
+		server := &http.Server{
+			Addr: s.address, Handler: s.handler, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout,
+			MaxHeaderBytes: maxHeaderBytes, ErrorLog: l.serverLog(),
+		}
+		l.servers = append(l.servers, server)
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- errors.Wrapf(err, "serve %s", server.Addr)
+			}
+		}()
+	}
+	return nil
+}
--- /dev/null
+++ b/launcher/state.go
@@ -0,0 +1,164 @@
+package launcher
+
+import (
+	"maps"
+
+	"rosemaryarch.example/rosemaryarch/cataloger"
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/platform"
+	"rosemaryarch.example/rosemaryarch/recorder"
+	"rosemaryarch.example/rosemaryarch/watcher"
+)
+
+// coldAfterEvacuation is added to a service's warm-up when a data centre is
+// taken back, whose endpoints may have turned cold unnoticed.
+const coldAfterEvacuation = 2500 * clock.Millis(1)
+
+// kinds returns what is followed in the store. The configuration leads, since
+// its age decides whether keys are honoured.
+func (l *Launcher) kinds() []watcher.Kind {
+	return []watcher.Kind{
+		{Name: platform.ConfigKind, Wait: leadWait, Replace: l.replaceConfig, Change: l.changeConfig},
+		{Name: platform.EndpointKind, Wait: longWait, Replace: l.replaceEndpoints, Change: l.changeEndpoint},
+		{Name: platform.RolloutKind, Wait: longWait, Replace: l.replaceRollouts, Change: l.changeRollout},
+		{Name: platform.EvacuationKind, Wait: longWait, Replace: l.replaceEvacuations, Change: l.changeEvacuation},
+	}
+}
+
+func (l *Launcher) replaceConfig(list []watcher.Object) {
+	for _, o := range list {
+		l.changeConfig(o)
+	}
+}
+
+// changeConfig takes a newer configuration. An older or unreadable one changes
+// nothing.
+func (l *Launcher) changeConfig(o watcher.Object) {
+	if o.Name != platform.ConfigName || o.Deleted || o.Revision <= l.tableAt.Load() {
+		return
+	}
+	t, err := platform.DecodeConfig(o)
+	if err != nil {
+		l.recorder.Keep("configuration_unreadable", recorder.Number("revision", o.Revision),
+			recorder.Text("error", err.Error()))
+		return
+	}
+	if old := l.table.Load(); old != nil && t.Version() < old.Version() {
+		l.recorder.Keep("older_configuration_ignored", recorder.Number("version", t.Version()),
+			recorder.Number("present", old.Version()))
+		return
+	}
+	l.table.Store(t)
+	l.tableAt.Store(o.Revision)
+	l.meter.Set("configuration_version", float64(t.Version()))
+	l.recorder.Keep("configuration_adopted", recorder.Number("version", t.Version()),
+		recorder.Number("revision", o.Revision))
+}
+
+func (l *Launcher) replaceEndpoints(list []watcher.Object) {
+	var endpoints []cataloger.Endpoint
+	for _, o := range list {
+		e, err := platform.DecodeEndpoint(o)
+		if err != nil || o.Deleted {
+			l.ignored(o, err)
+			continue
+		}
+		endpoints = append(endpoints, e)
+	}
+	l.catalog.Replace(l.clock.Now(), endpoints)
+	l.listed.Store(true)
+	l.recorder.Keep("endpoints_listed", recorder.Number("count", len(endpoints)))
+}
+
+func (l *Launcher) ignored(o watcher.Object, err error) {
+	text := "deleted"
+	if err != nil {
+		text = err.Error()
+	}
+	l.recorder.Line("endpoint_ignored", recorder.Text("endpoint", o.Name), recorder.Number("revision", o.Revision),
+		recorder.Text("reason", text))
+}
+
+func (l *Launcher) changeEndpoint(o watcher.Object) {
+	now := l.clock.Now()
+	e, err := platform.DecodeEndpoint(o)
+	if o.Deleted {
+		l.catalog.Remove(now, o.Name)
+		l.recorder.Line("endpoint_gone", recorder.Text("endpoint", o.Name), recorder.Number("revision", o.Revision))
+		return
+	}
+	if err != nil {
+		// The entry names no endpoint any more, whatever it named before.
+		e.ID, e.Draining = o.Name, true
+		l.catalog.Put(now, e)
+		l.ignored(o, err)
+		return
+	}
+	l.catalog.Put(now, e)
+	phase := "ready"
+	if e.Draining {
+		phase = "leaving"
+	}
+	l.recorder.Line("endpoint_changed", recorder.Text("endpoint", e.ID), recorder.Text("phase", phase),
+		recorder.Text("version", e.Version), recorder.Number("warmup_ms", e.WarmupLeft),
+		recorder.Number("revision", o.Revision))
+}
+
+func (l *Launcher) replaceEvacuations(list []watcher.Object) {
+	next := make(map[string]bool)
+	for _, o := range list {
+		if !o.Deleted {
+			next[o.Name] = true
+		}
+	}
+	l.setEvacuations(next)
+}
+
+func (l *Launcher) changeEvacuation(o watcher.Object) {
+	next := maps.Clone(*l.evacuated.Load())
+	if o.Deleted {
+		delete(next, o.Name)
+	} else {
+		next[o.Name] = true
+	}
+	l.setEvacuations(next)
+}
+
+func (l *Launcher) setEvacuations(next map[string]bool) {
+	old := *l.evacuated.Load()
+	for name := range old {
+		if next[name] {
+			continue
+		}
+		count := l.catalog.Chill(l.clock.Now()+l.warmup()+coldAfterEvacuation, func(s *cataloger.State) bool {
+			return s.DataCentre == name
+		})
+		l.recorder.Keep("data_centre_taken_back", recorder.Text("data_centre", name), recorder.Number("cold", count))
+	}
+	for name := range next {
+		if !old[name] {
+			l.recorder.Keep("data_centre_evacuated", recorder.Text("data_centre", name))
+		}
+	}
+	l.evacuated.Store(&next)
+}
+
+// warmup returns the longest warm-up of the configured services.
+func (l *Launcher) warmup() clock.Millis {
+	t := l.table.Load()
+	if t == nil {
+		return 0
+	}
+	return t.LongestWarmup()
+}
+
+func (l *Launcher) storeLost(err error) {
+	l.catalog.StoreLost()
+	l.recorder.Keep("store_lost", recorder.Text("error", err.Error()),
+		recorder.Number("confirmed_ms_ago", l.clock.Now()-l.watcher.Confirmed()))
+}
+
+func (l *Launcher) storeRegained(away clock.Millis) {
+	l.catalog.StoreRegained(l.clock.Now())
+	l.recorder.Keep("store_regained", recorder.Number("away_ms", away))
+}
--- /dev/null
+++ b/splitter/splitter.go
@@ -0,0 +1,116 @@
+package splitter
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEventBytes bounds one event; a longer one is not a stream of events.
+const maxEventBytes = 1 << 20
+
+// readBytes is the size of one read.
+const readBytes = 4096
+
+// Sentinels of a stream that ends badly.
+var (
+	// ErrPartial tells that the stream ended inside an event.
+	ErrPartial = errors.New("splitter: stream ended inside an event")
+	// ErrTooLarge tells that one event exceeds maxEventBytes.
+	ErrTooLarge = errors.New("splitter: event too large")
+)
+
+// Splitter reads events.
+type Splitter struct {
+	r    io.Reader
+	data []byte // unread bytes
+	from int    // start of the first unread event in data
+	err  error
+}
+
+// New returns a splitter that reads r.
+func New(r io.Reader) *Splitter { return &Splitter{r: r} }
+
+// Next returns the complete events that have arrived, at least one, with the id
+// of the last of them, -1 if none has a numeric id. The bytes are valid until
+// the next call. At the clean end it returns io.EOF, after a partial event
+// ErrPartial, otherwise the reader's error.
+func (s *Splitter) Next() (events []byte, id int64, count int, err error) {
+	for {
+		if end, n := lastEnd(s.data[s.from:]); n > 0 {
+			events = s.data[s.from : s.from+end]
+			s.from += end
+			return events, lastID(events), n, nil
+		}
+		if s.err != nil {
+			if s.err == io.EOF && s.from < len(s.data) {
+				return nil, -1, 0, ErrPartial
+			}
+			return nil, -1, 0, s.err
+		}
+		s.fill()
+	}
+}
+
+func (s *Splitter) fill() {
+	rest := copy(s.data, s.data[s.from:])
+	s.data, s.from = s.data[:rest], 0
+	if rest > maxEventBytes {
+		s.err = ErrTooLarge
+		return
+	}
+	if cap(s.data)-rest < readBytes {
+		grown := make([]byte, rest, 2*cap(s.data)+readBytes)
+		copy(grown, s.data)
+		s.data = grown
+	}
+	n, err := s.r.Read(s.data[rest : rest+readBytes])
+	s.data = s.data[:rest+n]
+	s.err = err
+}
+
+// lastEnd returns the length of the complete events at the start of b and
+// their number. An event ends with an empty line.
+func lastEnd(b []byte) (end, count int) {
+	line := 0
+	empty := true
+	for i := 0; i < len(b); i++ {
+		if b[i] != '\n' {
+			continue
+		}
+		if blank(b[line:i]) {
+			if !empty {
+				end = i + 1
+				count++
+			}
+			empty = true
+		} else {
+			empty = false
+		}
+		line = i + 1
+	}
+	return end, count
+}
+
+func blank(line []byte) bool { return len(line) == 0 || len(line) == 1 && line[0] == '\r' }
+
+// lastID returns the last numeric id among the events.
+func lastID(events []byte) int64 {
+	for len(events) > 0 {
+		i := bytes.LastIndex(events, []byte("id:"))
+		if i < 0 {
+			return -1
+		}
+		if i == 0 || events[i-1] == '\n' {
+			line, _, _ := bytes.Cut(events[i+3:], []byte("\n"))
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(line)), 10, 64)
+			if err == nil {
+				return id
+			}
+		}
+		events = events[:i]
+	}
+	return -1
+}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,259 @@
+package watcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// Sentinels of store calls.
+var (
+	// ErrHistoryGone tells that the changes since a revision are dropped.
+	ErrHistoryGone = errors.New("watcher: history is gone")
+	// ErrConflict tells that the object has another revision, or exists.
+	ErrConflict = errors.New("watcher: revision conflict")
+	// ErrUnavailable tells that the store did not execute the call.
+	ErrUnavailable = errors.New("watcher: store unavailable")
+)
+
+const (
+	// listTimeout bounds a list, which the store answers within milliseconds
+	// unless it is slow.
+	listTimeout = 2 * clock.Second
+	// answerSlack is added to the wait of a watch before it is given up: the
+	// store may be a hundred times slower than usual.
+	answerSlack = 900 * clock.Millis(1)
+	// firstBackoff and maxBackoff space the calls to a store that does not
+	// answer; refused calls are priced too.
+	firstBackoff = 150 * clock.Millis(1)
+	maxBackoff   = 600 * clock.Millis(1)
+)
+
+// Object is one object of the store.
+type Object struct {
+	Name     string
+	Revision int64
+	Spec     []byte
+	Status   []byte
+	Deleted  bool
+}
+
+// Source makes the calls.
+type Source struct {
+	// List returns the objects of a kind and the store's revision.
+	List func(ctx context.Context, kind string) ([]Object, int64, error)
+	// Watch waits for changes after a revision, at most for wait, and returns
+	// them with the revision to go on from. It returns ErrHistoryGone if they
+	// are no longer known.
+	Watch func(ctx context.Context, kind string, from int64, wait clock.Millis) ([]Object, int64, error)
+	// Renew drops kept connections, which may be silent.
+	Renew func()
+}
+
+// Kind is one followed kind.
+type Kind struct {
+	Name    string
+	Wait    clock.Millis
+	Replace func(list []Object) // takes a full list
+	Change  func(o Object)      // takes one change
+}
+
+// Options are the settings of a watcher.
+type Options struct {
+	Clock  clock.Clock
+	Source Source
+	Kinds  []Kind // the first one leads
+	// Lost and Regained are called when the store stops and begins to answer.
+	Lost     func(err error)
+	Regained func(away clock.Millis)
+}
+
+// Watcher is safe for concurrent use.
+type Watcher struct {
+	options Options
+
+	mu        sync.Mutex
+	up        bool
+	changed   chan struct{} // closed when up changes
+	confirmed clock.Millis
+	lostAt    clock.Millis
+	done      sync.WaitGroup
+}
+
+// New returns a watcher that has read nothing. It panics without a kind.
+func New(o Options) *Watcher {
+	if len(o.Kinds) == 0 {
+		panic("watcher: no kind to follow")
+	}
+	return &Watcher{options: o, changed: make(chan struct{}), lostAt: o.Clock.Now()}
+}
+
+// Confirmed returns the instant up to which the leading kind is known to have
+// been read; 0 if it never was.
+func (w *Watcher) Confirmed() clock.Millis {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.confirmed
+}
+
+// Up reports whether the store answered last.
+func (w *Watcher) Up() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.up
+}
+
+// Run follows the kinds until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for i := range w.options.Kinds {
+		w.done.Add(1)
+		go func() {
+			defer w.done.Done()
+			if i == 0 {
+				w.lead(ctx, w.options.Kinds[0])
+				return
+			}
+			w.follow(ctx, w.options.Kinds[i])
+		}()
+	}
+	w.done.Wait()
+}
+
+func (w *Watcher) lead(ctx context.Context, k Kind) {
+	from, failures := int64(-1), 0
+	for ctx.Err() == nil {
+		next, err := w.step(ctx, k, from)
+		from = next
+		switch {
+		case err == nil:
+			failures = 0
+			w.setUp(true, nil)
+			continue
+		case errors.Is(err, ErrHistoryGone):
+			continue
+		}
+		failures++
+		w.options.Source.Renew()
+		// One lost answer may be a silent connection: the first repeat is
+		// immediate and on a new one.
+		if failures == 1 {
+			continue
+		}
+		w.setUp(false, err)
+		pause(ctx, min(maxBackoff, firstBackoff<<min(failures-2, 4)))
+	}
+}
+
+func (w *Watcher) follow(ctx context.Context, k Kind) {
+	from := int64(-1)
+	for ctx.Err() == nil {
+		up, changed := w.state()
+		if !up {
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+			continue
+		}
+		call, cancel := context.WithCancel(ctx)
+		go func() {
+			select {
+			case <-changed:
+				cancel()
+			case <-call.Done():
+			}
+		}()
+		next, err := w.step(call, k, from)
+		cancel()
+		from = next
+		if err != nil && !errors.Is(err, ErrHistoryGone) {
+			pause(ctx, firstBackoff)
+		}
+	}
+}
+
+// step makes one call and applies its result.
+func (w *Watcher) step(ctx context.Context, k Kind, from int64) (int64, error) {
+	start := w.options.Clock.Now()
+	if from < 0 {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout.Duration())
+		defer cancel()
+		list, at, err := w.options.Source.List(ctx, k.Name)
+		if err != nil {
+			return -1, err
+		}
+		k.Replace(list)
+		w.confirm(k, start)
+		return at, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, (k.Wait + answerSlack).Duration())
+	defer cancel()
+	list, at, err := w.options.Source.Watch(ctx, k.Name, from, k.Wait)
+	if errors.Is(err, ErrHistoryGone) {
+		return -1, err
+	}
+	if err != nil {
+		return from, err
+	}
+	for _, o := range list {
+		k.Change(o)
+	}
+	// An empty answer after the full wait was made no earlier than its end.
+	if len(list) == 0 && w.options.Clock.Now()-start >= k.Wait {
+		start += k.Wait
+	}
+	w.confirm(k, start)
+	return at, nil
+}
+
+func (w *Watcher) confirm(k Kind, at clock.Millis) {
+	if k.Name != w.options.Kinds[0].Name {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.confirmed = max(w.confirmed, at)
+}
+
+func (w *Watcher) state() (bool, chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.up, w.changed
+}
+
+func (w *Watcher) setUp(up bool, err error) {
+	w.mu.Lock()
+	if w.up == up {
+		w.mu.Unlock()
+		return
+	}
+	w.up = up
+	close(w.changed)
+	w.changed = make(chan struct{})
+	now := w.options.Clock.Now()
+	away := now - w.lostAt
+	if !up {
+		w.lostAt = now
+	}
+	w.mu.Unlock()
+	if up {
+		w.options.Regained(away)
+		return
+	}
+	w.options.Lost(err)
+}
+
+// pause waits for d, more or less by a quarter so that instances do not call
+// in step.
+func pause(ctx context.Context, d clock.Millis) {
+	jittered := time.Duration(float64(d.Duration()) * (0.75 + rand.Float64()/2))
+	select {
+	case <-ctx.Done():
+	case <-time.After(jittered):
+	}
+}
