dispatcher: no failure of an endpoint into a stream that has begun

Change: once the header is out, anything but a stream counts as spoiled. Ruled out: the stream's framing, since the client saw a terminating chunk.

--- /dev/null
+++ b/dispatcher/fleet_test.go
@@ -0,0 +1,259 @@
+package dispatcher
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"rosemaryarch.example/rosemaryarch/balancer"
+	"rosemaryarch.example/rosemaryarch/breaker"
+	"rosemaryarch.example/rosemaryarch/budgeter"
+	"rosemaryarch.example/rosemaryarch/cascader"
+	"rosemaryarch.example/rosemaryarch/cataloger"
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/forwarder"
+	"rosemaryarch.example/rosemaryarch/matcher"
+	"rosemaryarch.example/rosemaryarch/meter"
+	"rosemaryarch.example/rosemaryarch/recorder"
+	"rosemaryarch.example/rosemaryarch/stager"
+	"rosemaryarch.example/rosemaryarch/warmer"
+)
+
+// names are header names of the tests' own.
+var names = Names{
+	ID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Workspace: "X-Workspace", Target: "X-Target", NotRun: "X-Not-Run",
+	Signature: "X-Signature", Prefix: "X-Prefix", Tokens: "X-Tokens", LengthHint: "X-Hint", Model: "X-Model",
+	Confidence: "X-Confidence", Priority: "X-Priority", Session: "X-Session", LastEvent: "Last-Event-Id",
+	Reserved: []string{"X-Reserved", "X-Priority"},
+}
+
+// behaviour answers one request on a raw connection and reports whether the
+// connection stays open.
+type behaviour func(c net.Conn, r *http.Request, body string) bool
+
+// endpoint is a back end that does on its sockets what the test says.
+type endpoint struct {
+	id       string
+	listener net.Listener
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+	does     behaviour
+}
+
+func (e *endpoint) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.requests)
+}
+
+func (e *endpoint) last() (*http.Request, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests[len(e.requests)-1], e.bodies[len(e.bodies)-1]
+}
+
+func (e *endpoint) serve() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			br := bufio.NewReader(c)
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				body, _ := io.ReadAll(r.Body)
+				e.mu.Lock()
+				e.requests = append(e.requests, r)
+				e.bodies = append(e.bodies, string(body))
+				e.mu.Unlock()
+				if !e.does(c, r, string(body)) {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// say writes an answer with length, id and signature.
+func say(c net.Conn, r *http.Request, status int, body string, headers ...string) bool {
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\nX-Id: %s\r\nX-Signature: s\r\nContent-Length: %d\r\n",
+		status, r.Header.Get("X-Id"), len(body))
+	if len(headers) > 0 {
+		head += strings.Join(headers, "\r\n") + "\r\n"
+	}
+	_, err := io.WriteString(c, head+"\r\n"+body)
+	return err == nil
+}
+
+// events writes a chunked stream of events from..to, complete or cut off.
+func events(c net.Conn, r *http.Request, from, to int, whole bool, headers ...string) bool {
+	head := "HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nX-Signature: s\r\n" +
+		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+	if len(headers) > 0 {
+		head += strings.Join(headers, "\r\n") + "\r\n"
+	}
+	_, _ = io.WriteString(c, head+"\r\n")
+	for i := from; i <= to; i++ {
+		piece := fmt.Sprintf("id: %d\ndata: p%d\n\n", i, i)
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(piece), piece)
+	}
+	if !whole {
+		_, _ = io.WriteString(c, "14\r\nid: 99\nda")
+		return false
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+// fleet is a dispatcher in front of endpoints.
+type fleet struct {
+	t          *testing.T
+	dispatcher *Dispatcher
+	front      *httptest.Server
+	endpoints  []*endpoint
+	catalog    *cataloger.Cataloger
+	stager     *stager.Stager
+	config     matcher.Config
+	mu         sync.Mutex
+	table      *matcher.Table
+	confirmed  func() clock.Millis
+	evacuated  map[string]bool
+	forwarder  *forwarder.Forwarder
+}
+
+// route returns a public route of a kind on service "s".
+func route(kind matcher.Kind, change func(*matcher.Route)) matcher.Route {
+	r := matcher.Route{
+		Name: "r", Host: "h.example", PathPrefix: "/a/", Kind: kind, Timeout: 3000, Target: 200, Attempts: 3,
+		Public: true, Backends: []matcher.Backend{{Service: "s", Weight: 1}},
+	}
+	if change != nil {
+		change(&r)
+	}
+	return r
+}
+
+// newFleet starts one endpoint for each behaviour.
+func newFleet(t *testing.T, r matcher.Route, does ...behaviour) *fleet {
+	t.Helper()
+	f := &fleet{t: t, catalog: cataloger.New(), stager: stager.New(), evacuated: map[string]bool{}}
+	ck := clock.Boot()
+	f.confirmed = ck.Now
+	f.config = matcher.Config{
+		Version: 1, Routes: []matcher.Route{r}, Services: []matcher.Service{{Name: "s"}},
+		Limits:     matcher.Limits{BodyBytes: 1 << 20, HeaderBytes: 16 << 10},
+		Workspaces: map[string]matcher.Workspace{"good": {Name: "w"}},
+	}
+	f.table = matcher.New(f.config)
+	var list []cataloger.Endpoint
+	for i, b := range does {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := &endpoint{id: fmt.Sprintf("e%d", i), listener: listener, does: b}
+		go e.serve()
+		t.Cleanup(func() { _ = listener.Close() })
+		f.endpoints = append(f.endpoints, e)
+		list = append(list, cataloger.Endpoint{
+			ID: e.id, Service: "s", Address: listener.Addr().String(), DataCentre: "dc", Version: "v1", Slots: 8,
+		})
+	}
+	f.catalog.Replace(ck.Now(), list)
+	f.forwarder = forwarder.New(forwarder.Options{Clock: ck, DialTimeout: 400, IDHeader: names.ID})
+	f.dispatcher = New(f.options(ck))
+	f.front = httptest.NewServer(f.dispatcher)
+	t.Cleanup(f.front.Close)
+	return f
+}
+
+func (f *fleet) options(ck clock.Clock) Options {
+	rec := recorder.New(io.Discard, "test", time.Now)
+	f.t.Cleanup(func() { rec.Close(clock.Second) })
+	return Options{
+		Clock: ck, DataCentre: "dc", Names: names,
+		Bounds: func() Bounds { return Bounds{KeyAge: 3500, ColdOver: 1.5, ColdSlack: 5} },
+		Table: func() *matcher.Table {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.table
+		},
+		Confirmed: func() clock.Millis { return f.confirmed() },
+		Evacuated: func(dc string) bool { return f.evacuated[dc] },
+		Catalog:   f.catalog, Stager: f.stager,
+		Budget:    budgeter.New(budgeter.Options{Window: 10 * clock.Second, Ratio: 0.9, Slack: 50}),
+		Warmer:    warmer.New(),
+		Forwarder: f.forwarder,
+		Balancer:  balancer.Default(), Cascader: cascader.Default(),
+		Breaker: breaker.Options{
+			Window: 5000, MinRequests: 6, ErrorRate: 0.45, Consecutive: 3, OpenFor: 700, OpenMax: 4000, Probes: 1,
+			Successes: 2, ProbeTimeout: 3000, MaxShare: 0.5,
+		},
+		Meter: meter.New(), Recorder: rec, Members: func() int { return 1 },
+		Senders:  func() (int, int) { return 1, 0 },
+		PeerLoad: func(uint64) (float64, int) { return 0, 0 },
+	}
+}
+
+// set replaces the configuration.
+func (f *fleet) set(c matcher.Config) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table = matcher.New(c)
+}
+
+// sent returns the number of requests that reached endpoints.
+func (f *fleet) sent() int {
+	n := 0
+	for _, e := range f.endpoints {
+		n += e.count()
+	}
+	return n
+}
+
+// answer is what the client got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error // the answer broke off
+}
+
+// do sends a request through the dispatcher. headers are name and value in
+// turn.
+func (f *fleet) do(method, path, body string, headers ...string) answer {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, f.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set(names.ID, "id-1")
+	r.Header.Set(names.Deadline, "3000")
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -324,6 +324,10 @@
 			return s.stream(ctx)
 		}
 	}
+	if x.begun {
+		// The client already has the header of the first answer.
+		return s.spoiled("the endpoint did not go on with the stream")
+	}
 	return s.plain(ctx)
 }
 
