--- a/beater/beater.go
+++ b/beater/beater.go
@@ -66,6 +66,7 @@
 
 	mu     sync.Mutex
 	ready  bool
+	feeds  bool
 	peers  map[string]*peer
 	sentAt clock.Millis // of the last send to other data centres
 }
@@ -86,6 +87,16 @@
 	b.ready = ready
 }
 
+// SetFeeds tells the others whether this instance passes on what it reads from
+// the store. It reports whether that is new.
+func (b *Beater) SetFeeds(feeds bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	changed := b.feeds != feeds
+	b.feeds = feeds
+	return changed
+}
+
 // Learn takes an instance from another source than its own messages.
 func (b *Beater) Learn(m Member) {
 	b.mu.Lock()
@@ -161,7 +172,7 @@
 
 func (b *Beater) self() Member {
 	m := b.options.Self
-	m.Ready = b.ready
+	m.Ready, m.Feeds = b.ready, b.feeds
 	return m
 }
 
@@ -318,6 +329,8 @@
 func (b *Beater) hear(m *Message) {
 	b.mu.Lock()
 	now := b.options.Clock.Now()
+	old := b.peers[m.From.Name]
+	fresh := old == nil || old.heard == 0 || old.member.Incarnation != m.From.Incarnation
 	if p := b.learn(m.From, now); p != nil && m.From.DataCentre == b.options.Self.DataCentre {
 		p.loads = make(map[uint64]Load, len(m.Loads))
 		for _, l := range m.Loads {
@@ -329,7 +342,12 @@
 			b.learn(n, now-clock.Millis(n.Age))
 		}
 	}
+	reply := Message{From: b.self(), Neighbours: b.neighbours(now)}
 	b.mu.Unlock()
+	if fresh {
+		// A new instance learns of this one at once.
+		b.send(&reply, []string{m.From.Beat})
+	}
 	b.options.Heard(m)
 }
 
--- a/beater/message.go
+++ b/beater/message.go
@@ -22,6 +22,7 @@
 	Incarnation int64  `cbor:"5,keyasint"` // grows with each start
 	Ready       bool   `cbor:"6,keyasint"` // takes new requests
 	Age         int64  `cbor:"7,keyasint"` // ms since it was last heard
+	Feeds       bool   `cbor:"8,keyasint"` // passes on what it reads from the store
 }
 
 // Message is one datagram.
@@ -29,6 +30,7 @@
 	From       Member          `cbor:"1,keyasint"`
 	Loads      []Load          `cbor:"2,keyasint,omitempty"`
 	Rollouts   []stager.Report `cbor:"3,keyasint,omitempty"`
+	Marks      []stager.Mark   `cbor:"5,keyasint,omitempty"`
 	Neighbours []Member        `cbor:"4,keyasint,omitempty"` // of the sender's data centre
 }
 
--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -99,6 +99,14 @@
 	}
 }
 
+// StoreReturned notes that the store came back at an instant, as another
+// instance saw it.
+func (c *Cataloger) StoreReturned(at clock.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.back = max(c.back, at)
+}
+
 // Replace takes a full list of the store.
 func (c *Cataloger) Replace(now clock.Millis, list []Endpoint) {
 	c.mu.Lock()
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -240,7 +240,8 @@
 		version = x.table.Version()
 	}
 	o.Recorder.Line("request",
-		recorder.Text("id", x.id), recorder.Text("route", route), recorder.Text("workspace", x.workspace.Name),
+		recorder.Text("id", x.id), recorder.Text("session", x.request.Header.Get(o.Names.Session)),
+		recorder.Text("route", route), recorder.Text("workspace", x.workspace.Name),
 		recorder.Number("status", x.status), recorder.Text("reason", x.reason), recorder.Number("sends", x.sends),
 		recorder.Text("endpoint", x.endpoint), recorder.Number("model", x.model), recorder.Number("confidence", x.conf),
 		recorder.Number("first_ms", x.firstMs), recorder.Number("ms", x.now()-x.start),
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -186,6 +186,7 @@
 	begin := x.now()
 	x.endpoint = e.ID
 	end := d.options.Stager.Begin(q.service, e.Version)
+	d.options.Stager.Use(begin, q.service, x.request.Header.Get(d.options.Names.Session), e.Version)
 	s := &sending{exchange: x, choice: c, search: q, begin: begin}
 	result, err := s.do(ctx)
 	d.ended(x.now(), c, !s.failed)
--- a/launcher/duties.go
+++ b/launcher/duties.go
@@ -103,6 +103,7 @@
 		}
 		now := l.clock.Now()
 		l.beater.SetReady(l.ready())
+		l.tellFeeds()
 		l.catalog.Expire(now)
 		l.judgeRollouts(ctx, now)
 		if now-sweptAt >= sweepInterval {
@@ -302,7 +303,8 @@
 }
 
 func (l *Launcher) fill(m *beater.Message) {
-	m.Rollouts = l.stager.Reports(l.clock.Now())
+	now := l.clock.Now()
+	m.Rollouts, m.Marks = l.stager.Reports(now), l.stager.Marks(now)
 	l.dispatcher.Loads(func(endpoint string, work float64, running int) {
 		m.Loads = append(m.Loads, beater.Load{
 			Endpoint: matcher.Hash("endpoint", endpoint), Work: float32(work), Running: running,
@@ -311,6 +313,9 @@
 }
 
 func (l *Launcher) heard(m *beater.Message) {
+	if len(m.Marks) > 0 {
+		l.stager.MergeMarks(l.clock.Now(), m.Marks)
+	}
 	if len(m.Rollouts) > 0 {
 		key := m.From.Name + "/" + time.UnixMilli(m.From.Incarnation).UTC().Format(time.RFC3339Nano)
 		l.stager.Merge(l.clock.Now(), key, m.Rollouts)
--- /dev/null
+++ b/launcher/feed.go
@@ -0,0 +1,148 @@
+package launcher
+
+import (
+	"context"
+
+	"rosemaryarch.example/rosemaryarch/beater"
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/recorder"
+	"rosemaryarch.example/rosemaryarch/relayer"
+	"rosemaryarch.example/rosemaryarch/watcher"
+)
+
+const (
+	// joinWait is how long a process that starts waits for neighbours before it
+	// reads the store itself.
+	joinWait = 400 * clock.Millis(1)
+	// firstJoinWait is the same where all instances start together and the
+	// list of instances fills meanwhile.
+	firstJoinWait = 1200 * clock.Millis(1)
+	// readerTurn is the head start of each instance of a data centre over the
+	// next one when none of them reads the store; maxReaderTurns bounds it.
+	readerTurn     = 250 * clock.Millis(1)
+	maxReaderTurns = 6
+	// avoidFeed is how long a neighbour whose feed failed is left alone.
+	avoidFeed = 3 * clock.Second
+)
+
+func (l *Launcher) kindNames() []string {
+	var names []string
+	for _, k := range l.kinds() {
+		names = append(names, k.Name)
+	}
+	return names
+}
+
+// feedingKinds returns the kinds with their changes also going to the hub.
+func (l *Launcher) feedingKinds() []watcher.Kind {
+	list := l.kinds()
+	for i, k := range list {
+		list[i].Replace = func(objects []watcher.Object) {
+			k.Replace(objects)
+			l.hub.Replace(k.Name, objects)
+		}
+		list[i].Change = func(o watcher.Object) {
+			k.Change(o)
+			l.hub.Change(k.Name, o)
+		}
+	}
+	return list
+}
+
+// role decides where this instance reads: from the first of its neighbours
+// that feeds others, or from the store if there is none before it.
+func (l *Launcher) role() watcher.Role {
+	now := l.clock.Now()
+	members := l.beater.Members()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chooseRole(now, members)
+}
+
+func (l *Launcher) chooseRole(now clock.Millis, members []beater.Member) watcher.Role {
+	position := 0
+	for _, m := range members {
+		if m.DataCentre != l.settings.DataCentre {
+			continue
+		}
+		if m.Name == l.settings.Instance {
+			if l.hub.Open() && l.watcher.Up() {
+				return watcher.Role{Direct: true}
+			}
+			continue
+		}
+		if m.Feeds && now-l.avoided[m.Name] >= avoidFeed {
+			l.feedless = 0
+			return watcher.Role{Feed: m.Beat}
+		}
+		if m.Name < l.settings.Instance {
+			position++
+		}
+	}
+	if l.hub.Open() {
+		return watcher.Role{Direct: true}
+	}
+	if l.feedless == 0 {
+		l.feedless = now
+	}
+	join := joinWait
+	if l.settings.FirstStart {
+		join = firstJoinWait
+	}
+	due := max(l.started+join, l.feedless) + clock.Millis(min(position, maxReaderTurns))*readerTurn
+	return watcher.Role{Direct: now >= due}
+}
+
+func (l *Launcher) follow(ctx context.Context, address string) error {
+	l.recorder.Keep("feed_followed", recorder.Text("address", address))
+	kinds := make(map[string]watcher.Kind)
+	for _, k := range l.kinds() {
+		kinds[k.Name] = k
+	}
+	return relayer.Follow(ctx, l.clock, address, relayer.Sink{
+		Replace: func(kind string, list []watcher.Object) {
+			if k, ok := kinds[kind]; ok {
+				k.Replace(list)
+			}
+		},
+		Change: func(kind string, o watcher.Object) {
+			if k, ok := kinds[kind]; ok {
+				k.Change(o)
+			}
+		},
+		Confirm:  l.watcher.Adopt,
+		Returned: l.catalog.StoreReturned,
+	})
+}
+
+func (l *Launcher) feedEnded(address string, err error) {
+	text := "role changed"
+	if err != nil {
+		text = err.Error()
+	}
+	l.recorder.Keep("feed_ended", recorder.Text("address", address), recorder.Text("error", text))
+	now := l.clock.Now()
+	for _, m := range l.beater.Members() {
+		if m.Beat == address {
+			l.mu.Lock()
+			l.avoided[m.Name] = now
+			l.mu.Unlock()
+		}
+	}
+}
+
+func (l *Launcher) readDirectly(direct bool) {
+	l.hub.SetOpen(direct)
+	l.recorder.Keep("store_read_directly", recorder.Text("direct", map[bool]string{true: "yes", false: "no"}[direct]))
+	l.tellFeeds()
+}
+
+// tellFeeds tells the neighbours at once whether this instance feeds them: it
+// does while it reads the store and is confirmed.
+func (l *Launcher) tellFeeds() {
+	feeds := l.hub.Ready() && !l.stopping.Load() && l.watcher.Up() &&
+		l.clock.Now()-l.watcher.Confirmed() < readyAge
+	if l.beater.SetFeeds(feeds) {
+		l.beater.Announce()
+	}
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -29,6 +29,7 @@
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/platform"
 	"rosemaryarch.example/rosemaryarch/recorder"
+	"rosemaryarch.example/rosemaryarch/relayer"
 	"rosemaryarch.example/rosemaryarch/stager"
 	"rosemaryarch.example/rosemaryarch/warmer"
 	"rosemaryarch.example/rosemaryarch/watcher"
@@ -92,11 +93,15 @@
 	stager     *stager.Stager
 	beater     *beater.Beater
 	watcher    *watcher.Watcher
+	hub        *relayer.Hub
+	started    clock.Millis
 	dispatcher *dispatcher.Dispatcher
 	servers    []*http.Server
 
 	mu       sync.Mutex
 	rollouts map[string]rolloutDuty // by service
+	feedless clock.Millis           // instant since which no neighbour feeds this instance; 0: one does
+	avoided  map[string]clock.Millis
 	due      map[string]clock.Millis
 	done     chan struct{}
 }
@@ -109,13 +114,15 @@
 	}
 	l := &Launcher{
 		path: path, settings: s, out: out, clock: clock.Boot(), meter: meter.New(), catalog: cataloger.New(),
-		stager: stager.New(), rollouts: make(map[string]rolloutDuty), due: make(map[string]clock.Millis),
-		done: make(chan struct{}),
+		stager: stager.New(stager.Options{SessionAge: s.Bounds.SessionAge()}), rollouts: make(map[string]rolloutDuty), due: make(map[string]clock.Millis),
+		avoided: make(map[string]clock.Millis), done: make(chan struct{}),
 	}
+	l.started = l.clock.Now()
 	l.bounds.Store(&s.Bounds)
 	l.evacuated.Store(&map[string]bool{})
 	l.recorder = recorder.New(out, s.Instance, time.Now)
 	l.store = platform.NewStore(s.Store.Address, l.meter.StoreCall)
+	l.hub = relayer.NewHub(l.clock, l.kindNames())
 	l.beater, err = beater.New(beater.Options{
 		Clock: l.clock, Self: l.self(), Fill: l.fill, Heard: l.heard, Changed: l.memberChanged, Failed: l.beatFailed,
 	})
@@ -123,7 +130,8 @@
 		return nil, err
 	}
 	l.watcher = watcher.New(watcher.Options{
-		Clock: l.clock, Source: l.store.Source(), Kinds: l.kinds(), Lost: l.storeLost, Regained: l.storeRegained,
+		Clock: l.clock, Source: l.store.Source(), Kinds: l.feedingKinds(), Lost: l.storeLost, Regained: l.storeRegained,
+		Role: l.role, Follow: l.follow, Direct: l.readDirectly, Confirmed: l.hub.Confirm, FeedEnded: l.feedEnded,
 	})
 	l.dispatcher = dispatcher.New(l.dispatcherOptions())
 	return l, nil
@@ -261,6 +269,8 @@
 	ready.HandleFunc("GET "+platform.ReadyPath, l.serveReady)
 	directory := http.NewServeMux()
 	directory.HandleFunc("GET "+platform.DirectoryPath, l.serveDirectory)
+	feed := http.NewServeMux()
+	feed.Handle("GET "+relayer.Path, l.hub)
 	metrics := http.NewServeMux()
 	metrics.Handle("GET /metrics", l.metricsHandler())
 	for _, s := range []struct {
@@ -268,7 +278,7 @@
 		handler http.Handler
 	}{
 		{l.settings.Listen.Front, l.dispatcher}, {l.settings.Listen.Ready, ready},
-		{l.settings.Listen.Directory, directory}, {net.JoinHostPort(l.settings.IP, MetricsPort), metrics},
+		{l.settings.Listen.Directory, directory}, {l.settings.BeatAddress(), feed}, {net.JoinHostPort(l.settings.IP, MetricsPort), metrics},
 	} {
 		listener, err := net.Listen("tcp4", s.address)
 		if err != nil {
--- a/launcher/state.go
+++ b/launcher/state.go
@@ -159,6 +159,10 @@
 }
 
 func (l *Launcher) storeRegained(away clock.Millis) {
-	l.catalog.StoreRegained(l.clock.Now())
+	now := l.clock.Now()
+	l.catalog.StoreRegained(now)
+	if away > 0 && l.table.Load() != nil {
+		l.hub.Returned(now)
+	}
 	l.recorder.Keep("store_regained", recorder.Number("away_ms", away))
 }
--- /dev/null
+++ b/relayer/hub.go
@@ -0,0 +1,206 @@
+package relayer
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+
+	"github.com/coder/websocket"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/watcher"
+)
+
+const (
+	// logLength is the number of changes that a slow neighbour may be behind
+	// before it gets the full state again.
+	logLength = 512
+	// sendTimeout bounds one message to a neighbour.
+	sendTimeout = 2 * clock.Second
+)
+
+// Hub holds what this instance reads and feeds its neighbours. It is safe for
+// concurrent use.
+type Hub struct {
+	clock clock.Clock
+	kinds []string
+
+	mu        sync.Mutex
+	open      bool // this instance reads the store
+	objects   map[string]map[string]watcher.Object
+	log       []Change
+	base      int // number of changes before log
+	changed   chan struct{}
+	confirmed clock.Millis
+	returned  clock.Millis // 0: the store was never away
+}
+
+// NewHub returns a hub for kinds, of which nothing is known.
+func NewHub(c clock.Clock, kinds []string) *Hub {
+	return &Hub{clock: c, kinds: kinds, objects: make(map[string]map[string]watcher.Object), changed: make(chan struct{})}
+}
+
+// Replace takes a full list of a kind. The changes against the former list are
+// sent.
+func (h *Hub) Replace(kind string, list []watcher.Object) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := h.objects[kind]
+	next := make(map[string]watcher.Object, len(list))
+	for _, o := range list {
+		next[o.Name] = o
+		if was, ok := old[o.Name]; !ok || was.Revision != o.Revision {
+			h.append(change(kind, o))
+		}
+	}
+	for name, o := range old {
+		if _, ok := next[name]; !ok {
+			o.Deleted = true
+			h.append(change(kind, o))
+		}
+	}
+	h.objects[kind] = next
+	h.notify()
+}
+
+// Change takes one change of a kind.
+func (h *Hub) Change(kind string, o watcher.Object) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.objects[kind] == nil {
+		return
+	}
+	if o.Deleted {
+		delete(h.objects[kind], o.Name)
+	} else {
+		h.objects[kind][o.Name] = o
+	}
+	h.append(change(kind, o))
+	h.notify()
+}
+
+// Confirm notes the instant up to which the store is known to have been read.
+func (h *Hub) Confirm(at clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at > h.confirmed {
+		h.confirmed = at
+		h.notify()
+	}
+}
+
+// Returned notes the instant at which the store answered again.
+func (h *Hub) Returned(at clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.returned = at
+}
+
+// SetOpen tells whether this instance reads the store. Closing ends the feeds.
+func (h *Hub) SetOpen(open bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.open && !open {
+		h.objects = make(map[string]map[string]watcher.Object)
+	}
+	h.open = open
+	h.notify()
+}
+
+// Open reports whether this instance reads the store.
+func (h *Hub) Open() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.open
+}
+
+// Ready reports whether the hub can feed neighbours.
+func (h *Hub) Ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.open && len(h.objects) == len(h.kinds)
+}
+
+func (h *Hub) append(c Change) {
+	h.log = append(h.log, c)
+	if drop := len(h.log) - logLength; drop > 0 {
+		h.log = slices.Clone(h.log[drop:])
+		h.base += drop
+	}
+}
+
+func (h *Hub) notify() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// next returns the message after position at, -1 for the full state, with the
+// new position and a channel that is closed at the next change. It reports
+// false if there is no feed.
+func (h *Hub) next(at int) (*Message, int, chan struct{}, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.open || len(h.objects) < len(h.kinds) {
+		return nil, 0, nil, false
+	}
+	now := h.clock.Now()
+	m := &Message{Age: now - h.confirmed, Returned: -1}
+	if h.returned != 0 {
+		m.Returned = now - h.returned
+	}
+	end := h.base + len(h.log)
+	if at >= h.base && at <= end {
+		m.Changes = slices.Clone(h.log[at-h.base:])
+		return m, end, h.changed, true
+	}
+	m.Full = h.kinds
+	for _, kind := range h.kinds {
+		for _, name := range slices.Sorted(maps.Keys(h.objects[kind])) {
+			m.Changes = append(m.Changes, change(kind, h.objects[kind][name]))
+		}
+	}
+	return m, end, h.changed, true
+}
+
+// ServeHTTP feeds one neighbour until it leaves or this instance no longer
+// reads the store.
+func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !h.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return // Accept has answered
+	}
+	defer conn.CloseNow()
+	ctx := conn.CloseRead(r.Context())
+	for at := -1; ; {
+		m, end, changed, ok := h.next(at)
+		if !ok {
+			_ = conn.Close(websocket.StatusGoingAway, "the store is not read here")
+			return
+		}
+		if err := send(ctx, conn, m); err != nil {
+			return
+		}
+		at = end
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func send(ctx context.Context, conn *websocket.Conn, m *Message) error {
+	data, err := encode(m)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout.Duration())
+	defer cancel()
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
--- /dev/null
+++ b/relayer/message.go
@@ -0,0 +1,49 @@
+package relayer
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/watcher"
+)
+
+// Change is one object of a kind.
+type Change struct {
+	Kind     string `cbor:"1,keyasint"`
+	Name     string `cbor:"2,keyasint"`
+	Revision int64  `cbor:"3,keyasint"`
+	Spec     []byte `cbor:"4,keyasint,omitempty"`
+	Status   []byte `cbor:"5,keyasint,omitempty"`
+	Deleted  bool   `cbor:"6,keyasint,omitempty"`
+}
+
+// Message is one step of a feed.
+type Message struct {
+	// Full lists the kinds whose objects are all among the changes; empty in
+	// later messages.
+	Full    []string `cbor:"1,keyasint,omitempty"`
+	Changes []Change `cbor:"2,keyasint,omitempty"`
+	// Age is the time in ms since the reader's last confirmation.
+	Age clock.Millis `cbor:"3,keyasint"`
+	// Returned is the time in ms since the store came back to the reader, -1
+	// if it was never away.
+	Returned clock.Millis `cbor:"4,keyasint"`
+}
+
+func (c Change) object() watcher.Object {
+	return watcher.Object{Name: c.Name, Revision: c.Revision, Spec: c.Spec, Status: c.Status, Deleted: c.Deleted}
+}
+
+func change(kind string, o watcher.Object) Change {
+	return Change{Kind: kind, Name: o.Name, Revision: o.Revision, Spec: o.Spec, Status: o.Status, Deleted: o.Deleted}
+}
+
+// maxMessage bounds a message: all objects of a large deployment take a few MB.
+const maxMessage = 64 << 20
+
+func encode(m *Message) ([]byte, error) { return cbor.Marshal(m) }
+
+func decode(b []byte) (*Message, error) {
+	m := new(Message)
+	return m, cbor.Unmarshal(b, m)
+}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -56,14 +56,25 @@
 	members map[string]Report
 }
 
+// Options are the settings of a stager.
+type Options struct {
+	// SessionAge is the time after a session's last request during which the
+	// next one must stay on its version, with a margin for the request itself.
+	SessionAge clock.Millis
+}
+
 // Stager is safe for concurrent use.
 type Stager struct {
+	options  Options
 	mu       sync.Mutex
 	rollouts map[string]*rollout // by service
+	uses     map[uint64]use      // by session
 }
 
 // New returns a stager without roll-outs.
-func New() *Stager { return &Stager{rollouts: make(map[string]*rollout)} }
+func New(o Options) *Stager {
+	return &Stager{options: o, rollouts: make(map[string]*rollout), uses: make(map[uint64]use)}
+}
 
 // Set takes an order, or a changed phase of one.
 func (s *Stager) Set(now clock.Millis, o Order) {
@@ -123,7 +134,11 @@
 	case r.order.Phase == RolledBack || r.stopped:
 		c.Only = true
 	default:
-		c.Fresh = matcher.Fraction(service+"@"+r.order.Target, session) < r.share(now)
+		share := r.share(now)
+		c.Fresh = matcher.Fraction(service, session) < share
+		if c.Fresh && share == firstShare {
+			c.Fresh = !s.bound(now, service, session, r.order.Target)
+		}
 	}
 	return c
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -63,11 +63,27 @@
 	Change  func(o Object)      // takes one change
 }
 
+// Role tells where an instance reads.
+type Role struct {
+	Direct bool   // from the store
+	Feed   string // from the neighbour at this address; empty: wait
+}
+
 // Options are the settings of a watcher.
 type Options struct {
 	Clock  clock.Clock
 	Source Source
 	Kinds  []Kind // the first one leads
+	// Role returns where to read now.
+	Role func() Role
+	// Follow reads a neighbour's feed until ctx or the feed ends.
+	Follow func(ctx context.Context, address string) error
+	// Direct is told when this instance begins and ends to read the store.
+	Direct func(direct bool)
+	// Confirmed takes each instant up to which the store was read directly.
+	Confirmed func(at clock.Millis)
+	// FeedEnded takes the end of a feed.
+	FeedEnded func(address string, err error)
 	// Lost and Regained are called when the store stops and begins to answer.
 	Lost     func(err error)
 	Regained func(away clock.Millis)
@@ -108,8 +124,47 @@
 	return w.up
 }
 
+// roleInterval is the time between two looks at the role.
+const roleInterval = 100 * clock.Millis(1)
+
 // Run follows the kinds until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		role := w.options.Role()
+		if !role.Direct && role.Feed == "" {
+			pauseExactly(ctx, roleInterval)
+			continue
+		}
+		call, cancel := context.WithCancel(ctx)
+		go w.cancelOnChange(call, cancel, role)
+		if role.Direct {
+			w.options.Direct(true)
+			w.runDirect(call)
+			w.options.Direct(false)
+		} else if err := w.options.Follow(call, role.Feed); ctx.Err() == nil {
+			w.options.FeedEnded(role.Feed, err)
+		}
+		cancel()
+	}
+}
+
+// cancelOnChange ends the present way of reading when the role changes.
+func (w *Watcher) cancelOnChange(ctx context.Context, cancel context.CancelFunc, role Role) {
+	for ctx.Err() == nil {
+		pauseExactly(ctx, roleInterval)
+		if w.options.Role() != role {
+			cancel()
+		}
+	}
+}
+
+// Adopt takes a confirmation from a neighbour's feed.
+func (w *Watcher) Adopt(at clock.Millis) {
+	w.raise(at)
+	w.setUp(true, nil)
+}
+
+func (w *Watcher) runDirect(ctx context.Context) {
 	for i := range w.options.Kinds {
 		w.done.Add(1)
 		go func() {
@@ -129,6 +184,9 @@
 	for ctx.Err() == nil {
 		next, err := w.step(ctx, k, from)
 		from = next
+		if ctx.Err() != nil {
+			return
+		}
 		switch {
 		case err == nil:
 			failures = 0
@@ -215,6 +273,11 @@
 	if k.Name != w.options.Kinds[0].Name {
 		return
 	}
+	w.raise(at)
+	w.options.Confirmed(at)
+}
+
+func (w *Watcher) raise(at clock.Millis) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.confirmed = max(w.confirmed, at)
@@ -251,9 +314,12 @@
 // pause waits for d, more or less by a quarter so that instances do not call
 // in step.
 func pause(ctx context.Context, d clock.Millis) {
-	jittered := time.Duration(float64(d.Duration()) * (0.75 + rand.Float64()/2))
+	pauseExactly(ctx, clock.Millis(float64(d)*(0.75+rand.Float64()/2)))
+}
+
+func pauseExactly(ctx context.Context, d clock.Millis) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(jittered):
+	case <-time.After(d.Duration()):
 	}
 }
