--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,106 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+)
+
+func candidates(n int) []Candidate {
+	list := make([]Candidate, n)
+	for i := range list {
+		list[i] = Candidate{ID: fmt.Sprint("e", i), Slots: 64, Near: true}
+	}
+	return list
+}
+
+// prompt is a long prompt of which almost half is shared.
+var prompt = Query{Subject: "topic", Prompt: 600, Shared: 270, Distance: 350}
+
+// Guards against choices that ignore load, cache or distance.
+func TestPick(t *testing.T) {
+	b := Default()
+	home := b.Pick(prompt, candidates(5), "")
+	other := (home + 1) % 5
+	tests := map[string]struct {
+		change func(c []Candidate)
+		want   func(i int) bool
+	}{
+		"subject's own":          {func([]Candidate) {}, func(i int) bool { return i == home }},
+		"own one a little busy":  {func(c []Candidate) { c[home].Work = 60 }, func(i int) bool { return i == home }},
+		"own one very busy":      {func(c []Candidate) { c[home].Work = 900 }, func(i int) bool { return i != home }},
+		"own one full":           {func(c []Candidate) { c[home].Running = 80 }, func(i int) bool { return i != home }},
+		"cached elsewhere, busy": {func(c []Candidate) { c[home].Work = 400; c[other].Cached = true }, func(i int) bool { return i == other }},
+		"far is not worth it":    {func(c []Candidate) { c[other].Near = false; c[home].Work = 100 }, func(i int) bool { return i != other }},
+		"far is worth it": {func(c []Candidate) {
+			for i := range c {
+				c[i].Work = 900
+			}
+			c[other].Work, c[other].Near = 0, false
+		}, func(i int) bool { return i == other }},
+		"failed lately": {func(c []Candidate) { c[home].Penalty = 35000 }, func(i int) bool { return i != home }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			list := candidates(5)
+			tt.change(list)
+			if got := b.Pick(prompt, list, ""); got < 0 || !tt.want(got) {
+				t.Errorf("got %d, own one is %d", got, home)
+			}
+		})
+	}
+	if got := b.Pick(prompt, nil, ""); got != -1 {
+		t.Errorf("no candidates: got %d, want -1", got)
+	}
+}
+
+// Guards against caches that are filled anew when an endpoint joins or leaves:
+// only the subjects of that endpoint move.
+func TestStableUnderChange(t *testing.T) {
+	b := Default()
+	all := candidates(10)
+	moved := 0
+	for i := range 1000 {
+		q := prompt
+		q.Subject = fmt.Sprint("topic-", i)
+		before := all[b.Pick(q, all, "")].ID
+		after := all[:9][b.Pick(q, all[:9], "")].ID
+		if before != after && before != "e9" {
+			moved++
+		}
+	}
+	if moved != 0 {
+		t.Errorf("%d subjects moved that did not belong to the endpoint that left", moved)
+	}
+}
+
+// Guards against one endpoint that takes all of a hot subject: pattern "one key
+// gets much of the traffic".
+func TestHotSubjectSpreads(t *testing.T) {
+	b := Default()
+	list := candidates(5)
+	counts := make([]int, len(list))
+	for range 200 {
+		i := b.Pick(prompt, list, "")
+		counts[i]++
+		// One prompt is read in each 100 ms of every endpoint.
+		list[i].Work += prompt.Prompt - prompt.Shared
+		list[i].Cached = true
+		for j := range list {
+			list[j].Work = max(0, list[j].Work-100)
+		}
+	}
+	for i, n := range counts {
+		if n > 100 {
+			t.Errorf("endpoint %d got %d of 200 requests", i, n)
+		}
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	list := candidates(20)
+	d := Default()
+	b.ReportAllocs()
+	for b.Loop() {
+		d.Pick(prompt, list, "")
+	}
+}
--- /dev/null
+++ b/cataloger/cataloger_test.go
@@ -0,0 +1,115 @@
+package cataloger
+
+import (
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+func entry(id string, change func(*Endpoint)) Endpoint {
+	e := Endpoint{ID: id, Service: "s", Address: "10.0.0.1:1", DataCentre: "dc", Version: "v1", Born: 5, Sequence: 9}
+	if change != nil {
+		change(&e)
+	}
+	return e
+}
+
+// Guards against work for endpoints that have left, and against the loss of
+// live ones whose entries lapsed while the store was away (rule DRAIN).
+func TestLeaving(t *testing.T) {
+	type step func(c *Cataloger)
+	put := func(at clock.Millis, change func(*Endpoint)) step {
+		return func(c *Cataloger) { c.Put(at, entry("a", change)) }
+	}
+	remove := func(at clock.Millis) step { return func(c *Cataloger) { c.Remove(at, "a") } }
+	list := func(at clock.Millis, e ...Endpoint) step { return func(c *Cataloger) { c.Replace(at, e) } }
+	lost := func(c *Cataloger) { c.StoreLost() }
+	back := func(at clock.Millis) step { return func(c *Cataloger) { c.StoreRegained(at) } }
+	expire := func(at clock.Millis) step { return func(c *Cataloger) { c.Expire(at) } }
+	draining := func(e *Endpoint) { e.Draining = true }
+	tests := map[string]struct {
+		steps []step
+		want  bool // it may take work
+	}{
+		"listed":                     {[]step{put(1000, nil)}, true},
+		"draining":                   {[]step{put(1000, nil), put(9000, draining)}, false},
+		"removed":                    {[]step{put(1000, nil), remove(9000)}, false},
+		"missing in a list":          {[]step{put(1000, nil), list(9000)}, false},
+		"lapsed in an outage":        {[]step{put(1000, nil), lost, list(9000), back(9000), expire(10900)}, true},
+		"lapsed, seen after it":      {[]step{put(1000, nil), lost, back(9000), list(9100), expire(10900)}, true},
+		"lapsed and not back":        {[]step{put(1000, nil), lost, back(9000), list(9100), expire(11300)}, false},
+		"lapsed and back":            {[]step{put(1000, nil), lost, back(9000), list(9100), put(10000, nil), expire(20000)}, true},
+		"draining in an outage":      {[]step{put(1000, draining), lost, list(9000), back(9000)}, false},
+		"drains as the store is off": {[]step{put(1000, nil), lost, put(9000, draining)}, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New()
+			for _, s := range tt.steps {
+				s(c)
+			}
+			if got := c.Snapshot().Endpoint("a") != nil; got != tt.want {
+				t.Errorf("may take work: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against full load on an endpoint that has just started, also under
+// the id that it had, and against one that stays cold for ever.
+func TestCold(t *testing.T) {
+	tests := map[string]struct {
+		then func(*Endpoint)
+		cold bool
+	}{
+		"unchanged":            {nil, false},
+		"another phase":        {func(e *Endpoint) { e.Sequence = 10 }, false},
+		"restarted, same id":   {func(e *Endpoint) { e.Born, e.Sequence, e.WarmupLeft = 7000, 1, 3000 }, true},
+		"turned cold":          {func(e *Endpoint) { e.Sequence, e.WarmupLeft = 10, 2500 }, true},
+		"moved, announces it":  {func(e *Endpoint) { e.Address, e.WarmupLeft = "10.0.0.2:1", 3000 }, true},
+		"restarted, is warmed": {func(e *Endpoint) { e.Born, e.Sequence = 7000, 1 }, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New()
+			c.Replace(1000, []Endpoint{entry("a", nil)})
+			c.Put(8000, entry("a", tt.then))
+			if got := c.Snapshot().Endpoint("a").ColdUntil > 8000; got != tt.cold {
+				t.Errorf("cold: got %v, want %v", got, tt.cold)
+			}
+			if got := c.Snapshot().Endpoint("a").ColdUntil > 12000; got {
+				t.Error("cold long after the warm-up")
+			}
+		})
+	}
+	c := New()
+	c.Replace(1000, []Endpoint{entry("a", nil), entry("b", nil)})
+	if got := c.Chill(5000, func(s *State) bool { return s.ID == "b" }); got != 1 {
+		t.Errorf("chilled: got %d, want 1", got)
+	}
+	if a, b := c.Snapshot().Endpoint("a").ColdUntil, c.Snapshot().Endpoint("b").ColdUntil; a != 0 || b != 5000 {
+		t.Errorf("cold until: got %d and %d, want 0 and 5000", a, b)
+	}
+}
+
+// Guards against requests to a new version whose roll-out is not known yet.
+func TestNewVersionWaitsForItsRollout(t *testing.T) {
+	c := New()
+	c.Replace(1000, []Endpoint{entry("a", nil)})
+	c.Put(5000, entry("b", func(e *Endpoint) { e.Version = "v2" }))
+	tests := map[string]struct {
+		at      clock.Millis
+		version string
+		want    bool
+	}{
+		"first version at once": {1000, "v1", true},
+		"new version at once":   {5000, "v2", false},
+		"new version later":     {5000 + versionHold, "v2", true},
+		"unknown version":       {9000, "v3", false},
+	}
+	for name, tt := range tests {
+		if got := c.Settled(tt.at, "s", tt.version); got != tt.want {
+			t.Errorf("%s: got %v, want %v", name, got, tt.want)
+		}
+	}
+}
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -86,7 +86,7 @@
 	}
 	limits := x.table.Limits()
 	if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
-		return refuser.ErrBodyTooLarge.WithMessage("the header exceeds %d bytes", limits.HeaderBytes)
+		return refuser.ErrHeaderTooLarge.WithMessage("the header exceeds %d bytes", limits.HeaderBytes)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, r.Body, max(limits.BodyBytes, 1<<10)))
 	var large *http.MaxBytesError
--- /dev/null
+++ b/recorder/recorder_test.go
@@ -0,0 +1,129 @@
+package recorder
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// sink keeps what is written.
+type sink struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (s *sink) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(b)
+}
+
+func (s *sink) lines() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Split(strings.TrimSpace(s.text.String()), "\n")
+}
+
+// Guards against lines that are not JSON, whatever a client puts into a header.
+func TestLinesAreJSON(t *testing.T) {
+	var s sink
+	r := New(&s, "n\"1", time.Now)
+	r.Line("request", Text("id", "a\"b\\c\n\x01\xff é"), Number("ms", 12), Number("share", 0.25))
+	r.Close(clock.Second)
+	var got map[string]any
+	if err := json.Unmarshal([]byte(s.lines()[0]), &got); err != nil {
+		t.Fatalf("%v in %q", err, s.lines()[0])
+	}
+	if got["event"] != "request" || got["ms"] != 12.0 || got["share"] != 0.25 || !strings.HasPrefix(got["id"].(string), "a\"b\\c\n\x01") {
+		t.Errorf("got %v", got)
+	}
+}
+
+// blocked is a reader that has stopped.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) { <-b.release; return len(p), nil }
+
+// Guards against a request path that waits for the log: with a reader that has
+// stopped and ten times the usual load, lines are left out and counted.
+func TestNeverBlocks(t *testing.T) {
+	out := blocked{make(chan struct{})}
+	now := time.Unix(0, 0)
+	var mu sync.Mutex
+	r := New(out, "n", func() time.Time { mu.Lock(); defer mu.Unlock(); return now })
+	const lines = 100000
+	begin := time.Now()
+	for range lines {
+		mu.Lock()
+		now = now.Add(time.Millisecond)
+		mu.Unlock()
+		r.Line("request", Text("id", "0123456789abcdef"))
+	}
+	if took := time.Since(begin); took > 5*time.Second {
+		t.Errorf("%d lines took %v", lines, took)
+	}
+	if r.Dropped() < lines/2 {
+		t.Errorf("left out: got %d of %d, want most", r.Dropped(), lines)
+	}
+	close(out.release)
+	r.Close(clock.Second)
+}
+
+// Guards against an unbounded volume under load, against lines that vanish
+// without a count, and against a start, stop or lost dependency that is not
+// written because of the load.
+func TestVolumeIsBounded(t *testing.T) {
+	var s sink
+	now := time.Unix(0, 0)
+	r := New(&s, "n", func() time.Time { return now })
+	const seconds, perSecond = 10, 1500
+	for i := range seconds * perSecond {
+		now = now.Add(time.Second / perSecond)
+		r.Line("request")
+		if i%perSecond == 0 {
+			time.Sleep(2 * flushInterval.Duration())
+		}
+	}
+	r.Keep("store_lost")
+	r.Close(clock.Second)
+	lines := s.lines()
+	if most := burst + seconds*refillPerSecond*3; len(lines) > most {
+		t.Errorf("lines: got %d, want at most %d", len(lines), most)
+	}
+	if last := lines[len(lines)-1]; !strings.Contains(last, "store_lost") {
+		t.Errorf("last line: got %q, want the lost dependency", last)
+	}
+	left := 0
+	written := 0
+	for _, l := range lines {
+		var x struct {
+			Event string
+			Count int
+		}
+		if err := json.Unmarshal([]byte(l), &x); err != nil {
+			t.Fatal(err)
+		}
+		switch x.Event {
+		case "lines_left_out":
+			left += x.Count
+		case "request":
+			written++
+		}
+	}
+	if got := left + written; got != seconds*perSecond {
+		t.Errorf("written and counted: got %d, want %d", got, seconds*perSecond)
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	r := New(io.Discard, "n", time.Now)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Line("request", Text("id", "0123456789abcdef"), Number("ms", 12), Text("endpoint", "i-1"))
+	}
+}
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -118,6 +118,8 @@
 		"no such service")
 	ErrBodyTooLarge = sentinel("body_too_large", RunNo, http.StatusRequestEntityTooLarge,
 		"the body is too large")
+	ErrHeaderTooLarge = sentinel("header_too_large", RunNo, http.StatusRequestHeaderFieldsTooLarge,
+		"the header is too large")
 	ErrInvalidBody = sentinel("invalid_body", RunNo, http.StatusBadRequest,
 		"the body is not valid")
 	ErrMissingIdemKey = sentinel("missing_idempotency_key", RunNo, http.StatusBadRequest,
@@ -166,7 +168,7 @@
 func Refusals() []*Refusal {
 	return []*Refusal{
 		ErrMissingKey, ErrUnknownKey, ErrForbidden, ErrForbiddenVersion, ErrWithdrawn, ErrUnknownModel,
-		ErrUnknownPath, ErrUnknownService, ErrBodyTooLarge, ErrInvalidBody, ErrMissingIdemKey, ErrKeyReused,
+		ErrUnknownPath, ErrUnknownService, ErrBodyTooLarge, ErrHeaderTooLarge, ErrInvalidBody, ErrMissingIdemKey, ErrKeyReused,
 		ErrOutcomeUnknown, ErrStillRunning, ErrStoreUnavailable, ErrDeadline, ErrQueueFull, ErrNoEndpoint, ErrNotReady,
 		ErrShuttingDown, ErrRetryBudget, ErrBackEndFailed, ErrStreamBroken, ErrDataCentreOut,
 		ErrRevisionConflict, ErrInvalidConfig, ErrChangeUnknown, ErrUnknownDataCentre, ErrUnknownEndpoint,
--- /dev/null
+++ b/splitter/splitter_test.go
@@ -0,0 +1,91 @@
+package splitter
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Guards against events that are passed on in part, lose bytes or are joined,
+// whatever the sizes in which they arrive.
+func TestNext(t *testing.T) {
+	const two = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+	tests := map[string]struct {
+		in   string
+		out  string
+		last int64
+		err  error
+	}{
+		"whole":               {two, two, 2, io.EOF},
+		"cut inside an event": {two + "id: 3\nda", two, 2, ErrPartial},
+		"cut before its end":  {two + "id: 3\ndata: c\n", two, 2, ErrPartial},
+		"empty":               {"", "", -1, io.EOF},
+		"field before the id": {"v: 7\nid: 5\ndata: id: 9\n\n", "v: 7\nid: 5\ndata: id: 9\n\n", 5, io.EOF},
+		"leading empty lines": {"\n\nid: 1\ndata: a\n\n", "\n\nid: 1\ndata: a\n\n", 1, io.EOF},
+		"no id":               {"data: a\n\n", "data: a\n\n", -1, io.EOF},
+	}
+	for name, tt := range tests {
+		for size, r := range map[string]io.Reader{
+			"at once": strings.NewReader(tt.in), "byte by byte": iotest.OneByteReader(strings.NewReader(tt.in)),
+		} {
+			t.Run(name+" "+size, func(t *testing.T) {
+				s := New(r)
+				var got strings.Builder
+				last := int64(-1)
+				for {
+					data, id, _, err := s.Next()
+					if err != nil {
+						if !errors.Is(err, tt.err) {
+							t.Errorf("error: got %v, want %v", err, tt.err)
+						}
+						break
+					}
+					got.Write(data)
+					if id >= 0 {
+						last = id
+					}
+				}
+				if got.String() != tt.out || last != tt.last {
+					t.Errorf("got %q last %d, want %q last %d", got.String(), last, tt.out, tt.last)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a reset that looks like the clean end of a stream.
+func TestReaderErrorIsKept(t *testing.T) {
+	reset := errors.New("reset")
+	s := New(io.MultiReader(strings.NewReader("data: a\n\n"), iotest.ErrReader(reset)))
+	if _, _, n, err := s.Next(); n != 1 || err != nil {
+		t.Fatalf("first: got %d events, %v", n, err)
+	}
+	if _, _, _, err := s.Next(); !errors.Is(err, reset) {
+		t.Errorf("error: got %v, want %v", err, reset)
+	}
+}
+
+// Guards against a stream without an end of events that fills the memory.
+func TestTooLarge(t *testing.T) {
+	s := New(strings.NewReader(strings.Repeat("x", 3*maxEventBytes)))
+	if _, _, _, err := s.Next(); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("error: got %v, want %v", err, ErrTooLarge)
+	}
+}
+
+func BenchmarkNext(b *testing.B) {
+	stream := strings.Repeat("id: 12\ndata: some words of an answer\n\n", 64)
+	b.SetBytes(int64(len(stream)))
+	b.ReportAllocs()
+	for b.Loop() {
+		s := New(strings.NewReader(stream))
+		for {
+			if _, _, _, err := s.Next(); err != nil {
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/warmer/warmer_test.go
@@ -0,0 +1,61 @@
+package warmer
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// Guards against more requests to a cold endpoint than it bears: the sum over
+// all instances stays within the bound in any second (rule FAILBACK), also
+// where hundreds wait and where there are more instances than requests.
+func TestSumOverInstances(t *testing.T) {
+	const total = 12*1.5 + 5
+	for name, senders := range map[string]int{"one": 1, "three": 3, "nineteen": 19, "more than the bound": 40} {
+		t.Run(name, func(t *testing.T) {
+			list := make([]*Warmer, senders)
+			for i := range list {
+				list[i] = New()
+			}
+			r := rand.New(rand.NewPCG(3, 4))
+			var sends []clock.Millis
+			for now := clock.Millis(0); now < 6000; now += 10 {
+				for i, w := range list {
+					if r.Float64() < 0.5 && w.Allow(now, "e", Share(total, senders, i)) {
+						sends = append(sends, now)
+					}
+				}
+			}
+			if len(sends) == 0 {
+				t.Fatal("nothing was sent")
+			}
+			for i, from := range sends {
+				n := 0
+				for _, at := range sends[i:] {
+					if at < from+clock.Second {
+						n++
+					}
+				}
+				if n > total {
+					t.Fatalf("second from %d ms: got %d, want at most %.0f", from, n, float64(total))
+				}
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that turns cold after it had taken many requests:
+// they count toward the bound.
+func TestWarmSendsCount(t *testing.T) {
+	w := New()
+	for range 30 {
+		w.Note(1000, "e")
+	}
+	if w.Allow(1500, "e", 23) {
+		t.Error("a send was allowed within a second of 30 others")
+	}
+	if !w.Allow(2200, "e", 23) {
+		t.Error("no send was allowed after the others were over")
+	}
+}
--- /dev/null
+++ b/watcher/watcher_test.go
@@ -0,0 +1,263 @@
+package watcher
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// fakeStore is a store whose time is the test's.
+type fakeStore struct {
+	mu      sync.Mutex
+	clock   clock.Clock
+	at      int64
+	objects []Object
+	log     []Object
+	floor   int64 // revisions up to which the history is gone
+	down    error
+	silent  bool
+	deaf    bool // watches hear nothing
+	calls   int
+	changed chan struct{}
+}
+
+func newFakeStore(c clock.Clock) *fakeStore {
+	return &fakeStore{clock: c, at: 1, changed: make(chan struct{})}
+}
+
+func (f *fakeStore) write(name, spec string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at++
+	o := Object{Name: name, Revision: f.at, Spec: []byte(spec)}
+	f.objects = append(f.objects, o)
+	f.log = append(f.log, o)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeStore) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeStore) begin(ctx context.Context) error {
+	f.mu.Lock()
+	f.calls++
+	silent, down := f.silent, f.down
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return down
+}
+
+func (f *fakeStore) source() Source {
+	return Source{
+		List: func(ctx context.Context, _ string) ([]Object, int64, error) {
+			if err := f.begin(ctx); err != nil {
+				return nil, 0, err
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return append([]Object(nil), f.objects...), f.at, nil
+		},
+		Watch: f.watch,
+		Renew: func() {},
+	}
+}
+
+func (f *fakeStore) watch(ctx context.Context, _ string, from int64, wait clock.Millis) ([]Object, int64, error) {
+	if err := f.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	timer := time.After(wait.Duration())
+	for {
+		f.mu.Lock()
+		if from < f.floor {
+			f.mu.Unlock()
+			return nil, 0, ErrHistoryGone
+		}
+		var list []Object
+		for _, o := range f.log {
+			if o.Revision > from && !f.deaf {
+				list = append(list, o)
+			}
+		}
+		at, changed := f.at, f.changed
+		if f.deaf {
+			at = from
+		}
+		f.mu.Unlock()
+		if len(list) > 0 {
+			return list, at, nil
+		}
+		select {
+		case <-timer:
+			return nil, at, nil
+		case <-changed:
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// seen is what a watcher has told.
+type seen struct {
+	mu    sync.Mutex
+	specs map[string]string
+	lost  int
+	back  int
+}
+
+func (s *seen) put(o Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.specs[o.Name] = string(o.Spec)
+}
+
+func (s *seen) get(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.specs[name]
+}
+
+func start(ctx context.Context, c clock.Clock, source Source) (*Watcher, *seen) {
+	s := &seen{specs: make(map[string]string)}
+	kind := func(name string, wait clock.Millis) Kind {
+		return Kind{Name: name, Wait: wait, Change: s.put, Replace: func(list []Object) {
+			for _, o := range list {
+				s.put(o)
+			}
+		}}
+	}
+	w := New(Options{
+		Clock: c, Source: source, Kinds: []Kind{kind("lead", 1500), kind("other", 12000)},
+		Role:      func() Role { return Role{Direct: true} },
+		Direct:    func(bool) {},
+		Confirmed: func(clock.Millis) {},
+		Lost:      func(error) { s.mu.Lock(); s.lost++; s.mu.Unlock() },
+		Regained:  func(clock.Millis) { s.mu.Lock(); s.back++; s.mu.Unlock() },
+	})
+	go w.Run(ctx)
+	return w, s
+}
+
+// Guards against a confirmation that is younger than what was read: after any
+// trouble of the store, a change older than the confirmation must be known.
+func TestConfirmationNeverRunsAhead(t *testing.T) {
+	unavailable := errors.New("unavailable")
+	tests := map[string]struct {
+		trouble, cure func(f *fakeStore)
+		deafness      clock.Millis // of the store's own watches, which no reader can notice
+	}{
+		"down":         {func(f *fakeStore) { f.down = unavailable }, func(f *fakeStore) { f.down = nil }, 0},
+		"silent":       {func(f *fakeStore) { f.silent = true }, func(f *fakeStore) { f.silent = false }, 0},
+		"history gone": {func(f *fakeStore) { f.floor = 1 << 40 }, func(f *fakeStore) { f.floor = f.at }, 0},
+		"deaf watches": {func(f *fakeStore) { f.deaf = true }, func(f *fakeStore) { f.deaf, f.floor = false, f.at }, 1000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				c := clock.System()
+				f := newFakeStore(c)
+				w, s := start(ctx, c, f.source())
+				written := make(map[string]clock.Millis)
+				for i := range 120 {
+					time.Sleep(97 * time.Millisecond)
+					if i == 30 {
+						f.set(func() { tt.trouble(f) })
+					}
+					if i == 40 {
+						f.set(func() { tt.cure(f) })
+					}
+					key := fmt.Sprint("k", i)
+					written[key] = c.Now()
+					f.write(key, "v")
+					synctest.Wait()
+					for k, at := range written {
+						if s.get(k) == "" && w.Confirmed() > at+tt.deafness {
+							t.Fatalf("%s written at %d is not known, confirmed %d", k, at, w.Confirmed())
+						}
+					}
+				}
+				if age := c.Now() - w.Confirmed(); age > 1700 {
+					t.Errorf("confirmation is %d ms old after the trouble, want at most 1700", age)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// Guards against a busy loop on a store that answers nothing: refused calls
+// are priced too.
+func TestFewCallsWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := clock.System()
+		f := newFakeStore(c)
+		w, s := start(ctx, c, f.source())
+		time.Sleep(3 * time.Second)
+		f.set(func() { f.down = errors.New("busy") })
+		time.Sleep(1600 * time.Millisecond)
+		f.set(func() { f.calls = 0 })
+		time.Sleep(10 * time.Second)
+		// Ten seconds with the longest pause of 600 ms, a quarter less at most.
+		f.set(func() {
+			if f.calls > 23 {
+				t.Errorf("calls in 10 s: got %d, want at most 23", f.calls)
+			}
+		})
+		if w.Up() {
+			t.Error("the store counts as answering")
+		}
+		f.set(func() { f.down = nil })
+		time.Sleep(2 * time.Second)
+		if !w.Up() || s.lost != 1 || s.back != 2 {
+			t.Errorf("after the return: up %v, lost %d times, regained %d times", w.Up(), s.lost, s.back)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a silent connection that hides changes for long.
+func TestSilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := clock.System()
+		f := newFakeStore(c)
+		source := f.source()
+		inner := source.Watch
+		first := true
+		source.Watch = func(ctx context.Context, kind string, from int64, wait clock.Millis) ([]Object, int64, error) {
+			if kind == "lead" && first {
+				first = false
+				<-ctx.Done() // the connection brings nothing any more
+				return nil, 0, ctx.Err()
+			}
+			return inner(ctx, kind, from, wait)
+		}
+		_, s := start(ctx, c, source)
+		time.Sleep(100 * time.Millisecond)
+		f.write("a", "v")
+		time.Sleep(2600 * time.Millisecond)
+		if s.get("a") == "" {
+			t.Error("a change is not known after 2.6 s on a silent connection")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
