watcher: no busy loop on a history that is always gone

Cause: a list that succeeds followed by a watch answered 410 was repeated at once, for ever; TestConfirmationNeverRunsAhead/history_gone ran without end. Change: only a successful watch resets the count, from the second time on there is a pause.

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -180,8 +180,9 @@
 }
 
 func (w *Watcher) lead(ctx context.Context, k Kind) {
-	from, failures := int64(-1), 0
+	from, failures, gone := int64(-1), 0, 0
 	for ctx.Err() == nil {
+		watched := from >= 0
 		next, err := w.step(ctx, k, from)
 		from = next
 		if ctx.Err() != nil {
@@ -190,9 +191,17 @@
 		switch {
 		case err == nil:
 			failures = 0
+			if watched {
+				gone = 0
+			}
 			w.setUp(true, nil)
 			continue
 		case errors.Is(err, ErrHistoryGone):
+			// The first list is immediate. A history that ends again and again
+			// must not make a busy loop.
+			if gone++; gone > 1 {
+				pause(ctx, firstBackoff)
+			}
 			continue
 		}
 		failures++
@@ -208,7 +217,7 @@
 }
 
 func (w *Watcher) follow(ctx context.Context, k Kind) {
-	from := int64(-1)
+	from, gone := int64(-1), 0
 	for ctx.Err() == nil {
 		up, changed := w.state()
 		if !up {
@@ -226,10 +235,17 @@
 			case <-call.Done():
 			}
 		}()
+		watched := from >= 0
 		next, err := w.step(call, k, from)
 		cancel()
 		from = next
-		if err != nil && !errors.Is(err, ErrHistoryGone) {
+		switch {
+		case err == nil && watched:
+			gone = 0
+		case errors.Is(err, ErrHistoryGone):
+			gone++
+		}
+		if err != nil && gone != 1 {
 			pause(ctx, firstBackoff)
 		}
 	}
