relayer, stager: confirmations by compared clocks; session marks go to all instances when a roll-out begins

Change: reader and follower compare their clocks by pings; marks are broadcast twice when an order is seen; a process that starts holds requests for its first configuration; the first watch after a failure does not wait. Ruled out: marks within the data centre, since sessions cross between them.

--- a/beater/beater.go
+++ b/beater/beater.go
@@ -223,6 +223,19 @@
 // know soon.
 func (b *Beater) Announce() { b.beat() }
 
+// Broadcast sends a message to all instances at once. The beater sets the
+// sender.
+func (b *Beater) Broadcast(m Message) {
+	b.mu.Lock()
+	m.From = b.self()
+	addresses := make([]string, 0, len(b.peers))
+	for _, p := range b.peers {
+		addresses = append(addresses, p.member.Beat)
+	}
+	b.mu.Unlock()
+	b.send(&m, addresses)
+}
+
 func (b *Beater) beat() {
 	b.mu.Lock()
 	now := b.options.Clock.Now()
@@ -250,12 +263,13 @@
 		return
 	}
 	b.options.Fill(&m)
+	m.Loaded = true
 	b.send(&m, near)
 	if !farDue || len(far) == 0 {
 		return
 	}
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	m.Loads, m.Neighbours = nil, neighbours
+	m.Loads, m.Loaded, m.Neighbours = nil, false, neighbours
 	b.send(&m, far[:min(len(far), farFanout)])
 }
 
@@ -331,7 +345,7 @@
 	now := b.options.Clock.Now()
 	old := b.peers[m.From.Name]
 	fresh := old == nil || old.heard == 0 || old.member.Incarnation != m.From.Incarnation
-	if p := b.learn(m.From, now); p != nil && m.From.DataCentre == b.options.Self.DataCentre {
+	if p := b.learn(m.From, now); p != nil && m.Loaded {
 		p.loads = make(map[uint64]Load, len(m.Loads))
 		for _, l := range m.Loads {
 			p.loads[l.Endpoint] = l
--- a/beater/message.go
+++ b/beater/message.go
@@ -29,6 +29,7 @@
 type Message struct {
 	From       Member          `cbor:"1,keyasint"`
 	Loads      []Load          `cbor:"2,keyasint,omitempty"`
+	Loaded     bool            `cbor:"6,keyasint,omitempty"` // Loads is complete
 	Rollouts   []stager.Report `cbor:"3,keyasint,omitempty"`
 	Marks      []stager.Mark   `cbor:"5,keyasint,omitempty"`
 	Neighbours []Member        `cbor:"4,keyasint,omitempty"` // of the sender's data centre
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -65,6 +65,8 @@
 	// Senders returns how many instances may send to cold endpoints of this
 	// data centre, and this one's position among them.
 	Senders func() (count, position int)
+	// OthersReady reports whether another instance serves.
+	OthersReady func() bool
 	// PeerLoad returns the work of other instances on an endpoint.
 	PeerLoad func(endpoint uint64) (work float64, running int)
 }
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -81,6 +81,7 @@
 	x.lastID = -1
 	x.tried = make(map[string]bool)
 	x.key = r.Header.Get(n.Key)
+	x.awaitStart()
 	if err := x.permit(); err != nil {
 		return err
 	}
@@ -105,6 +106,26 @@
 	return nil
 }
 
+// awaitStart holds a request that reaches a process which has just started: it
+// reads its configuration within a fraction of a second, and a client that is
+// refused may not come back.
+func (x *exchange) awaitStart() {
+	d := x.dispatcher
+	until := x.start + startHold
+	for d.options.Table() == nil && x.now() < until && x.request.Context().Err() == nil {
+		wait(x.request.Context(), pollInterval)
+	}
+}
+
+// notReady refuses a request that another instance, or this one later, may
+// serve.
+func (x *exchange) notReady() error {
+	if x.dispatcher.options.OthersReady() {
+		return refuser.ErrNotReady.WithRetryAfter(shortRetry)
+	}
+	return refuser.ErrNotReady.WithRetryAfter(outageRetry)
+}
+
 // permit checks route and key under the present configuration. Without a
 // recent confirmation it refuses nothing for good, since the missing route or
 // key may have been added meanwhile.
@@ -112,14 +133,14 @@
 	d, r := x.dispatcher, x.request
 	x.table = d.options.Table()
 	if x.table == nil {
-		return refuser.ErrNotReady.WithRetryAfter(shortRetry)
+		return x.notReady()
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	x.route = x.table.Match(r.Host, path)
 	age := x.now() - d.options.Confirmed()
 	if x.route == nil {
 		if age > finalAge {
-			return refuser.ErrNotReady.WithRetryAfter(shortRetry)
+			return x.notReady()
 		}
 		return refuser.ErrUnknownPath
 	}
@@ -127,7 +148,7 @@
 		return nil
 	}
 	if age > d.options.Bounds().KeyAge {
-		return refuser.ErrNotReady.WithRetryAfter(shortRetry)
+		return x.notReady()
 	}
 	w, ok := x.table.Workspace(x.key)
 	switch {
@@ -135,7 +156,7 @@
 		x.workspace = w
 		return nil
 	case age > finalAge:
-		return refuser.ErrNotReady.WithRetryAfter(shortRetry)
+		return x.notReady()
 	case x.key == "":
 		return refuser.ErrMissingKey
 	}
@@ -148,6 +169,11 @@
 	finalAge = 2500 * clock.Millis(1)
 	// shortRetry is the wait before a client tries another instance.
 	shortRetry = 100 * clock.Millis(1)
+	// outageRetry is the wait while no instance can confirm the configuration.
+	// Outages last seconds; clients wait at most a third of their time.
+	outageRetry = 2 * clock.Second
+	// startHold is the longest wait for the first configuration.
+	startHold = 1500 * clock.Millis(1)
 	// busyRetry is the wait after which a service without free endpoints may
 	// have some; it is spread so that clients do not return together.
 	busyRetry = 400 * clock.Millis(1)
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -204,8 +204,9 @@
 			Successes: 2, ProbeTimeout: 3000, MaxShare: 0.5,
 		},
 		Meter: meter.New(), Recorder: rec, Members: func() int { return 1 },
-		Senders:  func() (int, int) { return 1, 0 },
-		PeerLoad: func(uint64) (float64, int) { return 0, 0 },
+		Senders:     func() (int, int) { return 1, 0 },
+		OthersReady: func() bool { return false },
+		PeerLoad:    func(uint64) (float64, int) { return 0, 0 },
 	}
 }
 
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -141,7 +141,7 @@
 func (x *exchange) stillPermitted() error {
 	d := x.dispatcher
 	if !x.route.Public && x.now()-d.options.Confirmed() > d.options.Bounds().KeyAge {
-		return refuser.ErrNotReady.WithRetryAfter(shortRetry)
+		return x.notReady()
 	}
 	if d.options.Table() == x.table {
 		return nil
--- a/launcher/directory.go
+++ b/launcher/directory.go
@@ -33,6 +33,17 @@
 		l.clock.Now()-l.watcher.Confirmed() < readyAge
 }
 
+// othersReady reports whether a caller that is refused here may be served by
+// another instance.
+func (l *Launcher) othersReady() bool {
+	for _, m := range l.beater.Members() {
+		if m.Ready && m.Name != l.settings.Instance {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Launcher) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !l.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/launcher/duties.go
+++ b/launcher/duties.go
@@ -105,6 +105,9 @@
 		l.beater.SetReady(l.ready())
 		l.tellFeeds()
 		l.catalog.Expire(now)
+		if marks := l.stager.Marks(now); len(marks) > 0 {
+			l.beater.Broadcast(beater.Message{Marks: marks})
+		}
 		l.judgeRollouts(ctx, now)
 		if now-sweptAt >= sweepInterval {
 			sweptAt = now
@@ -255,6 +258,9 @@
 			at += clock.Millis(i-len(joinDelays)+1) * joinInterval
 		}
 		if i == 0 {
+			if !l.settings.FirstStart {
+				l.learnMembers(ctx)
+			}
 			known = l.publish(ctx)
 		}
 		select {
@@ -300,11 +306,11 @@
 		}
 		l.beater.Learn(beater.Member{Name: m.Name, DataCentre: m.DataCentre, Front: m.Front, Beat: m.Beat})
 	}
+	l.beater.Announce()
 }
 
 func (l *Launcher) fill(m *beater.Message) {
-	now := l.clock.Now()
-	m.Rollouts, m.Marks = l.stager.Reports(now), l.stager.Marks(now)
+	m.Rollouts = l.stager.Reports(l.clock.Now())
 	l.dispatcher.Loads(func(endpoint string, work float64, running int) {
 		m.Loads = append(m.Loads, beater.Load{
 			Endpoint: matcher.Hash("endpoint", endpoint), Work: float32(work), Running: running,
--- a/launcher/feed.go
+++ b/launcher/feed.go
@@ -13,7 +13,7 @@
 const (
 	// joinWait is how long a process that starts waits for neighbours before it
 	// reads the store itself.
-	joinWait = 400 * clock.Millis(1)
+	joinWait = 250 * clock.Millis(1)
 	// firstJoinWait is the same where all instances start together and the
 	// list of instances fills meanwhile.
 	firstJoinWait = 1200 * clock.Millis(1)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -38,12 +38,12 @@
 const (
 	// leadWait is the wait of the leading watch: a key that was taken away must
 	// stop working within seconds, so the confirmation may not get much older.
-	leadWait = 1500 * clock.Millis(1)
+	leadWait = 1200 * clock.Millis(1)
 	// longWait is the wait of the other watches, which end with each change.
 	longWait = 12 * clock.Second
 	// keyMargin is taken off the revocation bound: the store's watches may be
-	// deaf for a second, and a request that is already on its way counts.
-	keyMargin = 1500 * clock.Millis(1)
+	// deaf for a second, in which an empty answer confirms nothing.
+	keyMargin = 1150 * clock.Millis(1)
 	// dialTimeout bounds a connection to an endpoint; the longest way within
 	// the deployment takes a few ms.
 	dialTimeout = 400 * clock.Millis(1)
@@ -156,6 +156,7 @@
 			OpenMax: 4 * clock.Second, Probes: 1, Successes: 2, ProbeTimeout: 3 * clock.Second, MaxShare: 0.5,
 		},
 		Meter: l.meter, Recorder: l.recorder, Members: l.beater.Known, Senders: l.senders, PeerLoad: l.beater.Load,
+		OthersReady: l.othersReady,
 	}
 }
 
--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/watcher"
@@ -31,6 +32,7 @@
 
 // Follow takes a neighbour's feed until it ends. It returns the reason.
 func Follow(ctx context.Context, c clock.Clock, address string, s Sink) error {
+	begin := c.Now()
 	connect, cancel := context.WithTimeout(ctx, connectTimeout.Duration())
 	conn, _, err := websocket.Dial(connect, "ws://"+address+Path, &websocket.DialOptions{
 		CompressionMode: websocket.CompressionDisabled,
@@ -41,18 +43,63 @@
 	}
 	defer conn.CloseNow()
 	conn.SetReadLimit(maxMessage)
+	f := &follower{clock: c, conn: conn, sink: s, begin: begin}
 	for {
-		if err := next(ctx, c, conn, s); err != nil {
+		if err := f.next(ctx); err != nil {
 			return errors.Wrapf(err, "feed of %s", address)
 		}
 	}
 }
 
-func next(ctx context.Context, c clock.Clock, conn *websocket.Conn, s Sink) error {
+// follower reads one feed. The reader's instants are moved to this clock by a
+// lower bound of the difference between the clocks: what the reader's clock
+// shows after it has got something from here is not earlier than the instant
+// at which it was sent. So a message that waits on its way never makes a
+// confirmation look younger.
+type follower struct {
+	clock  clock.Clock
+	conn   *websocket.Conn
+	sink   Sink
+	begin  clock.Millis // before the connection was made
+	ahead  clock.Millis // of this clock, at least
+	known  bool
+	pinged clock.Millis
+}
+
+// pingInterval is the time between two comparisons of the clocks, within which
+// they drift by less than a millisecond.
+const pingInterval = 5 * clock.Second
+
+func (f *follower) compare(m *Message) {
+	if m.Echo != 0 {
+		f.ahead, f.known = m.Echo-m.Seen, true
+		return
+	}
+	if !f.known {
+		f.ahead, f.known = f.begin-m.Now, true
+	}
+}
+
+func (f *follower) ping(ctx context.Context) error {
+	now := f.clock.Now()
+	if now-f.pinged < pingInterval {
+		return nil
+	}
+	f.pinged = now
+	data, err := cbor.Marshal(ping{Now: now})
+	if err != nil {
+		return err
+	}
+	return f.conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+func (f *follower) next(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, quietTimeout.Duration())
 	defer cancel()
-	begin := c.Now()
-	_, data, err := conn.Read(ctx)
+	if err := f.ping(ctx); err != nil {
+		return err
+	}
+	_, data, err := f.conn.Read(ctx)
 	if err != nil {
 		return err
 	}
@@ -60,8 +107,10 @@
 	if err != nil {
 		return err
 	}
+	f.compare(m)
+	s := f.sink
 	if m.Returned >= 0 {
-		s.Returned(c.Now() - m.Returned)
+		s.Returned(f.clock.Now() - m.Returned)
 	}
 	full := make(map[string][]watcher.Object, len(m.Full))
 	for _, kind := range m.Full {
@@ -77,7 +126,6 @@
 	for _, kind := range m.Full {
 		s.Replace(kind, full[kind])
 	}
-	// The message may have waited in the connection since the read before.
-	s.Confirm(begin - m.Age)
+	s.Confirm(m.Confirmed + f.ahead)
 	return nil
 }
--- a/relayer/hub.go
+++ b/relayer/hub.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/watcher"
@@ -146,7 +147,7 @@
 		return nil, 0, nil, false
 	}
 	now := h.clock.Now()
-	m := &Message{Age: now - h.confirmed, Returned: -1}
+	m := &Message{Confirmed: h.confirmed, Now: now, Returned: -1}
 	if h.returned != 0 {
 		m.Returned = now - h.returned
 	}
@@ -176,13 +177,20 @@
 		return // Accept has answered
 	}
 	defer conn.CloseNow()
-	ctx := conn.CloseRead(r.Context())
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	e := &echo{}
+	go func() {
+		defer cancel()
+		h.readPings(ctx, conn, e)
+	}()
 	for at := -1; ; {
 		m, end, changed, ok := h.next(at)
 		if !ok {
 			_ = conn.Close(websocket.StatusGoingAway, "the store is not read here")
 			return
 		}
+		m.Echo, m.Seen = e.get()
 		if err := send(ctx, conn, m); err != nil {
 			return
 		}
@@ -195,6 +203,35 @@
 	}
 }
 
+// echo holds a neighbour's last ping.
+type echo struct {
+	mu        sync.Mutex
+	now, seen clock.Millis
+}
+
+func (e *echo) get() (now, seen clock.Millis) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.now, e.seen
+}
+
+// readPings reads pings until the connection ends.
+func (h *Hub) readPings(ctx context.Context, conn *websocket.Conn, e *echo) {
+	for {
+		_, data, err := conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		var p ping
+		if cbor.Unmarshal(data, &p) != nil {
+			return // not a neighbour of this version
+		}
+		e.mu.Lock()
+		e.now, e.seen = p.Now, h.clock.Now()
+		e.mu.Unlock()
+	}
+}
+
 func send(ctx context.Context, conn *websocket.Conn, m *Message) error {
 	data, err := encode(m)
 	if err != nil {
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -23,13 +23,24 @@
 	// later messages.
 	Full    []string `cbor:"1,keyasint,omitempty"`
 	Changes []Change `cbor:"2,keyasint,omitempty"`
-	// Age is the time in ms since the reader's last confirmation.
-	Age clock.Millis `cbor:"3,keyasint"`
+	// Confirmed is the reader's last confirmation and Now the instant of the
+	// message, both by the reader's clock.
+	Confirmed clock.Millis `cbor:"3,keyasint"`
+	Now       clock.Millis `cbor:"5,keyasint"`
+	// Echo is the instant that the neighbour's last ping carried, by the
+	// neighbour's clock, and Seen the instant of its arrival by the reader's.
+	Echo clock.Millis `cbor:"6,keyasint,omitempty"`
+	Seen clock.Millis `cbor:"7,keyasint,omitempty"`
 	// Returned is the time in ms since the store came back to the reader, -1
 	// if it was never away.
 	Returned clock.Millis `cbor:"4,keyasint"`
 }
 
+// ping is what a neighbour sends to compare the clocks.
+type ping struct {
+	Now clock.Millis `cbor:"1,keyasint"`
+}
+
 func (c Change) object() watcher.Object {
 	return watcher.Object{Name: c.Name, Revision: c.Revision, Spec: c.Spec, Status: c.Status, Deleted: c.Deleted}
 }
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -25,6 +25,7 @@
 const (
 	firstShare  = 0.08
 	secondShare = 0.3
+	markSpan    = 700 * clock.Millis(1)  // without the target, until all instances know the sessions in progress
 	halfMargin  = 700 * clock.Millis(1)  // past the half, for instances that saw the order at other times
 	secondSpan  = 2500 * clock.Millis(1) // with secondShare
 	settleSpan  = 1500 * clock.Millis(1) // with all requests, before the end
@@ -136,7 +137,7 @@
 	default:
 		share := r.share(now)
 		c.Fresh = matcher.Fraction(service, session) < share
-		if c.Fresh && share == firstShare {
+		if c.Fresh && share <= firstShare {
 			c.Fresh = !s.bound(now, service, session, r.order.Target)
 		}
 	}
@@ -154,6 +155,8 @@
 func (r *rollout) share(now clock.Millis) float64 {
 	half := r.order.Duration/2 + halfMargin
 	switch e := r.elapsed(now); {
+	case e < markSpan:
+		return 0
 	case e < half:
 		return firstShare
 	case e < half+secondSpan:
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -28,6 +28,8 @@
 	// answerSlack is added to the wait of a watch before it is given up: the
 	// store may be a hundred times slower than usual.
 	answerSlack = 900 * clock.Millis(1)
+	// quickWait is the wait of the first watch after a failure.
+	quickWait = clock.Millis(1)
 	// firstBackoff and maxBackoff space the calls to a store that does not
 	// answer; refused calls are priced too.
 	firstBackoff = 150 * clock.Millis(1)
@@ -183,7 +185,11 @@
 	from, failures, gone := int64(-1), 0, 0
 	for ctx.Err() == nil {
 		watched := from >= 0
-		next, err := w.step(ctx, k, from)
+		now := k
+		if failures > 0 {
+			now.Wait = quickWait // the store's return is to be noticed at once
+		}
+		next, err := w.step(ctx, now, from)
 		from = next
 		if ctx.Err() != nil {
 			return
