forwarder, dispatcher: observed queue delays, waits renewed while the endpoint lives

Ruled out: a renewed wait above the body reader, which blocked at the end of bodies (TestAtMostOnce failed).

--- a/beater/beater.go
+++ b/beater/beater.go
@@ -26,6 +26,9 @@
 	// priced; farFanout instances get one each time.
 	farInterval = clock.Second
 	farFanout   = 6
+	// fullLoads is the number of instances up to which the loads go to other
+	// data centres too. Beyond, their bytes cost more than they gain.
+	fullLoads = 16
 	// deadAfter is the silence after which an instance no longer counts as
 	// alive, in intervals of its messages and at least deadAtLeast. A directory
 	// may name a dead instance for several seconds, and a living one must not
@@ -269,7 +272,10 @@
 		return
 	}
 	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	m.Loads, m.Loaded, m.Neighbours = nil, false, neighbours
+	if b.Known() > fullLoads {
+		m.Loads, m.Loaded = nil, false
+	}
+	m.Neighbours = neighbours
 	b.send(&m, far[:min(len(far), farFanout)])
 }
 
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -19,6 +19,9 @@
 	// coldReserve is kept below the bound on cold endpoints, which counts
 	// arrivals and not sends.
 	coldReserve = 2
+	// startOverhead is the time in ms of a first event that no queue explains:
+	// the way to the endpoint, its setup and one step.
+	startOverhead = 30
 	// halfOpenPenalty keeps work from an endpoint that has failed lately.
 	halfOpenPenalty = 200
 )
@@ -157,7 +160,7 @@
 	c := balancer.Candidate{ID: e.ID, Slots: e.Slots, Near: e.DataCentre == d.options.DataCentre}
 	c.Work, c.Running = d.options.PeerLoad(matcher.Hash("endpoint", e.ID))
 	if l := d.loads[e.ID]; l != nil {
-		c.Work += l.work
+		c.Work = max(c.Work+l.work, l.waiting(now))
 		c.Running += l.running
 	}
 	if q.prompt.subject != "" {
@@ -207,10 +210,11 @@
 
 // started takes the prompt of a choice off the endpoint's work. It also learns
 // the model's pace if the endpoint had nothing else to do.
-func (d *Dispatcher) started(c *choice, q *search, took clock.Millis) {
+func (d *Dispatcher) started(now clock.Millis, c *choice, q *search, took clock.Millis) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.load(c.endpoint.ID)
+	l.delay, l.delayed = max(0, float64(took)-c.work-startOverhead), now
 	l.work = max(0, l.work-c.work)
 	if c.ahead == 0 && took > 0 && c.work > 0 {
 		tokens := c.work / d.perToken(q.model, q.below)
@@ -229,19 +233,23 @@
 	d.breakers.Report(now, c.ticket, succeeded)
 }
 
-// pressure returns the least work that waits at a nearby endpoint of the
-// service.
+// pressure returns the least work that waits at an endpoint of the service,
+// with the distance of its data centre.
 func (d *Dispatcher) pressure(now clock.Millis, q *search) float64 {
 	list := d.options.Catalog.Snapshot().Service(q.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	least, found := 0.0, false
 	for _, e := range list {
-		if e.DataCentre != d.options.DataCentre || d.options.Evacuated(e.DataCentre) {
+		if d.options.Evacuated(e.DataCentre) {
 			continue
 		}
 		c := d.candidate(now, q, e)
-		if work := c.Work + c.Penalty; !found || work < least {
+		work := c.Work + c.Penalty
+		if !c.Near {
+			work += engineDistance
+		}
+		if !found || work < least {
 			least, found = work, true
 		}
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -102,6 +103,16 @@
 	work    float64 // ms of prompts whose first event has not arrived
 	running int
 	heard   clock.Millis // last bytes from the endpoint
+	delay   float64      // ms that the last first event came later than its own work explains
+	delayed clock.Millis // instant of that event
+}
+
+// delayHalf is the time in ms after which half of an observed delay counts.
+const delayHalf = 600
+
+// waiting returns the delay that is still to be expected.
+func (l *load) waiting(now clock.Millis) float64 {
+	return l.delay * math.Exp2(-float64(now-l.delayed)/delayHalf)
 }
 
 // New returns a dispatcher.
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -30,6 +30,9 @@
 	// silentAfter is the silence of an endpoint with work after which it counts
 	// as dead.
 	silentAfter = 1200 * clock.Millis(1)
+	// aliveAfter is the silence up to which an endpoint that answers others
+	// counts as busy and not as dead.
+	aliveAfter = 700 * clock.Millis(1)
 	// plainPatience is the wait for a plain answer, in targets, after which a
 	// repeatable request is tried elsewhere.
 	plainPatience = 4
@@ -76,6 +79,12 @@
 		switch result {
 		case finished:
 			return
+		case again:
+			if x.model > 0 && !x.begun {
+				// The larger model failed or had no room; the small one's answer is
+				// better than none.
+				x.model = 0
+			}
 		case larger:
 			x.model = len(x.route.Models) - 1
 			d.options.Meter.Retried(refuser.RetryEscalate)
@@ -232,6 +241,7 @@
 		// A kept connection may be closed just as it is used, which leaves an
 		// unknown outcome.
 		Fresh: !x.route.Repeatable(),
+		Alive: func() bool { return x.now()-d.lastHeard(e.ID) < aliveAfter },
 	}
 	x.tried[e.ID] = true
 	x.sends++
@@ -462,7 +472,7 @@
 		if first {
 			first = false
 			s.latency = now - s.begin
-			x.dispatcher.started(s.choice, s.search, s.latency)
+			x.dispatcher.started(now, s.choice, s.search, s.latency)
 			x.firstMs = max(x.firstMs, 0)
 			if !x.begun {
 				x.firstMs = now - x.start
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +13,9 @@
 	"rosemaryarch.example/rosemaryarch/clock"
 )
 
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
 // Answer is an endpoint's answer. Its methods are for one goroutine.
 type Answer struct {
 	Status int
@@ -24,6 +28,9 @@
 	stop      func() bool
 	writing   chan struct{} // closed when the request's body is written; nil if it was written at once
 	unwritten atomic.Bool
+	wait      clock.Millis // for the next bytes; 0: no bound
+	alive     func() bool
+	ended     atomic.Bool // the context has ended
 	response  *http.Response
 	closed    bool
 }
@@ -59,6 +66,28 @@
 // body of an answer without a length ends with its connection.
 func (a *Answer) Read(b []byte) (int, error) { return a.response.Body.Read(b) }
 
+// Read reads from the connection. A wait that ends begins anew while the
+// endpoint is alive. It is done here, below the readers of header and body,
+// since these cannot go on after an error.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || err == nil || c.answer == nil || !c.answer.waitOn(err) {
+			return n, err
+		}
+	}
+}
+
+// waitOn begins the wait anew after a time-out if the endpoint is alive.
+func (a *Answer) waitOn(err error) bool {
+	var timeout net.Error
+	if a.wait == 0 || a.ended.Load() || a.alive == nil || !errors.As(err, &timeout) || !timeout.Timeout() || !a.alive() {
+		return false
+	}
+	a.Within(a.wait)
+	return true
+}
+
 // Framed reports whether the end of the body is marked by more than the end of
 // the connection.
 func (a *Answer) Framed() bool {
@@ -67,11 +96,15 @@
 
 // Within bounds the wait for the next bytes; 0 removes the bound.
 func (a *Answer) Within(d clock.Millis) {
+	a.wait = d
 	t := time.Time{}
 	if d > 0 {
 		t = time.Now().Add(d.Duration())
 	}
 	_ = a.conn.SetReadDeadline(t)
+	if a.ended.Load() {
+		_ = a.conn.SetReadDeadline(past)
+	}
 }
 
 // Close ends the exchange with its connection, which also stops an endpoint
@@ -117,6 +150,7 @@
 		return
 	}
 	_ = a.conn.SetDeadline(time.Time{})
+	a.conn.answer = nil
 	a.conn.until = a.forwarder.options.Clock.Now() + idle
 	a.forwarder.keep(a.address, a.conn)
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -80,6 +80,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	answer *Answer      // that is being read; nil while the connection is idle
 	until  clock.Millis // instant after which it is not used again
 }
 
@@ -114,6 +115,9 @@
 	Address string
 	Fresh   bool         // do not use a kept connection
 	Wait    clock.Millis // until the answer's header; 0: no bound besides the context's
+	// Alive reports whether the endpoint has shown signs of life lately. Where
+	// it has, a wait that ends begins anew.
+	Alive   func() bool
 	Request Request
 }
 
@@ -124,11 +128,13 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", call.Address), ErrNotSent)
 	}
-	a := &Answer{forwarder: f, conn: c, address: call.Address}
-	a.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	if call.Wait > 0 {
-		_ = c.SetReadDeadline(time.Now().Add(call.Wait.Duration()))
-	}
+	a := &Answer{forwarder: f, conn: c, address: call.Address, alive: call.Alive}
+	c.answer = a
+	a.stop = context.AfterFunc(ctx, func() {
+		a.ended.Store(true)
+		_ = c.SetDeadline(past)
+	})
+	a.Within(call.Wait)
 	head := encode(&call.Request)
 	if len(call.Request.Body) <= inlineBody {
 		if n, err := c.Write(append(head, call.Request.Body...)); err != nil {
@@ -170,7 +176,9 @@
 	if f.options.Opened != nil {
 		f.options.Opened(call.Address)
 	}
-	return &conn{Conn: n, reader: bufio.NewReader(n)}, nil
+	opened := &conn{Conn: n}
+	opened.reader = bufio.NewReader(opened)
+	return opened, nil
 }
 
 // take returns the kept connection that was used last, nil if none is sound.
