--- a/beater/beater.go
+++ b/beater/beater.go
@@ -67,11 +67,13 @@
 	options Options
 	conn    net.PacketConn
 
-	mu     sync.Mutex
-	ready  bool
-	feeds  bool
-	peers  map[string]*peer
-	sentAt clock.Millis // of the last send to other data centres
+	mu    sync.Mutex
+	ready bool
+	feeds bool
+
+	leaving bool
+	peers   map[string]*peer
+	sentAt  clock.Millis // of the last send to other data centres
 }
 
 // New opens the socket. An error tells that the address is not usable.
@@ -83,11 +85,12 @@
 	return &Beater{options: o, conn: conn, peers: make(map[string]*peer)}, nil
 }
 
-// SetReady tells the others whether this instance takes new requests.
-func (b *Beater) SetReady(ready bool) {
+// SetReady tells the others whether this instance takes new requests, and
+// whether it is about to stop.
+func (b *Beater) SetReady(ready, leaving bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ready = ready
+	b.ready, b.leaving = ready, leaving
 }
 
 // SetFeeds tells the others whether this instance passes on what it reads from
@@ -175,7 +178,7 @@
 
 func (b *Beater) self() Member {
 	m := b.options.Self
-	m.Ready, m.Feeds = b.ready, b.feeds
+	m.Ready, m.Leaving, m.Feeds = b.ready, b.leaving, b.feeds
 	return m
 }
 
--- a/beater/message.go
+++ b/beater/message.go
@@ -22,6 +22,7 @@
 	Incarnation int64  `cbor:"5,keyasint"` // grows with each start
 	Ready       bool   `cbor:"6,keyasint"` // takes new requests
 	Age         int64  `cbor:"7,keyasint"` // ms since it was last heard
+	Leaving     bool   `cbor:"9,keyasint"` // stops soon and takes no new connections
 	Feeds       bool   `cbor:"8,keyasint"` // passes on what it reads from the store
 }
 
--- a/launcher/directory.go
+++ b/launcher/directory.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"log"
 	"net/http"
+	"slices"
 	"strings"
 
 	"rosemaryarch.example/rosemaryarch/beater"
@@ -72,12 +73,18 @@
 }
 
 // instancesFor returns the addresses of the instances of a data centre, and of
-// others if it has too few that are ready.
+// others if it has too few that are ready. While none is ready anywhere, as in
+// an outage of the store, it names all that run: a caller that learns of no
+// instance would go on to use those that have stopped.
 func instancesFor(dataCentre string, members []beater.Member) []string {
+	usable := func(m beater.Member) bool { return m.Ready }
+	if !slices.ContainsFunc(members, usable) {
+		usable = func(m beater.Member) bool { return !m.Leaving }
+	}
 	var near, far []string
 	for _, m := range members {
 		switch {
-		case !m.Ready:
+		case !usable(m):
 		case m.DataCentre == dataCentre:
 			near = append(near, m.Front)
 		default:
--- a/launcher/duties.go
+++ b/launcher/duties.go
@@ -102,7 +102,7 @@
 		case <-t.C:
 		}
 		now := l.clock.Now()
-		l.beater.SetReady(l.ready())
+		l.beater.SetReady(l.ready(), l.stopping.Load())
 		l.tellFeeds()
 		l.catalog.Expire(now)
 		if marks := l.stager.Marks(now); len(marks) > 0 {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -237,7 +237,7 @@
 	grace := l.bounds.Load().Grace()
 	l.recorder.Keep("stopping", recorder.Number("active", l.dispatcher.Active()), recorder.Number("grace_ms", grace))
 	l.stopping.Store(true)
-	l.beater.SetReady(false)
+	l.beater.SetReady(false, true)
 	l.dispatcher.Drain()
 	l.beater.Announce()
 	linger := clock.Millis(float64(grace) * lingerShare)
