--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -182,8 +182,6 @@
 // Run serves until SIGTERM and returns when the last request has ended or the
 // grace period is over.
 func (l *Launcher) Run() error {
-	defer close(l.done)
-	defer l.recorder.Close(flushLimit)
 	runtime.GOMAXPROCS(max(1, l.settings.Limits.Cores))
 	if mb := l.settings.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(float64(mb<<20) * memoryShare))
@@ -191,6 +189,13 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	return l.serve(signals)
+}
+
+// serve runs until a signal to stop arrives.
+func (l *Launcher) serve(signals chan os.Signal) error {
+	defer close(l.done)
+	defer l.recorder.Close(flushLimit)
 	failed := make(chan error, 4)
 	if err := l.listen(failed); err != nil {
 		return err
--- /dev/null
+++ b/launcher/launcher_test.go
@@ -0,0 +1,295 @@
+package launcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"rosemaryarch.example/rosemaryarch/platform"
+	"rosemaryarch.example/rosemaryarch/platform/storekeeper"
+)
+
+// output keeps a process's log lines.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+// site is a store, an endpoint and instances in this process. Each instance
+// has a loopback address of its own.
+type site struct {
+	t      *testing.T
+	keeper *storekeeper.Storekeeper
+	store  *httptest.Server
+	dir    string
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, keeper: storekeeper.New(), dir: t.TempDir()}
+	s.store = httptest.NewServer(s.keeper)
+	t.Cleanup(s.store.CloseClientConnections)
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Rosemaryarch-Attempt-Id", r.Header.Get("Rosemaryarch-Attempt-Id"))
+		w.Header().Set("Rosemaryarch-Response-Signature", "s")
+		_, _ = io.WriteString(w, "tenant "+r.Header.Get("Rosemaryarch-Tenant"))
+	}))
+	t.Cleanup(endpoint.Close)
+	s.configure(1, "key-1")
+	s.put(platform.EndpointKind, "i-1", map[string]any{
+		"service": "s", "address": endpoint.Listener.Addr().String(), "zone": "a", "version": "v1", "maxBatch": 4,
+		"phase": "ready", "warmupLeftMs": 0, "sequence": 1,
+	})
+	return s
+}
+
+func (s *site) put(kind, name string, spec any) {
+	s.t.Helper()
+	if err := s.keeper.Put(kind, name, spec); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) configure(version int, key string) {
+	s.put(platform.ConfigKind, platform.ConfigName, map[string]any{
+		"version": version, "limits": map[string]int{"maxBodyBytes": 1000},
+		"services": []map[string]any{{"name": "s"}},
+		"routes": []map[string]any{{
+			"name": "r", "host": "h", "pathPrefix": "/p/", "type": "unsafe", "timeoutMs": 2000, "targetLatencyMs": 100,
+			"service": "s", "maxAttempts": 1,
+		}},
+		"tenants": []map[string]any{{"name": "w", "apiKeys": []string{key}}},
+	})
+}
+
+// ports holds one set of free ports, which all instances use on addresses of
+// their own.
+func ports(t *testing.T, n int) []int {
+	t.Helper()
+	var list []int
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		list = append(list, l.Addr().(*net.TCPAddr).Port)
+	}
+	return list
+}
+
+func (s *site) settings(name, ip string, p []int) string {
+	text := fmt.Sprintf(`nodeName = %q
+zone = "a"
+region = "r"
+ip = %[2]q
+portRange = [%[3]d, %[3]d]
+[listen]
+frontend = "%[2]s:%[4]d"
+readiness = "%[2]s:%[5]d"
+registry = "%[2]s:%[6]d"
+[bounds]
+graceS = 1
+revokeMs = 5000
+retryRatio = 0.9
+retryWindowS = 10
+retrySlack = 58
+warmupOvershoot = 1.5
+warmupSlack = 5
+sessionTtlS = 5
+ttl_max_s = 5
+[platform]
+address = %[7]q
+`, name, ip, p[0], p[1], p[2], p[3], s.store.Listener.Addr().String())
+	path := filepath.Join(s.dir, name+".toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	return path
+}
+
+func get(url, key string) (int, string) {
+	r, err := http.NewRequest("POST", url, strings.NewReader("b"))
+	if err != nil {
+		return 0, err.Error()
+	}
+	r.Host = "h"
+	r.Header.Set("Rosemaryarch-Attempt-Id", "id-1")
+	r.Header.Set("Rosemaryarch-Credential", key)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body)
+}
+
+func eventually(t *testing.T, limit time.Duration, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %v", what, limit)
+}
+
+// Guards the whole path of one process: settings, store, readiness, directory,
+// routes and keys, a configuration that takes a key away, an outage of the
+// store, SIGHUP and SIGTERM.
+func TestOneInstance(t *testing.T) {
+	s := newSite(t)
+	p := ports(t, 4)
+	path := s.settings("edge-1", "127.0.0.1", p)
+	var out output
+	l, err := New(path, &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run() }()
+	front, ready, directory := fmt.Sprintf("http://127.0.0.1:%d", p[1]), fmt.Sprintf("http://127.0.0.1:%d", p[2]), fmt.Sprintf("http://127.0.0.1:%d", p[3])
+	isReady := func() bool {
+		resp, err := http.Get(ready + platform.ReadyPath)
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == 200
+	}
+	eventually(t, 3*time.Second, "ready", isReady)
+	if status, body := get(front+"/p/x", "key-1"); status != 200 || body != "tenant w" {
+		t.Errorf("request: got %d %q, want the endpoint's answer", status, body)
+	}
+	if status, _ := get(front+"/q/x", "key-1"); status != 404 {
+		t.Errorf("unknown route: got %d, want 404", status)
+	}
+	eventually(t, time.Second, "directory", func() bool {
+		resp, err := http.Get(directory + platform.DirectoryPath + "?name=h&zone=a&region=r")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		var a platform.DirectoryAnswer
+		return json.NewDecoder(resp.Body).Decode(&a) == nil && len(a.Addresses) == 1 && a.TTL > 0
+	})
+	s.configure(2, "key-2")
+	eventually(t, 2*time.Second, "the old key is refused", func() bool {
+		status, _ := get(front+"/p/x", "key-1")
+		return status == 401
+	})
+	s.keeper.SetFault(storekeeper.Busy)
+	eventually(t, 5*time.Second, "keys are refused without a confirmation", func() bool {
+		status, _ := get(front+"/p/x", "key-2")
+		return status == 503
+	})
+	s.keeper.SetFault(storekeeper.None)
+	eventually(t, 2*time.Second, "service after the outage", func() bool {
+		status, _ := get(front+"/p/x", "key-2")
+		return status == 200
+	})
+	if err := os.WriteFile(path, []byte("nodeName = 3"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, time.Second, "invalid settings are reported", func() bool { return strings.Contains(out.String(), "settings_kept") })
+	if status, _ := get(front+"/p/x", "key-2"); status != 200 {
+		t.Errorf("with invalid settings: got %d, want 200", status)
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, 500*time.Millisecond, "not ready after SIGTERM", func() bool { return !isReady() })
+	if status, _ := get(front+"/p/x", "key-2"); status != 200 {
+		t.Errorf("right after SIGTERM: got %d, want 200", status)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("end: %v", err)
+		}
+	case <-time.After(time.Second):
+		t.Error("still runs after the grace period")
+	}
+	for _, event := range []string{"started", "configuration_adopted", "store_lost", "store_regained", "stopping", "stopped"} {
+		if !strings.Contains(out.String(), `"event":"`+event+`"`) {
+			t.Errorf("no log line for %s", event)
+		}
+	}
+}
+
+// Guards against a number of store calls that grows with the instances: the
+// neighbours of the reader make none but to publish and list themselves.
+func TestNeighboursFollowOneReader(t *testing.T) {
+	s := newSite(t)
+	p := ports(t, 4)
+	const instances = 4
+	var ended sync.WaitGroup
+	outs := make([]output, instances)
+	stop := make([]chan os.Signal, instances)
+	for i := range instances {
+		ip := fmt.Sprintf("127.0.0.%d", 11+i)
+		l, err := New(s.settings(fmt.Sprint("edge-", i), ip, p), &outs[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		stop[i] = make(chan os.Signal, 1)
+		ended.Go(func() {
+			if err := l.serve(stop[i]); err != nil {
+				t.Errorf("instance %d: %v", i, err)
+			}
+		})
+	}
+	defer func() {
+		for _, c := range stop {
+			c <- syscall.SIGTERM
+		}
+		ended.Wait()
+	}()
+	for i := range instances {
+		eventually(t, 8*time.Second, fmt.Sprint("service of instance ", i), func() bool {
+			status, _ := get(fmt.Sprintf("http://127.0.0.%d:%d/p/x", 11+i, p[1]), "key-1")
+			return status == 200
+		})
+	}
+	time.Sleep(2 * time.Second)
+	before := s.keeper.Calls()
+	time.Sleep(3 * time.Second)
+	// One reader makes a call each 1.2 s; lists of instances come besides.
+	if got := s.keeper.Calls() - before; got > 8 {
+		t.Errorf("calls of %d instances in 3 s: got %d, want at most 8", instances, got)
+	}
+	s.configure(2, "key-2")
+	for i := range instances {
+		eventually(t, time.Second, fmt.Sprint("new key at instance ", i), func() bool {
+			status, _ := get(fmt.Sprintf("http://127.0.0.%d:%d/p/x", 11+i, p[1]), "key-2")
+			return status == 200
+		})
+	}
+}
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,163 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/watcher"
+)
+
+// view is what a follower has.
+type view struct {
+	mu        sync.Mutex
+	objects   map[string]string // by kind and name
+	confirmed clock.Millis
+}
+
+func (v *view) sink() Sink {
+	v.objects = make(map[string]string)
+	return Sink{
+		Replace: func(kind string, list []watcher.Object) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			for k := range v.objects {
+				if strings.HasPrefix(k, kind+"/") {
+					delete(v.objects, k)
+				}
+			}
+			for _, o := range list {
+				v.objects[kind+"/"+o.Name] = string(o.Spec)
+			}
+		},
+		Change: func(kind string, o watcher.Object) {
+			v.mu.Lock()
+			defer v.mu.Unlock()
+			if o.Deleted {
+				delete(v.objects, kind+"/"+o.Name)
+				return
+			}
+			v.objects[kind+"/"+o.Name] = string(o.Spec)
+		},
+		Confirm:  func(at clock.Millis) { v.mu.Lock(); v.confirmed = max(v.confirmed, at); v.mu.Unlock() },
+		Returned: func(clock.Millis) {},
+	}
+}
+
+func (v *view) text() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return fmt.Sprint(v.objects)
+}
+
+func object(name string, revision int64) watcher.Object {
+	return watcher.Object{Name: name, Revision: revision, Spec: []byte(fmt.Sprint("s", revision))}
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Errorf("%s: not within 3 s", what)
+}
+
+func hub(t *testing.T, c clock.Clock) (*Hub, string) {
+	t.Helper()
+	h := NewHub(c, []string{"a", "b"})
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return h, strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against a neighbour that misses a change, keeps a deleted object or
+// has objects of the wrong kind.
+func TestFollowerHasWhatTheReaderHas(t *testing.T) {
+	c := clock.System()
+	h, address := hub(t, c)
+	h.SetOpen(true)
+	h.Replace("a", []watcher.Object{object("x", 1), object("y", 2)})
+	h.Replace("b", []watcher.Object{object("x", 3)})
+	h.Confirm(c.Now())
+	var v view
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	done := make(chan error, 1)
+	sink := v.sink()
+	go func() { done <- Follow(ctx, c, address, sink) }()
+	eventually(t, "full state", func() bool { return v.text() == "map[a/x:s1 a/y:s2 b/x:s3]" })
+	h.Change("a", object("z", 4))
+	h.Change("a", watcher.Object{Name: "x", Revision: 5, Deleted: true})
+	eventually(t, "changes", func() bool { return v.text() == "map[a/y:s2 a/z:s4 b/x:s3]" })
+	h.Replace("a", []watcher.Object{object("z", 6)})
+	eventually(t, "new list", func() bool { return v.text() == "map[a/z:s6 b/x:s3]" })
+	for i := range 3 * logLength {
+		h.Change("b", object("x", int64(10+i)))
+	}
+	last := fmt.Sprintf("map[a/z:s6 b/x:s%d]", 10+3*logLength-1)
+	eventually(t, "more changes than the log holds", func() bool { return v.text() == last })
+	h.SetOpen(false)
+	select {
+	case err := <-done:
+		if err == nil {
+			t.Error("the feed ended without a reason")
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the feed goes on although the store is not read")
+	}
+}
+
+// Guards against a confirmation that looks younger at a neighbour than at the
+// reader, with clocks that differ and messages that wait on their way, and
+// against one that looks much older.
+func TestConfirmationKeepsItsAge(t *testing.T) {
+	c := clock.System()
+	skewed := clock.Clock{Now: func() clock.Millis { return c.Now() + 5*clock.Hour }}
+	h, address := hub(t, skewed)
+	h.SetOpen(true)
+	h.Replace("a", nil)
+	h.Replace("b", nil)
+	var v view
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	sink := v.sink()
+	go func() { _ = Follow(ctx, c, address, sink) }()
+	for range 20 {
+		at := c.Now() // the reader has read the store up to here
+		h.Confirm(skewed.Now())
+		time.Sleep(30 * time.Millisecond)
+		v.mu.Lock()
+		got := v.confirmed
+		v.mu.Unlock()
+		// The clock of the hub is read a moment after at, hence 2 ms.
+		if got > at+2 {
+			t.Fatalf("confirmed %d, want at most %d", got, at)
+		}
+	}
+	eventually(t, "a young confirmation", func() bool {
+		h.Confirm(skewed.Now())
+		time.Sleep(10 * time.Millisecond)
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return c.Now()-v.confirmed < 100
+	})
+}
+
+// Guards against a feed of an instance that has not read all kinds.
+func TestNoFeedBeforeAllIsRead(t *testing.T) {
+	c := clock.System()
+	h, address := hub(t, c)
+	h.SetOpen(true)
+	h.Replace("a", nil)
+	var v view
+	if err := Follow(t.Context(), c, address, v.sink()); err == nil {
+		t.Error("got a feed although one kind is missing")
+	}
+}
