--- a/beater/beater.go
+++ b/beater/beater.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -160,8 +161,14 @@
 	return len(b.peers) + 1
 }
 
-// Load returns the work that living neighbours have placed on an endpoint.
-func (b *Beater) Load(endpoint uint64) (work float64, running int) {
+// delayHalf is the time in ms after which half of an observed delay counts.
+const delayHalf = 1500
+
+// Load returns the work that living neighbours have placed on an endpoint, and
+// the longest delay that one of them has seen there lately. The work of a
+// neighbour is not taken to shrink since its message: it shares the endpoint
+// with that of all others.
+func (b *Beater) Load(endpoint uint64) (work float64, running int, delay float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.options.Clock.Now()
@@ -170,10 +177,11 @@
 		if !ok || !b.isAlive(now, p) {
 			continue
 		}
-		work += max(0, float64(l.Work)-float64(now-p.heard))
+		work += float64(l.Work)
 		running += l.Running
+		delay = max(delay, float64(l.Delay)*math.Exp2(-float64(now-p.heard)/delayHalf))
 	}
-	return work, running
+	return work, running, delay
 }
 
 func (b *Beater) self() Member {
--- a/beater/beater_test.go
+++ b/beater/beater_test.go
@@ -94,17 +94,17 @@
 func TestLoads(t *testing.T) {
 	list, stops := group(t, 3, func(int) string { return "dc" })
 	eventually(t, 3*time.Second, "loads of two neighbours", func() bool {
-		_, running := list[0].Load(7)
+		_, running, _ := list[0].Load(7)
 		return running == 4
 	})
 	list[1].Broadcast(Message{})
 	time.Sleep(50 * time.Millisecond)
-	if _, running := list[0].Load(7); running != 4 {
+	if _, running, _ := list[0].Load(7); running != 4 {
 		t.Errorf("after a message without loads: got %d running, want 4", running)
 	}
 	stops[1]()
 	eventually(t, 3*time.Second, "loads of one neighbour", func() bool {
-		_, running := list[0].Load(7)
+		_, running, _ := list[0].Load(7)
 		return running == 2
 	})
 }
--- a/beater/message.go
+++ b/beater/message.go
@@ -11,6 +11,7 @@
 	Endpoint uint64  `cbor:"1,keyasint"` // hash of the endpoint's id
 	Work     float32 `cbor:"2,keyasint"` // ms
 	Running  int     `cbor:"3,keyasint"`
+	Delay    float32 `cbor:"4,keyasint,omitempty"` // ms that the sender has seen requests wait there lately
 }
 
 // Member is an instance.
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -158,11 +158,13 @@
 
 func (d *Dispatcher) candidate(now clock.Millis, q *search, e *cataloger.State) balancer.Candidate {
 	c := balancer.Candidate{ID: e.ID, Slots: e.Slots, Near: e.DataCentre == d.options.DataCentre}
-	c.Work, c.Running = d.options.PeerLoad(matcher.Hash("endpoint", e.ID))
+	work, running, delay := d.options.PeerLoad(matcher.Hash("endpoint", e.ID))
 	if l := d.loads[e.ID]; l != nil {
-		c.Work = max(c.Work+l.work, l.waiting(now))
-		c.Running += l.running
+		work += l.work
+		running += l.running
+		delay = max(delay, l.waiting(now))
 	}
+	c.Work, c.Running = max(work, delay), running
 	if q.prompt.subject != "" {
 		at, ok := d.sent[subjectKey{e.ID, q.model, q.prompt.subject}]
 		c.Cached = ok && now-at < subjectKept
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -68,8 +68,9 @@
 	Senders func() (count, position int)
 	// OthersReady reports whether another instance serves.
 	OthersReady func() bool
-	// PeerLoad returns the work of other instances on an endpoint.
-	PeerLoad func(endpoint uint64) (work float64, running int)
+	// PeerLoad returns the work of other instances on an endpoint and the delay
+	// in ms that they have seen there.
+	PeerLoad func(endpoint uint64) (work float64, running int, delay float64)
 }
 
 // Bounds are the promises of the deployment that requests depend on.
@@ -108,7 +109,7 @@
 }
 
 // delayHalf is the time in ms after which half of an observed delay counts.
-const delayHalf = 600
+const delayHalf = 1500
 
 // waiting returns the delay that is still to be expected.
 func (l *load) waiting(now clock.Millis) float64 {
@@ -144,13 +145,18 @@
 	x.serve()
 }
 
-// Loads returns the work of this instance by endpoint.
-func (d *Dispatcher) Loads(each func(endpoint string, work float64, running int)) {
+// minDelay is the delay in ms from which other instances are told of it.
+const minDelay = 30
+
+// Loads returns the work of this instance by endpoint, and the delays that it
+// has seen.
+func (d *Dispatcher) Loads(each func(endpoint string, work float64, running int, delay float64)) {
+	now := d.options.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, l := range d.loads {
-		if l.running > 0 {
-			each(id, l.work, l.running)
+		if delay := l.waiting(now); l.running > 0 || delay > minDelay {
+			each(id, l.work, l.running, delay)
 		}
 	}
 }
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -36,6 +36,9 @@
 	// plainPatience is the wait for a plain answer, in targets, after which a
 	// repeatable request is tried elsewhere.
 	plainPatience = 4
+	// firstPatience is the wait for a first event, in targets. An endpoint
+	// whose machine is gone is noticed sooner by its connection.
+	firstPatience = 1
 	// crashWarmup is added to the warm-up of an endpoint whose process seems to
 	// have ended, for its way back into the list.
 	crashWarmup = 3 * clock.Second
@@ -275,7 +278,7 @@
 // streamPatience grows with the work at the endpoint.
 func (s *sending) streamPatience() clock.Millis {
 	work := clock.Millis(3 * (s.choice.ahead + s.choice.work))
-	return max(silentAfter, s.exchange.route.Target*4/5) + work
+	return max(silentAfter, firstPatience*s.exchange.route.Target) + work
 }
 
 func (s *sending) notSent(ctx context.Context, err error) (next, error) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -43,7 +43,7 @@
 	inlineBody = 8 << 10
 	// userTimeout ends a connection whose sent bytes are not acknowledged, as
 	// behind a partition.
-	userTimeout = 2000 * clock.Millis(1)
+	userTimeout = 1500 * clock.Millis(1)
 	// probeInterval and probeCount find a silent peer while nothing is sent.
 	probeInterval = time.Second
 	probeCount    = 2
--- a/launcher/duties.go
+++ b/launcher/duties.go
@@ -311,9 +311,10 @@
 
 func (l *Launcher) fill(m *beater.Message) {
 	m.Rollouts = l.stager.Reports(l.clock.Now())
-	l.dispatcher.Loads(func(endpoint string, work float64, running int) {
+	l.dispatcher.Loads(func(endpoint string, work float64, running int, delay float64) {
 		m.Loads = append(m.Loads, beater.Load{
 			Endpoint: matcher.Hash("endpoint", endpoint), Work: float32(work), Running: running,
+			Delay: float32(delay),
 		})
 	})
 }
