balancer: least loaded of three endpoints by subject

Change: the choice is among three endpoints by subject, then three by request, all of them only where these are unusable. What is left there: streams that take ten seconds and more while half of the engines are away, since large prompts are read between the tokens of others.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -41,62 +41,100 @@
 	return Balancer{RunningWork: 1.5, FullWork: 60, HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95}
 }
 
+// choices is the number of endpoints, the first of the order for the request's
+// subject, among which the least loaded is taken. A few choices keep instances
+// with the same, slightly old reports from taking the same endpoint at once
+// (Mitzenmacher: The power of two choices in randomized load balancing, IEEE
+// Transactions on Parallel and Distributed Systems 12, 2001).
+const choices = 3
+
+// spill is the work in ms by which another endpoint must be better than all
+// choices to be taken.
+const spill = 250
+
 // Pick returns the index of the best candidate, -1 if there is none. salt
-// breaks ties between requests without a subject.
+// orders the endpoints for requests without a subject and those beyond the
+// choices.
 func (b Balancer) Pick(q Query, list []Candidate, salt string) int {
 	key := q.Subject
 	if key == "" {
 		key = salt
 	}
-	first, second := order(key, list)
+	chosen := order(key, list)
 	best, bestCost := -1, 0.0
-	for i := range list {
-		c := &list[i]
-		hit := 0.0
-		if q.Subject != "" {
-			switch {
-			case c.Cached:
-				hit = b.HitCached
-			case i == first:
-				hit = b.HitFirst
-			case i == second:
-				hit = b.HitSecond
-			}
+	for rank, i := range chosen {
+		if i < 0 {
+			break
 		}
-		cost := c.Work + q.Prompt - hit*q.Shared + float64(c.Running)*b.RunningWork + c.Penalty
-		if over := c.Running + 1 - c.Slots; c.Slots > 0 && over > 0 {
-			cost += float64(over) * b.FullWork
+		if cost := b.cost(q, &list[i], rank); best < 0 || cost < bestCost {
+			best, bestCost = i, cost
 		}
-		if !c.Near {
-			cost += q.Distance
+	}
+	// Of the others, too, only a few are looked at, which differ by request.
+	for _, i := range order(salt, list) {
+		if i < 0 {
+			break
 		}
-		if i == first {
-			cost -= 1e-3
+		if cost := b.cost(q, &list[i], len(chosen)) + spill; cost < bestCost {
+			best, bestCost = i, cost
 		}
-		if best < 0 || cost < bestCost {
+	}
+	if bestCost < unusable {
+		return best
+	}
+	for i := range list {
+		if cost := b.cost(q, &list[i], len(chosen)); cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
 	return best
 }
 
-// order returns the indices of the two first endpoints for a key, nearby ones
-// before others.
-func order(key string, list []Candidate) (first, second int) {
-	first, second = -1, -1
-	var h1, h2 uint64
+// unusable is a cost in ms at which all other endpoints are looked at.
+const unusable = 1000
+
+// cost returns the time in ms until the request's first token at an endpoint
+// that has a rank in the order of the subject.
+func (b Balancer) cost(q Query, c *Candidate, rank int) float64 {
+	hit := 0.0
+	if q.Subject != "" {
+		switch {
+		case c.Cached:
+			hit = b.HitCached
+		case rank == 0:
+			hit = b.HitFirst
+		case rank == 1:
+			hit = b.HitSecond
+		}
+	}
+	cost := c.Work + q.Prompt - hit*q.Shared + float64(c.Running)*b.RunningWork + c.Penalty
+	if over := c.Running + 1 - c.Slots; c.Slots > 0 && over > 0 {
+		cost += float64(over) * b.FullWork
+	}
+	if !c.Near {
+		cost += q.Distance
+	}
+	return cost
+}
+
+// order returns the indices of the first endpoints for a key, nearby ones
+// before others; -1 where there are fewer.
+func order(key string, list []Candidate) [choices]int {
+	first := [choices]int{-1, -1, -1}
+	var hashes [choices]uint64
 	for i := range list {
 		h := matcher.Hash(list[i].ID, key) >> 1
 		if list[i].Near {
 			h |= 1 << 63
 		}
-		switch {
-		case first < 0 || h > h1:
-			second, h2 = first, h1
-			first, h1 = i, h
-		case second < 0 || h > h2:
-			second, h2 = i, h
+		for k := range first {
+			if first[k] < 0 || h > hashes[k] {
+				copy(first[k+1:], first[k:])
+				copy(hashes[k+1:], hashes[k:])
+				first[k], hashes[k] = i, h
+				break
+			}
 		}
 	}
-	return first, second
+	return first
 }
