throttler: larger models only while the usable engines have room for them

Change: the demand for larger models is compared with what the usable engines can do; the least confident answers are replaced first. Ruled out: admission by queue, which is empty while streams are slow.

--- a/cascader/cascader.go
+++ b/cascader/cascader.go
@@ -25,6 +25,7 @@
 	Confidence float64 // negative: not stated
 	Pressure   float64 // work that waits for the larger model, as a share of the target
 	Late       bool    // the larger model would start after the target
+	Room       float64 // part of the larger models' work that fits, 0 to 1
 }
 
 // Accept reports whether the answer is kept.
@@ -32,15 +33,16 @@
 	if a.Confidence < 0 {
 		return true
 	}
-	return a.Confidence >= c.Threshold(a.Pressure, a.Late)
+	return a.Confidence >= c.Threshold(a)
 }
 
-// Threshold returns the confidence from which an answer is kept.
-func (c Cascader) Threshold(pressure float64, late bool) float64 {
+// Threshold returns the confidence from which an answer is kept. With little
+// room the least confident answers are replaced first.
+func (c Cascader) Threshold(a Answer) float64 {
 	keep := c.Keep
-	if late {
+	if a.Late {
 		keep = c.KeepLate
 	}
-	over := (pressure - c.PressureFrom) / (c.PressureTo - c.PressureFrom)
-	return keep * (1 - min(1, max(0, over)))
+	over := (a.Pressure - c.PressureFrom) / (c.PressureTo - c.PressureFrom)
+	return keep * a.Room * (1 - min(1, max(0, over)))
 }
--- a/cascader/cascader_test.go
+++ b/cascader/cascader_test.go
@@ -9,13 +9,15 @@
 		answer Answer
 		want   bool
 	}{
-		"sure, idle":            {Answer{Confidence: 80}, true},
-		"unsure, idle":          {Answer{Confidence: 30}, false},
-		"not stated":            {Answer{Confidence: -1}, true},
-		"unsure, full":          {Answer{Confidence: 10, Pressure: 2}, true},
-		"half sure, late":       {Answer{Confidence: 30, Late: true}, true},
-		"very unsure, late":     {Answer{Confidence: 10, Late: true}, false},
-		"unsure, half pressure": {Answer{Confidence: 30, Pressure: 1}, true},
+		"sure, idle":             {Answer{Confidence: 80, Room: 1}, true},
+		"unsure, idle":           {Answer{Confidence: 30, Room: 1}, false},
+		"not stated":             {Answer{Confidence: -1, Room: 1}, true},
+		"unsure, full":           {Answer{Confidence: 10, Pressure: 2, Room: 1}, true},
+		"half sure, late":        {Answer{Confidence: 30, Late: true, Room: 1}, true},
+		"very unsure, late":      {Answer{Confidence: 10, Late: true, Room: 1}, false},
+		"unsure, little room":    {Answer{Confidence: 30, Room: 0.3}, true},
+		"very unsure, some room": {Answer{Confidence: 10, Room: 0.3}, false},
+		"unsure, half pressure":  {Answer{Confidence: 30, Pressure: 1, Room: 1}, true},
 	}
 	for name, tt := range tests {
 		if got := Default().Accept(tt.answer); got != tt.want {
@@ -29,7 +31,7 @@
 	for _, late := range []bool{false, true} {
 		before := 100.0
 		for p := 0.0; p < 3; p += 0.1 {
-			got := Default().Threshold(p, late)
+			got := Default().Threshold(Answer{Pressure: p, Late: late, Room: 1})
 			if got > before || got < 0 {
 				t.Errorf("pressure %.1f, late %v: got %.1f after %.1f", p, late, got, before)
 			}
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -6,6 +6,7 @@
 	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
+	"rosemaryarch.example/rosemaryarch/throttler"
 )
 
 const (
@@ -45,13 +46,14 @@
 	below   int // larger models on the route
 	prompt  prompt
 	tried   map[string]bool
-	avoid   string // endpoint that is taken only if there is no other
+	usable  int // endpoints that may take the request, set by choose
 }
 
 // choose reserves the endpoint for a send; nil tells that none may take it
 // now.
 func (d *Dispatcher) choose(now clock.Millis, q *search) *choice {
 	list := d.eligible(now, q)
+	q.usable = len(list)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(list) > 0 {
@@ -67,6 +69,9 @@
 			l.work += c.work
 			l.running++
 			d.markSent(now, e.ID, q)
+			if q.below > 0 {
+				d.limit(q.service).Base(now, c.work)
+			}
 			return c
 		}
 		if ok {
@@ -169,9 +174,6 @@
 		at, ok := d.sent[subjectKey{e.ID, q.model, q.prompt.subject}]
 		c.Cached = ok && now-at < subjectKept
 	}
-	if e.ID == q.avoid {
-		c.Penalty += 10 * engineDistance
-	}
 	switch d.breakers.State(now, e.ID) {
 	case breaker.Open:
 		c.Penalty += 100 * engineDistance
@@ -262,3 +264,33 @@
 func (d *Dispatcher) chill(id string, until clock.Millis) {
 	d.options.Catalog.Chill(until, func(e *cataloger.State) bool { return e.ID == id })
 }
+
+const (
+	// throttleSpan averages the demand for larger models; it is longer than
+	// the clumps of arrivals and shorter than a burst.
+	throttleSpan = 3 * clock.Second
+	// throttleShare is the part of an engine's time that prompts may take. At
+	// the deployments' usual load it is about 0.4.
+	throttleShare = 0.55
+)
+
+// limit returns the throttler of a service. The lock is held.
+func (d *Dispatcher) limit(service string) *throttler.Throttler {
+	t := d.limits[service]
+	if t == nil {
+		t = throttler.New(throttler.Options{Span: throttleSpan, Share: throttleShare})
+		d.limits[service] = t
+	}
+	return t
+}
+
+// larger notes that a larger model is asked for, which has a work in ms, and
+// returns the part of such requests for which there is room.
+func (d *Dispatcher) larger(now clock.Millis, q *search, work float64) float64 {
+	instances := d.options.Ready()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.limit(q.service)
+	t.Demand(now, work)
+	return t.Factor(now, q.usable, instances)
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/recorder"
 	"rosemaryarch.example/rosemaryarch/stager"
+	"rosemaryarch.example/rosemaryarch/throttler"
 	"rosemaryarch.example/rosemaryarch/warmer"
 )
 
@@ -66,6 +67,8 @@
 	// Senders returns how many instances may send to cold endpoints of this
 	// data centre, and this one's position among them.
 	Senders func() (count, position int)
+	// Ready returns the number of instances that serve.
+	Ready func() int
 	// OthersReady reports whether another instance serves.
 	OthersReady func() bool
 	// PeerLoad returns the work of other instances on an endpoint and the delay
@@ -92,6 +95,7 @@
 	loads    map[string]*load
 	sent     map[subjectKey]clock.Millis
 	paces    map[string]*pace
+	limits   map[string]*throttler.Throttler // by service
 	breakers *breaker.Breaker
 }
 
@@ -121,6 +125,7 @@
 	return &Dispatcher{
 		options: o,
 		loads:   make(map[string]*load), sent: make(map[subjectKey]clock.Millis), paces: make(map[string]*pace),
+		limits:   make(map[string]*throttler.Throttler),
 		breakers: breaker.New(o.Breaker, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -205,6 +205,7 @@
 		},
 		Meter: meter.New(), Recorder: rec, Members: func() int { return 1 },
 		Senders:     func() (int, int) { return 1, 0 },
+		Ready:       func() int { return 1 },
 		OthersReady: func() bool { return false },
 		PeerLoad:    func(uint64) (float64, int, float64) { return 0, 0, 0 },
 	}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -39,6 +39,8 @@
 	// firstPatience is the wait for a first event, in targets. An endpoint
 	// whose machine is gone is noticed sooner by its connection.
 	firstPatience = 1
+	// usualHit is the part of the shared tokens that caches hold on average.
+	usualHit = 0.6
 	// crashWarmup is added to the warm-up of an endpoint whose process seems to
 	// have ended, for its way back into the list.
 	crashWarmup = 3 * clock.Second
@@ -441,13 +443,17 @@
 	}
 	d := x.dispatcher
 	d.mu.Lock()
-	large := x.prompt.tokens * d.perToken(models[len(models)-1], 0)
+	large := (x.prompt.tokens - usualHit*x.prompt.shared) * d.perToken(models[len(models)-1], 0)
 	d.mu.Unlock()
+	room := 1.0
+	if x.conf >= 0 && x.conf < d.options.Cascader.Keep {
+		room = d.larger(x.now(), s.search, large)
+	}
 	ahead := d.pressure(x.now(), s.search)
 	target := float64(max(1, x.route.Target))
 	late := float64(x.now()-x.start)+ahead+large > target
 	return d.options.Cascader.Accept(cascader.Answer{
-		Confidence: x.conf, Pressure: (ahead + large) / target, Late: late,
+		Confidence: x.conf, Pressure: (ahead + large) / target, Late: late, Room: room,
 	})
 }
 
--- a/launcher/directory.go
+++ b/launcher/directory.go
@@ -45,6 +45,17 @@
 	return false
 }
 
+// readyCount returns the number of instances that serve callers.
+func (l *Launcher) readyCount() int {
+	n := 0
+	for _, m := range l.beater.Members() {
+		if m.Ready {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
 func (l *Launcher) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !l.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- /dev/null
+++ b/throttler/throttler.go
@@ -0,0 +1,64 @@
+package throttler
+
+import (
+	"math"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// Options are the settings of a throttler.
+type Options struct {
+	// Span is the time in ms over which rates are averaged.
+	Span clock.Millis
+	// Share is the part of an endpoint's time that prompts may take.
+	Share float64
+}
+
+// Throttler holds the rates of one service on one instance. It is not safe for
+// concurrent use.
+type Throttler struct {
+	options Options
+	base    rate // first models
+	demand  rate // larger models, if none were held back
+}
+
+// rate is an exponential average of ms of work per ms.
+type rate struct {
+	sum float64
+	at  clock.Millis
+}
+
+func (r *rate) add(now clock.Millis, work float64, span clock.Millis) {
+	r.sum = r.value(now, span)*float64(span) + work
+	r.at = now
+}
+
+func (r *rate) value(now clock.Millis, span clock.Millis) float64 {
+	return r.sum / float64(span) * math.Exp(-float64(now-r.at)/float64(span))
+}
+
+// New returns a throttler that has seen nothing. It panics if an option is not
+// positive.
+func New(o Options) *Throttler {
+	if o.Span <= 0 || o.Share <= 0 {
+		panic("throttler: options must be positive")
+	}
+	return &Throttler{options: o}
+}
+
+// Base notes work in ms of a first model.
+func (t *Throttler) Base(now clock.Millis, work float64) { t.base.add(now, work, t.options.Span) }
+
+// Demand notes work in ms that a larger model would have.
+func (t *Throttler) Demand(now clock.Millis, work float64) { t.demand.add(now, work, t.options.Span) }
+
+// Factor returns the part of the larger models' work, 0 to 1, that fits where
+// endpoints endpoints serve instances instances with the same load each.
+func (t *Throttler) Factor(now clock.Millis, endpoints, instances int) float64 {
+	demand := t.demand.value(now, t.options.Span)
+	if demand <= 0 {
+		return 1
+	}
+	room := t.options.Share*float64(endpoints)/float64(max(1, instances)) - t.base.value(now, t.options.Span)
+	return min(1, max(0, room/demand))
+}
--- /dev/null
+++ b/throttler/throttler_test.go
@@ -0,0 +1,56 @@
+package throttler
+
+import (
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// Guards against larger models that slow down every stream when endpoints are
+// away, and against ones that are held back while there is room. Patterns: a
+// quarter of the engines crashes, a data centre is emptied, a burst.
+func TestFactor(t *testing.T) {
+	tests := map[string]struct {
+		perSecond int     // requests of this instance
+		large     float64 // part of them that asks for a larger model
+		endpoints int
+		instances int
+		low, high float64
+	}{
+		"usual load":             {8, 0.5, 18, 9, 1, 1},
+		"a quarter crashed":      {8, 0.5, 13, 9, 0.3, 1},
+		"half are away":          {8, 0.5, 9, 9, 0.1, 0.6},
+		"burst on half of them":  {16, 0.5, 9, 9, 0, 0.3},
+		"no endpoint":            {8, 0.5, 0, 9, 0, 0},
+		"nothing asked for more": {8, 0, 9, 9, 1, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			x := New(Options{Span: 3000, Share: 0.55})
+			now := clock.Millis(0)
+			for ; now < 15000; now += clock.Second / clock.Millis(tt.perSecond) {
+				x.Base(now, 25)
+				if tt.large > 0 {
+					x.Demand(now, 200*tt.large)
+				}
+			}
+			if got := x.Factor(now, tt.endpoints, tt.instances); got < tt.low || got > tt.high {
+				t.Errorf("factor: got %.2f, want %.2f to %.2f", got, tt.low, tt.high)
+			}
+		})
+	}
+}
+
+// Guards against a load of long ago that still holds larger models back.
+func TestForgets(t *testing.T) {
+	x := New(Options{Span: 3000, Share: 0.55})
+	for now := clock.Millis(0); now < 10000; now += 50 {
+		x.Demand(now, 500)
+	}
+	if got := x.Factor(10000, 1, 1); got > 0.2 {
+		t.Errorf("under load: got %.2f, want at most 0.2", got)
+	}
+	if got := x.Factor(30000, 1, 1); got < 1 {
+		t.Errorf("20 s later: got %.2f, want 1", got)
+	}
+}
