--- a/beater/beater.go
+++ b/beater/beater.go
@@ -61,6 +61,7 @@
 	heard  clock.Millis // 0: never
 	alive  bool
 	loads  map[uint64]Load
+	rates  []Rate
 }
 
 // Beater is safe for concurrent use.
@@ -184,6 +185,27 @@
 	return work, running, delay
 }
 
+// Rates returns the sum of the work that living instances have told for a
+// service, and their number.
+func (b *Beater) Rates(service uint64) (base, demand float64, instances int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.options.Clock.Now()
+	for _, p := range b.peers {
+		if p.loads == nil || !b.isAlive(now, p) {
+			continue
+		}
+		instances++
+		for _, r := range p.rates {
+			if r.Service == service {
+				base += float64(r.Base)
+				demand += float64(r.Demand)
+			}
+		}
+	}
+	return base, demand, instances
+}
+
 func (b *Beater) self() Member {
 	m := b.options.Self
 	m.Ready, m.Leaving, m.Feeds = b.ready, b.leaving, b.feeds
@@ -363,6 +385,7 @@
 	old := b.peers[m.From.Name]
 	fresh := old == nil || old.heard == 0 || old.member.Incarnation != m.From.Incarnation
 	if p := b.learn(m.From, now); p != nil && m.Loaded {
+		p.rates = m.Rates
 		p.loads = make(map[uint64]Load, len(m.Loads))
 		for _, l := range m.Loads {
 			p.loads[l.Endpoint] = l
--- a/beater/message.go
+++ b/beater/message.go
@@ -14,6 +14,13 @@
 	Delay    float32 `cbor:"4,keyasint,omitempty"` // ms that the sender has seen requests wait there lately
 }
 
+// Rate is the work in ms per ms that one instance has for a service.
+type Rate struct {
+	Service uint64  `cbor:"1,keyasint"` // hash of the service's name
+	Base    float32 `cbor:"2,keyasint"` // first models
+	Demand  float32 `cbor:"3,keyasint"` // larger models, if none were held back
+}
+
 // Member is an instance.
 type Member struct {
 	Name        string `cbor:"1,keyasint"`
@@ -31,6 +38,7 @@
 type Message struct {
 	From       Member          `cbor:"1,keyasint"`
 	Loads      []Load          `cbor:"2,keyasint,omitempty"`
+	Rates      []Rate          `cbor:"7,keyasint,omitempty"`
 	Loaded     bool            `cbor:"6,keyasint,omitempty"` // Loads is complete
 	Rollouts   []stager.Report `cbor:"3,keyasint,omitempty"`
 	Marks      []stager.Mark   `cbor:"5,keyasint,omitempty"`
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -271,7 +271,7 @@
 	throttleSpan = 3 * clock.Second
 	// throttleShare is the part of an engine's time that prompts may take. At
 	// the deployments' usual load it is about 0.4.
-	throttleShare = 0.55
+	throttleShare = 0.75
 )
 
 // limit returns the throttler of a service. The lock is held.
@@ -288,9 +288,21 @@
 // returns the part of such requests for which there is room.
 func (d *Dispatcher) larger(now clock.Millis, q *search, work float64) float64 {
 	instances := d.options.Ready()
+	others := d.options.PeerRates(q.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.limit(q.service)
 	t.Demand(now, work)
-	return t.Factor(now, q.usable, instances)
+	return t.Factor(now, others, q.usable, instances)
+}
+
+// Rates returns the work of this instance by service, in ms per ms.
+func (d *Dispatcher) Rates(each func(service string, base, demand float64)) {
+	now := d.options.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for service, t := range d.limits {
+		base, demand := t.Rates(now)
+		each(service, base, demand)
+	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -67,6 +67,8 @@
 	// Senders returns how many instances may send to cold endpoints of this
 	// data centre, and this one's position among them.
 	Senders func() (count, position int)
+	// PeerRates returns the rates of other instances for a service.
+	PeerRates func(service string) throttler.Others
 	// Ready returns the number of instances that serve.
 	Ready func() int
 	// OthersReady reports whether another instance serves.
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -24,6 +24,7 @@
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/recorder"
 	"rosemaryarch.example/rosemaryarch/stager"
+	"rosemaryarch.example/rosemaryarch/throttler"
 	"rosemaryarch.example/rosemaryarch/warmer"
 )
 
@@ -206,6 +207,7 @@
 		Meter: meter.New(), Recorder: rec, Members: func() int { return 1 },
 		Senders:     func() (int, int) { return 1, 0 },
 		Ready:       func() int { return 1 },
+		PeerRates:   func(string) throttler.Others { return throttler.Others{} },
 		OthersReady: func() bool { return false },
 		PeerLoad:    func(uint64) (float64, int, float64) { return 0, 0, 0 },
 	}
--- a/launcher/duties.go
+++ b/launcher/duties.go
@@ -14,6 +14,7 @@
 	"rosemaryarch.example/rosemaryarch/platform"
 	"rosemaryarch.example/rosemaryarch/recorder"
 	"rosemaryarch.example/rosemaryarch/stager"
+	"rosemaryarch.example/rosemaryarch/throttler"
 	"rosemaryarch.example/rosemaryarch/watcher"
 )
 
@@ -311,6 +312,11 @@
 
 func (l *Launcher) fill(m *beater.Message) {
 	m.Rollouts = l.stager.Reports(l.clock.Now())
+	l.dispatcher.Rates(func(service string, base, demand float64) {
+		m.Rates = append(m.Rates, beater.Rate{
+			Service: matcher.Hash("service", service), Base: float32(base), Demand: float32(demand),
+		})
+	})
 	l.dispatcher.Loads(func(endpoint string, work float64, running int, delay float64) {
 		m.Loads = append(m.Loads, beater.Load{
 			Endpoint: matcher.Hash("endpoint", endpoint), Work: float32(work), Running: running,
@@ -319,6 +325,13 @@
 	})
 }
 
+// peerRates returns what the neighbours have told of their work for a service.
+func (l *Launcher) peerRates(service string) throttler.Others {
+	var o throttler.Others
+	o.Base, o.Demand, o.Instances = l.beater.Rates(matcher.Hash("service", service))
+	return o
+}
+
 func (l *Launcher) heard(m *beater.Message) {
 	if len(m.Marks) > 0 {
 		l.stager.MergeMarks(l.clock.Now(), m.Marks)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -156,7 +156,7 @@
 			OpenMax: 4 * clock.Second, Probes: 1, Successes: 2, ProbeTimeout: 3 * clock.Second, MaxShare: 0.5,
 		},
 		Meter: l.meter, Recorder: l.recorder, Members: l.beater.Known, Senders: l.senders, PeerLoad: l.beater.Load,
-		OthersReady: l.othersReady, Ready: l.readyCount,
+		OthersReady: l.othersReady, Ready: l.readyCount, PeerRates: l.peerRates,
 	}
 }
 
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -52,13 +52,28 @@
 // Demand notes work in ms that a larger model would have.
 func (t *Throttler) Demand(now clock.Millis, work float64) { t.demand.add(now, work, t.options.Span) }
 
+// Rates returns the averages, in ms of work per ms.
+func (t *Throttler) Rates(now clock.Millis) (base, demand float64) {
+	return t.base.value(now, t.options.Span), t.demand.value(now, t.options.Span)
+}
+
+// Others is what other instances have told. One instance alone sees few
+// requests of very different sizes, so its own rates vary much.
+type Others struct {
+	Base      float64 // sum of their rates
+	Demand    float64
+	Instances int
+}
+
 // Factor returns the part of the larger models' work, 0 to 1, that fits where
-// endpoints endpoints serve instances instances with the same load each.
-func (t *Throttler) Factor(now clock.Millis, endpoints, instances int) float64 {
-	demand := t.demand.value(now, t.options.Span)
+// endpoints endpoints serve instances instances.
+func (t *Throttler) Factor(now clock.Millis, o Others, endpoints, instances int) float64 {
+	base, demand := t.Rates(now)
+	seen := float64(o.Instances + 1)
+	base, demand = (base+o.Base)/seen, (demand+o.Demand)/seen
 	if demand <= 0 {
 		return 1
 	}
-	room := t.options.Share*float64(endpoints)/float64(max(1, instances)) - t.base.value(now, t.options.Span)
+	room := t.options.Share*float64(endpoints)/float64(max(1, instances)) - base
 	return min(1, max(0, room/demand))
 }
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -34,7 +34,7 @@
 					x.Demand(now, 200*tt.large)
 				}
 			}
-			if got := x.Factor(now, tt.endpoints, tt.instances); got < tt.low || got > tt.high {
+			if got := x.Factor(now, Others{}, tt.endpoints, tt.instances); got < tt.low || got > tt.high {
 				t.Errorf("factor: got %.2f, want %.2f to %.2f", got, tt.low, tt.high)
 			}
 		})
@@ -47,10 +47,23 @@
 	for now := clock.Millis(0); now < 10000; now += 50 {
 		x.Demand(now, 500)
 	}
-	if got := x.Factor(10000, 1, 1); got > 0.2 {
+	if got := x.Factor(10000, Others{}, 1, 1); got > 0.2 {
 		t.Errorf("under load: got %.2f, want at most 0.2", got)
 	}
-	if got := x.Factor(30000, 1, 1); got < 1 {
+	if got := x.Factor(30000, Others{}, 1, 1); got < 1 {
 		t.Errorf("20 s later: got %.2f, want 1", got)
 	}
 }
+
+// Guards against an instance that holds back because of one large prompt of
+// its own, while the fleet has room.
+func TestOthersSmoothOwnPeaks(t *testing.T) {
+	x := New(Options{Span: 3000, Share: 0.55})
+	x.Demand(0, 4000)
+	if got := x.Factor(0, Others{}, 1, 1); got > 0.6 {
+		t.Errorf("alone: got %.2f, want at most 0.6", got)
+	}
+	if got := x.Factor(0, Others{Base: 1, Demand: 2, Instances: 18}, 15, 19); got < 1 {
+		t.Errorf("with 18 others: got %.2f, want 1", got)
+	}
+}
