beater, dispatcher: delays count for half a second, prompts get half of an engine's time

Change: half-life 500 ms, work shrinks with its age, share 0.48. Ruled out: noise of a single instance's rates.

--- a/beater/beater.go
+++ b/beater/beater.go
@@ -163,12 +163,12 @@
 }
 
 // delayHalf is the time in ms after which half of an observed delay counts.
-const delayHalf = 1500
+const delayHalf = 500
 
 // Load returns the work that living neighbours have placed on an endpoint, and
-// the longest delay that one of them has seen there lately. The work of a
-// neighbour is not taken to shrink since its message: it shares the endpoint
-// with that of all others.
+// the longest delay that one of them has seen there lately. Work is taken to
+// shrink since the message: work that is over would send all instances
+// elsewhere at once.
 func (b *Beater) Load(endpoint uint64) (work float64, running int, delay float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -178,7 +178,7 @@
 		if !ok || !b.isAlive(now, p) {
 			continue
 		}
-		work += float64(l.Work)
+		work += max(0, float64(l.Work)-float64(now-p.heard))
 		running += l.Running
 		delay = max(delay, float64(l.Delay)*math.Exp2(-float64(now-p.heard)/delayHalf))
 	}
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -271,7 +271,7 @@
 	throttleSpan = 3 * clock.Second
 	// throttleShare is the part of an engine's time that prompts may take. At
 	// the deployments' usual load it is about 0.4.
-	throttleShare = 0.75
+	throttleShare = 0.48
 )
 
 // limit returns the throttler of a service. The lock is held.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -115,7 +115,7 @@
 }
 
 // delayHalf is the time in ms after which half of an observed delay counts.
-const delayHalf = 1500
+const delayHalf = 500
 
 // waiting returns the delay that is still to be expected.
 func (l *load) waiting(now clock.Millis) float64 {
