--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -44,8 +44,8 @@
 // choices is the number of endpoints, the first of the order for the request's
 // subject, among which the least loaded is taken. A few choices keep instances
 // with the same, slightly old reports from taking the same endpoint at once
-// (Mitzenmacher: The power of two choices in randomized load balancing, IEEE
-// Transactions on Parallel and Distributed Systems 12, 2001).
+// (Mitzenmacher: The power of two choices, IEEE Transactions on Parallel and
+// Distributed Systems 12, 2001).
 const choices = 3
 
 // spill is the work in ms by which another endpoint must be better than all
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -25,12 +25,18 @@
 		change func(c []Candidate)
 		want   func(i int) bool
 	}{
-		"subject's own":          {func([]Candidate) {}, func(i int) bool { return i == home }},
-		"own one a little busy":  {func(c []Candidate) { c[home].Work = 60 }, func(i int) bool { return i == home }},
-		"own one very busy":      {func(c []Candidate) { c[home].Work = 900 }, func(i int) bool { return i != home }},
-		"own one full":           {func(c []Candidate) { c[home].Running = 80 }, func(i int) bool { return i != home }},
-		"cached elsewhere, busy": {func(c []Candidate) { c[home].Work = 400; c[other].Cached = true }, func(i int) bool { return i == other }},
-		"far is not worth it":    {func(c []Candidate) { c[other].Near = false; c[home].Work = 100 }, func(i int) bool { return i != other }},
+		"subject's own":         {func([]Candidate) {}, func(i int) bool { return i == home }},
+		"own one a little busy": {func(c []Candidate) { c[home].Work = 60 }, func(i int) bool { return i == home }},
+		"own one very busy":     {func(c []Candidate) { c[home].Work = 900 }, func(i int) bool { return i != home }},
+		"own one full":          {func(c []Candidate) { c[home].Running = 80 }, func(i int) bool { return i != home }},
+		"cached elsewhere, busy": {
+			func(c []Candidate) { c[home].Work = 400; c[other].Cached = true },
+			func(i int) bool { return i == other },
+		},
+		"far is not worth it": {
+			func(c []Candidate) { c[other].Near = false; c[home].Work = 100 },
+			func(i int) bool { return i != other },
+		},
 		"far is worth it": {func(c []Candidate) {
 			for i := range c {
 				c[i].Work = 900
--- a/beater/beater_test.go
+++ b/beater/beater_test.go
@@ -20,11 +20,19 @@
 	for i := range n {
 		b, err := New(Options{
 			Clock: clock.Boot(),
-			Self:  Member{Name: fmt.Sprintf("i%02d", i), DataCentre: dc(i), Front: fmt.Sprint("front-", i), Beat: "127.0.0.1:0", Incarnation: 1},
+			Self: Member{
+				Name:        fmt.Sprintf("i%02d", i),
+				DataCentre:  dc(i),
+				Front:       fmt.Sprint("front-", i),
+				Beat:        "127.0.0.1:0",
+				Incarnation: 1,
+			},
 			Fill: func(m *Message) {
 				m.Loads = []Load{{Endpoint: 7, Work: 100, Running: 2}}
 			},
-			Heard: func(*Message) {}, Changed: func(string, bool, clock.Millis) {}, Failed: func(error) {},
+			Heard:   func(*Message) {},
+			Changed: func(string, bool, clock.Millis) {},
+			Failed:  func(error) {},
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -31,14 +31,17 @@
 		steps []step
 		want  bool // it may take work
 	}{
-		"listed":                     {[]step{put(1000, nil)}, true},
-		"draining":                   {[]step{put(1000, nil), put(9000, draining)}, false},
-		"removed":                    {[]step{put(1000, nil), remove(9000)}, false},
-		"missing in a list":          {[]step{put(1000, nil), list(9000)}, false},
-		"lapsed in an outage":        {[]step{put(1000, nil), lost, list(9000), back(9000), expire(10900)}, true},
-		"lapsed, seen after it":      {[]step{put(1000, nil), lost, back(9000), list(9100), expire(10900)}, true},
-		"lapsed and not back":        {[]step{put(1000, nil), lost, back(9000), list(9100), expire(11300)}, false},
-		"lapsed and back":            {[]step{put(1000, nil), lost, back(9000), list(9100), put(10000, nil), expire(20000)}, true},
+		"listed":                {[]step{put(1000, nil)}, true},
+		"draining":              {[]step{put(1000, nil), put(9000, draining)}, false},
+		"removed":               {[]step{put(1000, nil), remove(9000)}, false},
+		"missing in a list":     {[]step{put(1000, nil), list(9000)}, false},
+		"lapsed in an outage":   {[]step{put(1000, nil), lost, list(9000), back(9000), expire(10900)}, true},
+		"lapsed, seen after it": {[]step{put(1000, nil), lost, back(9000), list(9100), expire(10900)}, true},
+		"lapsed and not back":   {[]step{put(1000, nil), lost, back(9000), list(9100), expire(11300)}, false},
+		"lapsed and back": {
+			[]step{put(1000, nil), lost, back(9000), list(9100), put(10000, nil), expire(20000)},
+			true,
+		},
 		"draining in an outage":      {[]step{put(1000, draining), lost, list(9000), back(9000)}, false},
 		"drains as the store is off": {[]step{put(1000, nil), lost, put(9000, draining)}, false},
 	}
--- a/cmd/rosemaryarch/main.go
+++ b/cmd/rosemaryarch/main.go
@@ -24,6 +24,7 @@
 type arguments struct {
 	Serve      *serveCommand      `arg:"subcommand:serve" help:"run one instance"`
 	Edge       *edgeCommand       `arg:"subcommand:edge" help:"run one instance on the users' platform"`
+	Explain    *explainCommand    `arg:"subcommand:explain" help:"show what log files say of one request"`
 	Standins   *standinsCommand   `arg:"subcommand:standins" help:"serve only the emulators of the outside systems"`
 	Demo       *demoCommand       `arg:"subcommand:demo" help:"run a fleet with emulators in one process"`
 	Bench      *benchCommand      `arg:"subcommand:bench" help:"run the experiments on the decision code"`
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -151,7 +151,12 @@
 // newFleet starts one endpoint for each behaviour.
 func newFleet(t *testing.T, r matcher.Route, does ...behaviour) *fleet {
 	t.Helper()
-	f := &fleet{t: t, catalog: cataloger.New(), stager: stager.New(stager.Options{SessionAge: 6000}), evacuated: map[string]bool{}}
+	f := &fleet{
+		t:         t,
+		catalog:   cataloger.New(),
+		stager:    stager.New(stager.Options{SessionAge: 6000}),
+		evacuated: map[string]bool{},
+	}
 	ck := clock.Boot()
 	f.confirmed = ck.Now
 	f.config = matcher.Config{
--- a/dispatcher/rules_test.go
+++ b/dispatcher/rules_test.go
@@ -143,8 +143,27 @@
 func TestOutgoing(t *testing.T) {
 	f := newFleet(t, route(matcher.Unsafe, func(r *matcher.Route) { r.Public = false }), ok)
 	body := strings.Repeat("b", 3000)
-	got := f.do("POST", "/a/%2e%2e/x//y?q=1&q=%20;", body, names.Key, "good", "X-Reserved", "1", names.Workspace, "forged",
-		names.Target, "forged", "X-Other", "kept", "X-Hop", "1", "Connection", "X-Hop", names.Deadline, "2000")
+	got := f.do(
+		"POST",
+		"/a/%2e%2e/x//y?q=1&q=%20;",
+		body,
+		names.Key,
+		"good",
+		"X-Reserved",
+		"1",
+		names.Workspace,
+		"forged",
+		names.Target,
+		"forged",
+		"X-Other",
+		"kept",
+		"X-Hop",
+		"1",
+		"Connection",
+		"X-Hop",
+		names.Deadline,
+		"2000",
+	)
 	if got.status != 200 {
 		t.Fatalf("answer: got %d %q", got.status, got.body)
 	}
@@ -178,7 +197,8 @@
 func TestSmuggledRequest(t *testing.T) {
 	tests := map[string]string{
 		"both lengths": "POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Id: i\r\nX-Deadline: 900\r\n" +
-			"Content-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /a/evil HTTP/1.1\r\nHost: h.example\r\nX-Id: e\r\n\r\n",
+			"Content-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+			"GET /a/evil HTTP/1.1\r\nHost: h.example\r\nX-Id: e\r\n\r\n",
 		"two lengths": "POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Id: i\r\nContent-Length: 3\r\nContent-Length: 50\r\n\r\n" +
 			"abcGET /a/evil HTTP/1.1\r\nHost: h.example\r\n\r\n",
 		"odd encoding": "POST /a/x HTTP/1.1\r\nHost: h.example\r\nX-Id: i\r\nTransfer-Encoding: xchunked\r\n\r\n" +
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -43,6 +43,7 @@
 func (a *Answer) readHeader(r *Request, idHeader string) error {
 	want := r.Header.Get(idHeader)
 	for range maxStrayAnswers {
+		//nolint:bodyclose // Close and Release end the body with its connection
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return errors.Wrap(err, "read answer")
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -53,7 +53,13 @@
 }
 
 func answerTo(c net.Conn, r *http.Request, body string) {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), len(body), body)
+	_, _ = fmt.Fprintf(
+		c,
+		"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
+		r.Header.Get("X-Id"),
+		len(body),
+		body,
+	)
 }
 
 func echo(_ int, c net.Conn, br *bufio.Reader) {
@@ -259,10 +265,22 @@
 		request Request
 		want    string
 	}{
-		"get":          {Request{Method: "GET", Target: "/a?b", Host: "h", Header: h}, "GET /a?b HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nX-A: 2\r\n\r\n"},
-		"empty post":   {Request{Method: "POST", Target: "/", Host: "h", Header: h}, "POST / HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nX-A: 2\r\nContent-Length: 0\r\n\r\n"},
-		"body":         {Request{Method: "POST", Target: "/", Host: "h", Body: []byte("abc")}, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"},
-		"line in name": {Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"X": {"a\r\nEvil: 1"}}}, "GET / HTTP/1.1\r\nHost: h\r\nX: a  Evil: 1\r\n\r\n"},
+		"get": {
+			Request{Method: "GET", Target: "/a?b", Host: "h", Header: h},
+			"GET /a?b HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nX-A: 2\r\n\r\n",
+		},
+		"empty post": {
+			Request{Method: "POST", Target: "/", Host: "h", Header: h},
+			"POST / HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nX-A: 2\r\nContent-Length: 0\r\n\r\n",
+		},
+		"body": {
+			Request{Method: "POST", Target: "/", Host: "h", Body: []byte("abc")},
+			"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n",
+		},
+		"line in name": {
+			Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{"X": {"a\r\nEvil: 1"}}},
+			"GET / HTTP/1.1\r\nHost: h\r\nX: a  Evil: 1\r\n\r\n",
+		},
 	}
 	for name, tt := range tests {
 		if got := string(encode(&tt.request)); got != tt.want {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -113,9 +113,19 @@
 		return nil, err
 	}
 	l := &Launcher{
-		path: path, settings: s, out: out, clock: clock.Boot(), meter: meter.New(), catalog: cataloger.New(),
-		stager: stager.New(stager.Options{SessionAge: s.Bounds.SessionAge()}), rollouts: make(map[string]rolloutDuty), due: make(map[string]clock.Millis),
-		avoided: make(map[string]clock.Millis), done: make(chan struct{}),
+		path:     path,
+		settings: s,
+		out:      out,
+		clock:    clock.Boot(),
+		meter:    meter.New(),
+		catalog:  cataloger.New(),
+		stager: stager.New(
+			stager.Options{SessionAge: s.Bounds.SessionAge()},
+		),
+		rollouts: make(map[string]rolloutDuty),
+		due:      make(map[string]clock.Millis),
+		avoided:  make(map[string]clock.Millis),
+		done:     make(chan struct{}),
 	}
 	l.started = l.clock.Now()
 	l.bounds.Store(&s.Bounds)
@@ -284,7 +294,8 @@
 		handler http.Handler
 	}{
 		{l.settings.Listen.Front, l.dispatcher}, {l.settings.Listen.Ready, ready},
-		{l.settings.Listen.Directory, directory}, {l.settings.BeatAddress(), feed}, {net.JoinHostPort(l.settings.IP, MetricsPort), metrics},
+		{l.settings.Listen.Directory, directory}, {l.settings.BeatAddress(), feed},
+		{net.JoinHostPort(l.settings.IP, MetricsPort), metrics},
 	} {
 		listener, err := net.Listen("tcp4", s.address)
 		if err != nil {
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -172,7 +172,16 @@
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- l.Run() }()
-	front, ready, directory := fmt.Sprintf("http://127.0.0.1:%d", p[1]), fmt.Sprintf("http://127.0.0.1:%d", p[2]), fmt.Sprintf("http://127.0.0.1:%d", p[3])
+	front, ready, directory := fmt.Sprintf(
+		"http://127.0.0.1:%d",
+		p[1],
+	), fmt.Sprintf(
+		"http://127.0.0.1:%d",
+		p[2],
+	), fmt.Sprintf(
+		"http://127.0.0.1:%d",
+		p[3],
+	)
 	isReady := func() bool {
 		resp, err := http.Get(ready + platform.ReadyPath)
 		if err != nil {
@@ -212,21 +221,32 @@
 		status, _ := get(front+"/p/x", "key-2")
 		return status == 200
 	})
+	reloadAndStop(t, path, front+"/p/x", &out, isReady, ended)
+}
+
+// reloadAndStop changes the settings to invalid ones and stops the process.
+func reloadAndStop(t *testing.T, path, url string, out *output, isReady func() bool, ended chan error) {
+	t.Helper()
 	if err := os.WriteFile(path, []byte("nodeName = 3"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, time.Second, "invalid settings are reported", func() bool { return strings.Contains(out.String(), "settings_kept") })
-	if status, _ := get(front+"/p/x", "key-2"); status != 200 {
+	eventually(
+		t,
+		time.Second,
+		"invalid settings are reported",
+		func() bool { return strings.Contains(out.String(), "settings_kept") },
+	)
+	if status, _ := get(url, "key-2"); status != 200 {
 		t.Errorf("with invalid settings: got %d, want 200", status)
 	}
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, 500*time.Millisecond, "not ready after SIGTERM", func() bool { return !isReady() })
-	if status, _ := get(front+"/p/x", "key-2"); status != 200 {
+	if status, _ := get(url, "key-2"); status != 200 {
 		t.Errorf("right after SIGTERM: got %d, want 200", status)
 	}
 	select {
@@ -237,7 +257,8 @@
 	case <-time.After(time.Second):
 		t.Error("still runs after the grace period")
 	}
-	for _, event := range []string{"started", "configuration_adopted", "store_lost", "store_regained", "stopping", "stopped"} {
+	events := []string{"started", "configuration_adopted", "store_lost", "store_regained", "stopping", "stopped"}
+	for _, event := range events {
 		if !strings.Contains(out.String(), `"event":"`+event+`"`) {
 			t.Errorf("no log line for %s", event)
 		}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -39,7 +39,8 @@
 	if err := json.Unmarshal([]byte(s.lines()[0]), &got); err != nil {
 		t.Fatalf("%v in %q", err, s.lines()[0])
 	}
-	if got["event"] != "request" || got["ms"] != 12.0 || got["share"] != 0.25 || !strings.HasPrefix(got["id"].(string), "a\"b\\c\n\x01") {
+	if got["event"] != "request" || got["ms"] != 12.0 || got["share"] != 0.25 ||
+		!strings.HasPrefix(got["id"].(string), "a\"b\\c\n\x01") {
 		t.Errorf("got %v", got)
 	}
 }
--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -34,6 +34,7 @@
 func Follow(ctx context.Context, c clock.Clock, address string, s Sink) error {
 	begin := c.Now()
 	connect, cancel := context.WithTimeout(ctx, connectTimeout.Duration())
+	//nolint:bodyclose // the library closes the answer's body
 	conn, _, err := websocket.Dial(connect, "ws://"+address+Path, &websocket.DialOptions{
 		CompressionMode: websocket.CompressionDisabled,
 	})
@@ -41,7 +42,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "feed of %s", address)
 	}
-	defer conn.CloseNow()
+	defer func() { _ = conn.CloseNow() }() // it is closed either way
 	conn.SetReadLimit(maxMessage)
 	f := &follower{clock: c, conn: conn, sink: s, begin: begin}
 	for {
--- a/relayer/hub.go
+++ b/relayer/hub.go
@@ -176,7 +176,7 @@
 	if err != nil {
 		return // Accept has answered
 	}
-	defer conn.CloseNow()
+	defer func() { _ = conn.CloseNow() }() // it is closed either way
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	e := &echo{}
