--- a/cascader/cascader.go
+++ b/cascader/cascader.go
@@ -17,7 +17,7 @@
 // Default returns the thresholds of the platform deployment; docs/MEASURES.md
 // has the curves.
 func Default() Cascader {
-	return Cascader{Keep: 55, KeepLate: 27, PressureFrom: 0.4, PressureTo: 1.6}
+	return Cascader{Keep: 48, KeepLate: 25, PressureFrom: 0.4, PressureTo: 1.6}
 }
 
 // Answer is what is known when the header of a small model's answer is there.
