--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -7,6 +7,7 @@
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/throttler"
+	"rosemaryarch.example/rosemaryarch/warmer"
 )
 
 const (
@@ -121,7 +122,7 @@
 	b := d.options.Bounds()
 	senders, position := d.options.Senders()
 	total := q.settled.WarmupRate*b.ColdOver + b.ColdSlack - coldReserve
-	return shareOf(total, senders, position)
+	return warmer.Share(total, senders, position)
 }
 
 func (d *Dispatcher) admitCold(now clock.Millis, q *search, e *cataloger.State) bool {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -80,10 +80,9 @@
 
 // Bounds are the promises of the deployment that requests depend on.
 type Bounds struct {
-	KeyAge     clock.Millis // age of the confirmation up to which keys are honoured
-	ColdOver   float64      // factor on a cold endpoint's rate
-	ColdSlack  float64      // requests per second besides
-	LateAnswer clock.Millis // how long before a route's timeout the router answers itself
+	KeyAge    clock.Millis // age of the confirmation up to which keys are honoured
+	ColdOver  float64      // factor on a cold endpoint's rate
+	ColdSlack float64      // requests per second besides
 }
 
 // Dispatcher is an http.Handler, safe for concurrent use.
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -17,11 +17,8 @@
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/recorder"
 	"rosemaryarch.example/rosemaryarch/refuser"
-	"rosemaryarch.example/rosemaryarch/warmer"
 )
 
-func shareOf(total float64, senders, position int) int { return warmer.Share(total, senders, position) }
-
 // exchange is one request on its way.
 type exchange struct {
 	dispatcher *Dispatcher
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -492,7 +492,6 @@
 			first = false
 			s.latency = now - s.begin
 			x.dispatcher.started(now, s.choice, s.search, s.latency)
-			x.firstMs = max(x.firstMs, 0)
 			if !x.begun {
 				x.firstMs = now - x.start
 				x.beginStream(a)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -56,7 +56,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	Chunks bool // the body had no length; it is sent with one all the same
 }
 
 // Options are the settings of a forwarder.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -77,7 +77,6 @@
 type Launcher struct {
 	path     string
 	settings *platform.Settings
-	out      io.Writer
 
 	clock      clock.Clock
 	bounds     atomic.Pointer[platform.Bounds]
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -112,11 +112,10 @@
 
 // Choice tells which version a request takes.
 type Choice struct {
-	Known   bool   // there is an order for the service
-	Target  string // its version
-	Fresh   bool   // the request takes the target, otherwise any other version
-	Only    bool   // no other choice is allowed where no such endpoint is ready
-	Elapsed clock.Millis
+	Known  bool   // there is an order for the service
+	Target string // its version
+	Fresh  bool   // the request takes the target, otherwise any other version
+	Only   bool   // no other choice is allowed where no such endpoint is ready
 }
 
 // Choose returns the version for a session. A growing share moves sessions to
@@ -128,7 +127,7 @@
 	if r == nil {
 		return Choice{}
 	}
-	c := Choice{Known: true, Target: r.order.Target, Elapsed: r.elapsed(now)}
+	c := Choice{Known: true, Target: r.order.Target}
 	switch {
 	case r.order.Phase == Completed:
 		c.Fresh = true
