--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -114,10 +114,10 @@
 	l := &Launcher{
 		path:     path,
 		settings: s,
-		out:      out,
-		clock:    clock.Boot(),
-		meter:    meter.New(),
-		catalog:  cataloger.New(),
+
+		clock:   clock.Boot(),
+		meter:   meter.New(),
+		catalog: cataloger.New(),
 		stager: stager.New(
 			stager.Options{SessionAge: s.Bounds.SessionAge()},
 		),
