relayer, launcher: feeds end without a confirmation, then the store is read at once

Change: a feed ends 1.5 s after its last new confirmation and each follower reads the store. TestFeedWithoutConfirmationEnds and TestRole.

--- a/launcher/feed.go
+++ b/launcher/feed.go
@@ -21,6 +21,9 @@
 	// next one when none of them reads the store; maxReaderTurns bounds it.
 	readerTurn     = 250 * clock.Millis(1)
 	maxReaderTurns = 6
+	// urgentRead is how long an instance tries to read the store itself after a
+	// feed has failed, before it follows another one.
+	urgentRead = 2 * clock.Second
 	// avoidFeed is how long a neighbour whose feed failed is left alone.
 	avoidFeed = 3 * clock.Second
 )
@@ -60,6 +63,9 @@
 }
 
 func (l *Launcher) chooseRole(now clock.Millis, members []beater.Member) watcher.Role {
+	if now < l.urgent && (!l.hub.Ready() || !l.watcher.Up()) {
+		return watcher.Role{Direct: true}
+	}
 	position := 0
 	for _, m := range members {
 		if m.DataCentre != l.settings.DataCentre {
@@ -121,12 +127,20 @@
 		text = err.Error()
 	}
 	l.recorder.Keep("feed_ended", recorder.Text("address", address), recorder.Text("error", text))
-	now := l.clock.Now()
-	for _, m := range l.beater.Members() {
+	if err != nil {
+		l.distrust(l.clock.Now(), address, l.beater.Members())
+	}
+}
+
+// distrust makes this instance read the store at once after a feed has failed:
+// it may have missed a change that has to be in force within two seconds.
+func (l *Launcher) distrust(now clock.Millis, address string, members []beater.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.urgent = now + urgentRead
+	for _, m := range members {
 		if m.Beat == address {
-			l.mu.Lock()
 			l.avoided[m.Name] = now
-			l.mu.Unlock()
 		}
 	}
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -38,7 +38,7 @@
 const (
 	// leadWait is the wait of the leading watch: a key that was taken away must
 	// stop working within seconds, so the confirmation may not get much older.
-	leadWait = 1200 * clock.Millis(1)
+	leadWait = 1000 * clock.Millis(1)
 	// longWait is the wait of the other watches, which end with each change.
 	longWait = 12 * clock.Second
 	// keyMargin is taken off the revocation bound: the store's watches may be
@@ -100,6 +100,7 @@
 	mu       sync.Mutex
 	rollouts map[string]rolloutDuty // by service
 	feedless clock.Millis           // instant since which no neighbour feeds this instance; 0: one does
+	urgent   clock.Millis           // until then the store is read directly, whoever else does
 	avoided  map[string]clock.Millis
 	due      map[string]clock.Millis
 	done     chan struct{}
--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -14,11 +14,16 @@
 const (
 	// connectTimeout bounds the connection to a neighbour.
 	connectTimeout = 700 * clock.Millis(1)
-	// quietTimeout ends a feed that has brought nothing: a reader that is well
-	// confirms every second and a half.
-	quietTimeout = 2600 * clock.Millis(1)
+	// staleAfter ends a feed whose confirmation does not advance: a reader that
+	// is well confirms about every second. A change must be in force on all
+	// instances within two seconds, also if the reader is cut off.
+	staleAfter = 1500 * clock.Millis(1)
 )
 
+// listMargin is added to staleAfter for the age of a confirmation itself, which
+// starts with the call that brought it.
+const listMargin = 500 * clock.Millis(1)
+
 // Path is the path of the feed on an instance's address for neighbours.
 const Path = "/v1/feed"
 
@@ -44,7 +49,7 @@
 	}
 	defer func() { _ = conn.CloseNow() }() // it is closed either way
 	conn.SetReadLimit(maxMessage)
-	f := &follower{clock: c, conn: conn, sink: s, begin: begin}
+	f := &follower{clock: c, conn: conn, sink: s, begin: begin, advanced: begin}
 	for {
 		if err := f.next(ctx); err != nil {
 			return errors.Wrapf(err, "feed of %s", address)
@@ -65,8 +70,14 @@
 	ahead  clock.Millis // of this clock, at least
 	known  bool
 	pinged clock.Millis
+
+	confirmed clock.Millis // as last told to the sink
+	advanced  clock.Millis // instant at which that grew
 }
 
+// ErrStale tells that the reader does not confirm its state any more.
+var ErrStale = errors.New("relayer: the feed is not confirmed")
+
 // pingInterval is the time between two comparisons of the clocks, within which
 // they drift by less than a millisecond.
 const pingInterval = 5 * clock.Second
@@ -95,7 +106,11 @@
 }
 
 func (f *follower) next(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, quietTimeout.Duration())
+	left := f.advanced + staleAfter - f.clock.Now()
+	if left <= 0 {
+		return ErrStale
+	}
+	ctx, cancel := context.WithTimeout(ctx, left.Duration())
 	defer cancel()
 	if err := f.ping(ctx); err != nil {
 		return err
@@ -127,6 +142,12 @@
 	for _, kind := range m.Full {
 		s.Replace(kind, full[kind])
 	}
-	s.Confirm(m.Confirmed + f.ahead)
+	if at := m.Confirmed + f.ahead; at > f.confirmed {
+		f.confirmed, f.advanced = at, f.clock.Now()
+	}
+	if f.clock.Now()-f.confirmed > staleAfter+listMargin {
+		return ErrStale
+	}
+	s.Confirm(f.confirmed)
 	return nil
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -161,3 +161,34 @@
 		t.Error("got a feed although one kind is missing")
 	}
 }
+
+// Guards against a follower that trusts a reader which is cut off from the
+// store: the feed must end soon enough to learn of a change within two seconds,
+// whether or not other messages still come. Found by a hunt
+// (thekkedath-tabs-grown, scale-2, seed 924566556581, rule CONFIG).
+func TestFeedWithoutConfirmationEnds(t *testing.T) {
+	for name, changes := range map[string]bool{"silent": false, "changes still come": true} {
+		t.Run(name, func(t *testing.T) {
+			c := clock.System()
+			h, address := hub(t, c)
+			h.SetOpen(true)
+			h.Replace("a", nil)
+			h.Replace("b", nil)
+			h.Confirm(c.Now())
+			if changes {
+				go func() {
+					for i := range 40 {
+						h.Change("a", object("x", int64(i)))
+						time.Sleep(50 * time.Millisecond)
+					}
+				}()
+			}
+			var v view
+			begin := time.Now()
+			err := Follow(t.Context(), c, address, v.sink())
+			if took := time.Since(begin); err == nil || took > 1800*time.Millisecond {
+				t.Errorf("the feed ended after %v with %v, want an end within 1.8 s", took, err)
+			}
+		})
+	}
+}
