launcher: an instance that reaches the store reads on until cut neighbours fall silent

Change: after a failed feed an instance that reaches the store reads it for five seconds before it follows again.

--- a/launcher/feed.go
+++ b/launcher/feed.go
@@ -24,6 +24,10 @@
 	// urgentRead is how long an instance tries to read the store itself after a
 	// feed has failed, before it follows another one.
 	urgentRead = 2 * clock.Second
+	// settleFeeds is how long an instance that does reach the store goes on
+	// reading it: other neighbours that are cut off, too, still count as alive
+	// and feeding for some seconds.
+	settleFeeds = 3 * clock.Second
 	// avoidFeed is how long a neighbour whose feed failed is left alone.
 	avoidFeed = 3 * clock.Second
 )
@@ -63,7 +67,7 @@
 }
 
 func (l *Launcher) chooseRole(now clock.Millis, members []beater.Member) watcher.Role {
-	if now < l.urgent && (!l.hub.Ready() || !l.watcher.Up()) {
+	if reading := l.hub.Ready() && l.watcher.Up(); reading && now < l.urgent || now < l.urgent-settleFeeds {
 		return watcher.Role{Direct: true}
 	}
 	position := 0
@@ -137,7 +141,7 @@
 func (l *Launcher) distrust(now clock.Millis, address string, members []beater.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.urgent = now + urgentRead
+	l.urgent = now + urgentRead + settleFeeds
 	for _, m := range members {
 		if m.Beat == address {
 			l.avoided[m.Name] = now
