relayer: a feed is trusted for as long as the bound on configurations allows

Change: the bound of the settings less 0.7 s for reading, 1.5 s at least, which leaves the small sites as they were.

--- a/launcher/feed.go
+++ b/launcher/feed.go
@@ -28,6 +28,11 @@
 	// reading it: other neighbours that are cut off, too, still count as alive
 	// and feeding for some seconds.
 	settleFeeds = 3 * clock.Second
+	// minFeedBound is above the time between two confirmations of a reader, one
+	// second and the answer of a slow store.
+	minFeedBound = 1500 * clock.Millis(1)
+	// readTime is kept for a connection to the store and the lists.
+	readTime = 700 * clock.Millis(1)
 	// avoidFeed is how long a neighbour whose feed failed is left alone.
 	avoidFeed = 3 * clock.Second
 )
@@ -103,13 +108,20 @@
 	return watcher.Role{Direct: now >= due}
 }
 
+// feedBound returns how long a feed is trusted without a new confirmation. What
+// is left of the time within which a configuration has to be in force is for
+// reading the store.
+func (l *Launcher) feedBound() clock.Millis {
+	return max(minFeedBound, clock.Millis(l.bounds.Load().ConfigApplyMs)-readTime)
+}
+
 func (l *Launcher) follow(ctx context.Context, address string) error {
 	l.recorder.Keep("feed_followed", recorder.Text("address", address))
 	kinds := make(map[string]watcher.Kind)
 	for _, k := range l.kinds() {
 		kinds[k.Name] = k
 	}
-	return relayer.Follow(ctx, l.clock, address, relayer.Sink{
+	return relayer.Follow(ctx, l.clock, address, l.feedBound(), relayer.Sink{
 		Replace: func(kind string, list []watcher.Object) {
 			if k, ok := kinds[kind]; ok {
 				k.Replace(list)
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -113,6 +113,7 @@
 registry = "%[2]s:%[6]d"
 [bounds]
 graceS = 1
+configApplyMs = 2000
 revokeMs = 5000
 retryRatio = 0.9
 retryWindowS = 10
--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -14,13 +14,9 @@
 const (
 	// connectTimeout bounds the connection to a neighbour.
 	connectTimeout = 700 * clock.Millis(1)
-	// staleAfter ends a feed whose confirmation does not advance: a reader that
-	// is well confirms about every second. A change must be in force on all
-	// instances within two seconds, also if the reader is cut off.
-	staleAfter = 1500 * clock.Millis(1)
 )
 
-// listMargin is added to staleAfter for the age of a confirmation itself, which
+// listMargin is added to the bound for the age of a confirmation itself, which
 // starts with the call that brought it.
 const listMargin = 500 * clock.Millis(1)
 
@@ -35,8 +31,9 @@
 	Returned func(at clock.Millis)
 }
 
-// Follow takes a neighbour's feed until it ends. It returns the reason.
-func Follow(ctx context.Context, c clock.Clock, address string, s Sink) error {
+// Follow takes a neighbour's feed until it ends, at the latest when its
+// confirmation has not advanced for stale. It returns the reason.
+func Follow(ctx context.Context, c clock.Clock, address string, stale clock.Millis, s Sink) error {
 	begin := c.Now()
 	connect, cancel := context.WithTimeout(ctx, connectTimeout.Duration())
 	//nolint:bodyclose // the library closes the answer's body
@@ -49,7 +46,7 @@
 	}
 	defer func() { _ = conn.CloseNow() }() // it is closed either way
 	conn.SetReadLimit(maxMessage)
-	f := &follower{clock: c, conn: conn, sink: s, begin: begin, advanced: begin}
+	f := &follower{clock: c, conn: conn, sink: s, begin: begin, advanced: begin, stale: stale}
 	for {
 		if err := f.next(ctx); err != nil {
 			return errors.Wrapf(err, "feed of %s", address)
@@ -66,6 +63,7 @@
 	clock  clock.Clock
 	conn   *websocket.Conn
 	sink   Sink
+	stale  clock.Millis
 	begin  clock.Millis // before the connection was made
 	ahead  clock.Millis // of this clock, at least
 	known  bool
@@ -106,7 +104,7 @@
 }
 
 func (f *follower) next(ctx context.Context) error {
-	left := f.advanced + staleAfter - f.clock.Now()
+	left := f.advanced + f.stale - f.clock.Now()
 	if left <= 0 {
 		return ErrStale
 	}
@@ -145,7 +143,7 @@
 	if at := m.Confirmed + f.ahead; at > f.confirmed {
 		f.confirmed, f.advanced = at, f.clock.Now()
 	}
-	if f.clock.Now()-f.confirmed > staleAfter+listMargin {
+	if f.clock.Now()-f.confirmed > f.stale+listMargin {
 		return ErrStale
 	}
 	s.Confirm(f.confirmed)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -13,6 +13,9 @@
 	"rosemaryarch.example/rosemaryarch/watcher"
 )
 
+// testStale is the bound for a confirmation that does not advance.
+const testStale = 1500 * clock.Millis(1)
+
 // view is what a follower has.
 type view struct {
 	mu        sync.Mutex
@@ -91,7 +94,7 @@
 	defer cancel()
 	done := make(chan error, 1)
 	sink := v.sink()
-	go func() { done <- Follow(ctx, c, address, sink) }()
+	go func() { done <- Follow(ctx, c, address, testStale, sink) }()
 	eventually(t, "full state", func() bool { return v.text() == "map[a/x:s1 a/y:s2 b/x:s3]" })
 	h.Change("a", object("z", 4))
 	h.Change("a", watcher.Object{Name: "x", Revision: 5, Deleted: true})
@@ -128,7 +131,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	sink := v.sink()
-	go func() { _ = Follow(ctx, c, address, sink) }()
+	go func() { _ = Follow(ctx, c, address, testStale, sink) }()
 	for range 20 {
 		at := c.Now() // the reader has read the store up to here
 		h.Confirm(skewed.Now())
@@ -157,7 +160,7 @@
 	h.SetOpen(true)
 	h.Replace("a", nil)
 	var v view
-	if err := Follow(t.Context(), c, address, v.sink()); err == nil {
+	if err := Follow(t.Context(), c, address, testStale, v.sink()); err == nil {
 		t.Error("got a feed although one kind is missing")
 	}
 }
@@ -185,7 +188,7 @@
 			}
 			var v view
 			begin := time.Now()
-			err := Follow(t.Context(), c, address, v.sink())
+			err := Follow(t.Context(), c, address, testStale, v.sink())
 			if took := time.Since(begin); err == nil || took > 1800*time.Millisecond {
 				t.Errorf("the feed ended after %v with %v, want an end within 1.8 s", took, err)
 			}
