--- a/beater/beater.go
+++ b/beater/beater.go
@@ -30,10 +30,10 @@
 	// fullLoads is the number of instances up to which the loads go to other
 	// data centres too. Beyond, their bytes cost more than they gain.
 	fullLoads = 16
-	// deadAfter is the silence after which an instance no longer counts as
-	// alive, in intervals of its messages and at least deadAtLeast. A directory
-	// may name a dead instance for several seconds, and a living one must not
-	// be left out.
+	// An instance of the data centre no longer counts as alive after the silence
+	// of deadIntervals messages and of deadAtLeast, one elsewhere after farDead.
+	// A directory may name a dead instance for several seconds, and a living
+	// one must not be left out.
 	deadIntervals = 4
 	deadAtLeast   = 1200 * clock.Millis(1)
 	farDead       = 3500 * clock.Millis(1)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -45,7 +45,7 @@
 const (
 	finished next = iota // the client has its final answer
 	again                // another endpoint may be tried
-	larger               // the next model is to answer
+	larger               // the largest model is to answer
 )
 
 // run sends the request until it has an answer.
