watcher, relayer, launcher: a feed that was handed over is not a failed one

The trace shows two readers in one data centre for five seconds: an instance whose own role changed got "context canceled" as a failure of its feed, and one whose reader closed its feed in favour of another took that for a failure too. Both then read the store themselves for urgentRead + settleFeeds. Each restart of several instances costs these calls.

Change: the watcher reports no error when the role has changed; the relayer has ErrClosed for a feed that its reader closed; the launcher then only avoids that neighbour for a while. In return, the first confirmation of a new feed counts with its age, so that a reader that was cut off before is not trusted for the whole bound again.

--- a/launcher/feed.go
+++ b/launcher/feed.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"rosemaryarch.example/rosemaryarch/beater"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/recorder"
@@ -143,17 +145,35 @@
 		text = err.Error()
 	}
 	l.recorder.Keep("feed_ended", recorder.Text("address", address), recorder.Text("error", text))
-	if err != nil {
-		l.distrust(l.clock.Now(), address, l.beater.Members())
+	l.endFeed(l.clock.Now(), address, err, l.beater.Members())
+}
+
+// endFeed decides what the end of a feed means for the next role. A nil error
+// tells that this instance ended it.
+func (l *Launcher) endFeed(now clock.Millis, address string, err error, members []beater.Member) {
+	switch {
+	case err == nil:
+	case errors.Is(err, relayer.ErrClosed):
+		// Its state was confirmed until now: another reader's feed will do.
+		l.avoid(now, address, members)
+	default:
+		l.distrust(now, address, members)
 	}
 }
 
 // distrust makes this instance read the store at once after a feed has failed:
 // it may have missed a change that has to be in force within two seconds.
 func (l *Launcher) distrust(now clock.Millis, address string, members []beater.Member) {
+	l.avoid(now, address, members)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.urgent = now + urgentRead + settleFeeds
+}
+
+// avoid keeps this instance from following a neighbour for a while.
+func (l *Launcher) avoid(now clock.Millis, address string, members []beater.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, m := range members {
 		if m.Beat == address {
 			l.avoided[m.Name] = now
--- a/launcher/feed_test.go
+++ b/launcher/feed_test.go
@@ -7,6 +7,7 @@
 
 	"rosemaryarch.example/rosemaryarch/beater"
 	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/relayer"
 	"rosemaryarch.example/rosemaryarch/watcher"
 )
 
@@ -32,22 +33,29 @@
 	tests := map[string]struct {
 		feeding string
 		failed  string
-		after   clock.Millis // since the failure
+		after   clock.Millis // since the end
 		want    watcher.Role
+		err     error // nil: relayer.ErrStale
 	}{
-		"a neighbour feeds":          {"edge-2", "", 0, watcher.Role{Feed: "beat-edge-2"}},
-		"nobody feeds, not its turn": {"", "", 0, watcher.Role{}},
-		"its feed has failed":        {"edge-2", "beat-edge-2", 1, watcher.Role{Direct: true}},
-		"another one feeds":          {"edge-3", "beat-edge-2", 1, watcher.Role{Direct: true}},
-		"the store is not reached":   {"edge-3", "beat-edge-2", urgentRead, watcher.Role{Feed: "beat-edge-3"}},
-		"the failed one is avoided":  {"edge-2", "beat-edge-2", urgentRead, watcher.Role{}},
-		"and tried again":            {"edge-2", "beat-edge-2", avoidFeed, watcher.Role{Feed: "beat-edge-2"}},
+		"a neighbour feeds":          {"edge-2", "", 0, watcher.Role{Feed: "beat-edge-2"}, nil},
+		"nobody feeds, not its turn": {"", "", 0, watcher.Role{}, nil},
+		"its feed has failed":        {"edge-2", "beat-edge-2", 1, watcher.Role{Direct: true}, nil},
+		"another one feeds":          {"edge-3", "beat-edge-2", 1, watcher.Role{Direct: true}, nil},
+		"the store is not reached":   {"edge-3", "beat-edge-2", urgentRead, watcher.Role{Feed: "beat-edge-3"}, nil},
+		"the failed one is avoided":  {"edge-2", "beat-edge-2", urgentRead, watcher.Role{}, nil},
+		"and tried again":            {"edge-2", "beat-edge-2", avoidFeed, watcher.Role{Feed: "beat-edge-2"}, nil},
+		"its feed was closed":        {"edge-3", "beat-edge-2", 1, watcher.Role{Feed: "beat-edge-3"}, relayer.ErrClosed},
+		"closed, nobody else feeds":  {"edge-2", "beat-edge-2", 1, watcher.Role{}, relayer.ErrClosed},
 	}
 	for name, tt := range tests {
 		l.urgent, l.feedless = 0, 0
 		l.avoided = make(map[string]clock.Millis)
 		if tt.failed != "" {
-			l.distrust(now, tt.failed, members(tt.feeding))
+			err := tt.err
+			if err == nil {
+				err = relayer.ErrStale
+			}
+			l.endFeed(now, tt.failed, err, members(tt.feeding))
 		}
 		if got := l.chooseRole(now+tt.after, members(tt.feeding)); got != tt.want {
 			t.Errorf("%s: got %+v, want %+v", name, got, tt.want)
--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -73,8 +73,15 @@
 	advanced  clock.Millis // instant at which that grew
 }
 
-// ErrStale tells that the reader does not confirm its state any more.
-var ErrStale = errors.New("relayer: the feed is not confirmed")
+// Sentinels of the end of a feed.
+var (
+	// ErrStale tells that the reader does not confirm its state any more.
+	ErrStale = errors.New("relayer: the feed is not confirmed")
+	// ErrClosed tells that the neighbour no longer reads the store, because
+	// another instance does. What it sent is complete up to the last
+	// confirmation.
+	ErrClosed = errors.New("relayer: the neighbour no longer reads the store")
+)
 
 // pingInterval is the time between two comparisons of the clocks, within which
 // they drift by less than a millisecond.
@@ -114,6 +121,9 @@
 		return err
 	}
 	_, data, err := f.conn.Read(ctx)
+	if websocket.CloseStatus(err) == websocket.StatusGoingAway {
+		return ErrClosed
+	}
 	if err != nil {
 		return err
 	}
@@ -141,7 +151,13 @@
 		s.Replace(kind, full[kind])
 	}
 	if at := m.Confirmed + f.ahead; at > f.confirmed {
-		f.confirmed, f.advanced = at, f.clock.Now()
+		f.advanced = f.clock.Now()
+		if f.confirmed == 0 {
+			// A reader that was cut off before this feed began sends one old
+			// confirmation, which is no sign that it reads on.
+			f.advanced = min(f.advanced, at)
+		}
+		f.confirmed = at
 	}
 	if f.clock.Now()-f.confirmed > f.stale+listMargin {
 		return ErrStale
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/watcher"
 )
@@ -109,8 +111,8 @@
 	h.SetOpen(false)
 	select {
 	case err := <-done:
-		if err == nil {
-			t.Error("the feed ended without a reason")
+		if !errors.Is(err, ErrClosed) {
+			t.Errorf("end of the feed: got %v, want %v", err, ErrClosed)
 		}
 	case <-time.After(3 * time.Second):
 		t.Error("the feed goes on although the store is not read")
@@ -170,15 +172,23 @@
 // whether or not other messages still come. Found by a hunt
 // (thekkedath-tabs-grown, scale-2, seed 924566556581, rule CONFIG).
 func TestFeedWithoutConfirmationEnds(t *testing.T) {
-	for name, changes := range map[string]bool{"silent": false, "changes still come": true} {
+	tests := map[string]struct {
+		changes bool
+		age     clock.Millis // of the confirmation when the feed begins
+	}{
+		"silent":             {false, 0},
+		"changes still come": {true, 0},
+		"cut off before":     {false, 1200},
+	}
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := clock.System()
 			h, address := hub(t, c)
 			h.SetOpen(true)
 			h.Replace("a", nil)
 			h.Replace("b", nil)
-			h.Confirm(c.Now())
-			if changes {
+			h.Confirm(c.Now() - tt.age)
+			if tt.changes {
 				go func() {
 					for i := range 40 {
 						h.Change("a", object("x", int64(i)))
@@ -189,8 +199,9 @@
 			var v view
 			begin := time.Now()
 			err := Follow(t.Context(), c, address, testStale, v.sink())
-			if took := time.Since(begin); err == nil || took > 1800*time.Millisecond {
-				t.Errorf("the feed ended after %v with %v, want an end within 1.8 s", took, err)
+			limit := (1800*clock.Millis(1) - tt.age).Duration()
+			if took := time.Since(begin); err == nil || took > limit {
+				t.Errorf("the feed ended after %v with %v, want an end within %v", took, err, limit)
 			}
 		})
 	}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -84,7 +84,8 @@
 	Direct func(direct bool)
 	// Confirmed takes each instant up to which the store was read directly.
 	Confirmed func(at clock.Millis)
-	// FeedEnded takes the end of a feed.
+	// FeedEnded takes the end of a feed, with a nil error if it ended because the
+	// role has changed.
 	FeedEnded func(address string, err error)
 	// Lost and Regained are called when the store stops and begins to answer.
 	Lost     func(err error)
@@ -144,6 +145,9 @@
 			w.runDirect(call)
 			w.options.Direct(false)
 		} else if err := w.options.Follow(call, role.Feed); ctx.Err() == nil {
+			if call.Err() != nil {
+				err = nil // the role has changed; the feed did not fail
+			}
 			w.options.FeedEnded(role.Feed, err)
 		}
 		cancel()
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -261,3 +261,44 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a change of this instance's role that is reported as a failure
+// of its feed: the instance would read the store itself for seconds, and so
+// would those that follow it.
+func TestChangeOfRoleIsNoFailure(t *testing.T) {
+	failed := errors.New("the connection broke")
+	tests := map[string]struct {
+		follow func(ctx context.Context) error
+		want   error
+	}{
+		"the role changes": {func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, nil},
+		"the feed fails":   {func(context.Context) error { return failed }, failed},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				ended := make(chan error, 100)
+				w := New(Options{
+					Clock: clock.System(), Kinds: []Kind{{Name: "config"}},
+					Role: func() Role {
+						if time.Since(start) < time.Second {
+							return Role{Feed: "first"}
+						}
+						return Role{}
+					},
+					Follow:    func(ctx context.Context, _ string) error { return tt.follow(ctx) },
+					FeedEnded: func(_ string, err error) { ended <- err },
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				go w.Run(ctx)
+				if got := <-ended; !errors.Is(got, tt.want) {
+					t.Errorf("end of the feed: got %v, want %v", got, tt.want)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
