watcher: changes of endpoints are gathered for 300 ms

Each start or crash of an endpoint changes its entry about once a second while it is cold, and each change ended a watch at each reader.

Change: a kind may have a spacing, the least time between the starts of two watches of which the first brought changes; 300 ms for endpoints.

TestManyChangesTakeFewCalls fails without the spacing (500 watches in 10 s instead of 35).

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -41,6 +41,10 @@
 	leadWait = 1000 * clock.Millis(1)
 	// longWait is the wait of the other watches, which end with each change.
 	longWait = 12 * clock.Second
+	// endpointSpacing gathers changes of endpoints: while many start, each of
+	// them changes about once a second. It is a small part of the two seconds
+	// after which a leaving endpoint may get nothing.
+	endpointSpacing = 300 * clock.Millis(1)
 	// keyMargin is taken off the revocation bound: the store's watches may be
 	// deaf for a second, in which an empty answer confirms nothing.
 	keyMargin = 1150 * clock.Millis(1)
--- a/launcher/state.go
+++ b/launcher/state.go
@@ -19,7 +19,10 @@
 func (l *Launcher) kinds() []watcher.Kind {
 	return []watcher.Kind{
 		{Name: platform.ConfigKind, Wait: leadWait, Replace: l.replaceConfig, Change: l.changeConfig},
-		{Name: platform.EndpointKind, Wait: longWait, Replace: l.replaceEndpoints, Change: l.changeEndpoint},
+		{
+			Name: platform.EndpointKind, Wait: longWait, Spacing: endpointSpacing,
+			Replace: l.replaceEndpoints, Change: l.changeEndpoint,
+		},
 		{Name: platform.RolloutKind, Wait: longWait, Replace: l.replaceRollouts, Change: l.changeRollout},
 		{Name: platform.EvacuationKind, Wait: longWait, Replace: l.replaceEvacuations, Change: l.changeEvacuation},
 	}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -59,8 +59,11 @@
 
 // Kind is one followed kind.
 type Kind struct {
-	Name    string
-	Wait    clock.Millis
+	Name string
+	Wait clock.Millis
+	// Spacing is the least time between the starts of two watches of which the
+	// first brought changes; more changes meanwhile come with one answer.
+	Spacing clock.Millis
 	Replace func(list []Object) // takes a full list
 	Change  func(o Object)      // takes one change
 }
@@ -275,9 +278,9 @@
 		w.confirm(k, start)
 		return at, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, (k.Wait + answerSlack).Duration())
+	call, cancel := context.WithTimeout(ctx, (k.Wait + answerSlack).Duration())
 	defer cancel()
-	list, at, err := w.options.Source.Watch(ctx, k.Name, from, k.Wait)
+	list, at, err := w.options.Source.Watch(call, k.Name, from, k.Wait)
 	if errors.Is(err, ErrHistoryGone) {
 		return -1, err
 	}
@@ -292,6 +295,9 @@
 		start += k.Wait
 	}
 	w.confirm(k, start)
+	if left := start + k.Spacing - w.options.Clock.Now(); len(list) > 0 && left > 0 {
+		pauseExactly(ctx, left)
+	}
 	return at, nil
 }
 
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -278,7 +279,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				start := time.Now()
-				ended := make(chan error, 100)
+				ended := make(chan error, 1)
 				w := New(Options{
 					Clock: clock.System(), Kinds: []Kind{{Name: "config"}},
 					Role: func() Role {
@@ -288,17 +289,79 @@
 						return Role{}
 					},
 					Follow:    func(ctx context.Context, _ string) error { return tt.follow(ctx) },
-					FeedEnded: func(_ string, err error) { ended <- err },
+					FeedEnded: func(_ string, err error) {
+						select {
+						case ended <- err:
+						default: // the test looks at the first end
+						}
+						time.Sleep(time.Millisecond)
+					},
 				})
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				defer cancel()
-				go w.Run(ctx)
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					w.Run(ctx)
+				}()
 				if got := <-ended; !errors.Is(got, tt.want) {
 					t.Errorf("end of the feed: got %v, want %v", got, tt.want)
 				}
 				cancel()
-				synctest.Wait()
+				<-done
+				time.Sleep(roleInterval.Duration()) // the last look at the role
 			})
 		})
 	}
 }
+
+// Guards against a store call for each change while many endpoints start at
+// once. Without spacing there are 50 calls a second here.
+func TestManyChangesTakeFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const spacing = 300 * clock.Millis(1)
+		c := clock.System()
+		f := newFakeStore(c)
+		source := f.source()
+		inner := source.Watch
+		var calls atomic.Int64
+		source.Watch = func(ctx context.Context, kind string, from int64, wait clock.Millis) ([]Object, int64, error) {
+			if kind == "many" {
+				calls.Add(1)
+			}
+			return inner(ctx, kind, from, wait)
+		}
+		s := &seen{specs: make(map[string]string)}
+		w := New(Options{
+			Clock: c, Source: source, Lost: func(error) {}, Regained: func(clock.Millis) {},
+			Kinds: []Kind{
+				{Name: "lead", Wait: clock.Second, Replace: func([]Object) {}, Change: func(Object) {}},
+				{Name: "many", Wait: 10 * clock.Second, Spacing: spacing, Replace: func([]Object) {}, Change: s.put},
+			},
+			Role:   func() Role { return Role{Direct: true} },
+			Direct: func(bool) {}, Confirmed: func(clock.Millis) {},
+		})
+		go w.Run(ctx)
+		time.Sleep(time.Second)
+		written := make(map[string]clock.Millis)
+		for i := range 500 {
+			time.Sleep(20 * time.Millisecond)
+			key := fmt.Sprint("k", i)
+			written[key] = c.Now()
+			f.write(key, "v")
+			synctest.Wait()
+			for k, at := range written {
+				if s.get(k) == "" && c.Now()-at > spacing {
+					t.Fatalf("%s is not known after %d ms, want %d at most", k, c.Now()-at, spacing)
+				}
+			}
+		}
+		if got, want := calls.Load(), int64(10*clock.Second/spacing+2); got > want {
+			t.Errorf("watches in 10 s: got %d, want at most %d", got, want)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
