soaker, proxier: randomized soak of the real program as separate processes

The program runs as processes on loopback addresses, with stand-ins of callers, endpoints and the store. Faults come from outside, in series and overlapping, as a seed decides: a store that refuses, falls silent, loses answers or forgets its history; connections to the store and to endpoints that are delayed, reset, cut in one direction or silenced; processes that are killed, paused, stopped and restarted; keys taken away, endpoints that leave, crash and come back. The promises are checked from what callers and endpoints see. Processes are ended through their own handles only.

platform gets the encoders of what operator, endpoints and platform write.

Not covered: paths between instances (their addresses come from the settings and cannot lead through a proxy), the wall clock, endpoints' own wrong answers, which the unit tests of forwarder and dispatcher cover.

--- a/cmd/rosemaryarch/main.go
+++ b/cmd/rosemaryarch/main.go
@@ -27,6 +27,7 @@
 	Explain    *explainCommand    `arg:"subcommand:explain" help:"show what log files say of one request"`
 	Standins   *standinsCommand   `arg:"subcommand:standins" help:"serve only the emulators of the outside systems"`
 	Demo       *demoCommand       `arg:"subcommand:demo" help:"run a fleet with emulators in one process"`
+	Soak       *soakCommand       `arg:"subcommand:soak" help:"run the program as processes on loopback under faults"`
 	Bench      *benchCommand      `arg:"subcommand:bench" help:"run the experiments on the decision code"`
 	Config     *configCommand     `arg:"subcommand:config" help:"check, apply and show the configuration"`
 	DataCentre *dataCentreCommand `arg:"subcommand:datacentre" help:"take a data centre out or back in"`
--- /dev/null
+++ b/cmd/rosemaryarch/soak.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/soaker"
+)
+
+// soakCommand runs the program under faults, with stand-ins of all outside
+// systems.
+type soakCommand struct {
+	Program   string `arg:"--program" help:"program to run [default: this one]"`
+	Dir       string `arg:"--dir,required" help:"takes settings and logs, one folder for each seed"`
+	First     uint64 `arg:"--first" default:"1" help:"first seed"`
+	Count     int    `arg:"--count" default:"1" help:"number of seeds"`
+	Parallel  int    `arg:"--parallel" default:"1" help:"seeds at the same time"`
+	Instances int    `arg:"--instances" default:"6"`
+	Endpoints int    `arg:"--endpoints" default:"3" help:"endpoints of each of the two services"`
+	Callers   int    `arg:"--callers" default:"12"`
+	Seconds   int    `arg:"--seconds" default:"25" help:"length of the part with faults"`
+	Faults    bool   `arg:"--faults" help:"print each fault"`
+}
+
+// maxParallel keeps the runs apart on loopback addresses and the processes
+// within a few hundred.
+const maxParallel = 24
+
+var errPromises = errors.New("promises were broken")
+
+func (c *soakCommand) run(ctx context.Context) error {
+	if c.Count < 1 || c.Instances < 1 || c.Endpoints < 1 || c.Callers < 1 || c.Seconds < 0 {
+		return usageError("the numbers of seeds, instances, endpoints and callers must be positive")
+	}
+	if c.Parallel < 1 || c.Parallel > maxParallel {
+		return usageError(fmt.Sprintf("--parallel must be 1 to %d", maxParallel))
+	}
+	program := c.Program
+	if program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return errors.Wrap(err, "path of this program")
+		}
+		program = self
+	}
+	lanes := make(chan int, c.Parallel)
+	for i := range c.Parallel {
+		lanes <- 100 + i
+	}
+	var runs errgroup.Group
+	runs.SetLimit(c.Parallel)
+	broken := make(chan uint64, c.Count)
+	for i := range c.Count {
+		runs.Go(func() error {
+			lane := <-lanes
+			defer func() { lanes <- lane }()
+			seed := c.First + uint64(i)
+			o := soaker.Options{
+				Program: program, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", seed)), Seed: seed, Net: lane,
+				Instances: c.Instances, Endpoints: c.Endpoints, Callers: c.Callers,
+				Faults: clock.Millis(c.Seconds) * clock.Second,
+			}
+			if c.Faults {
+				o.Out = os.Stdout
+			}
+			r, err := soaker.New(o).Run(ctx)
+			if err != nil {
+				return errors.Wrapf(err, "seed %d", seed)
+			}
+			fmt.Println(r)
+			if len(r.Violations) > 0 {
+				broken <- seed
+			}
+			return nil
+		})
+	}
+	if err := runs.Wait(); err != nil {
+		return err
+	}
+	if n := len(broken); n > 0 {
+		return errors.Wrapf(errPromises, "%d of %d seeds", n, c.Count)
+	}
+	return nil
+}
--- /dev/null
+++ b/soaker/instance.go
@@ -0,0 +1,143 @@
+package soaker
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/platform"
+	"rosemaryarch.example/rosemaryarch/proxier"
+)
+
+// instance is one process of the program, with a proxy before its store.
+type instance struct {
+	soak     *Soaker
+	name     string
+	settings string
+	store    *proxier.Proxier
+	busy     sync.Mutex // held by a fault that ends or pauses the process
+
+	mu       sync.Mutex
+	command  *exec.Cmd
+	starts   int
+	stopping bool // a signal of the soak ends it
+	failures []string
+	exited   chan struct{}
+}
+
+const graceS = 3
+
+func newInstance(s *Soaker, i int) (*instance, error) {
+	host := firstHost + i
+	store, err := proxier.New(s.address(host, storePort), s.address(storeHost, storePort))
+	if err != nil {
+		return nil, err
+	}
+	n := &instance{soak: s, name: fmt.Sprintf("edge-%d", i+1), store: store}
+	set := &platform.Settings{
+		Instance: n.name, DataCentre: dataCentre(i), Region: "r", IP: fmt.Sprintf("127.0.%d.%d", s.options.Net, host),
+		PeerPorts: []int{peerPort, peerPort},
+	}
+	set.Listen.Front, set.Listen.Ready = s.address(host, frontPort), s.address(host, readyPort)
+	set.Listen.Directory = s.address(host, namesPort)
+	set.Limits.Cores, set.Limits.MemoryMB = 1, 256
+	set.Store.Address = store.Address()
+	set.Bounds = platform.Bounds{
+		GraceS: graceS, ConfigApplyMs: 2000, RevokeMs: float64(revokeTime), RetryRatio: 0.9, RetryWindowS: 10,
+		RetrySlack: 58, ColdOver: 1.5, ColdSlack: 5, MaxTTLS: 5, SessionTTLS: 5,
+	}
+	text, err := set.Encode()
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	n.settings = s.file(n.name + ".toml")
+	return n, errors.Wrap(os.WriteFile(n.settings, text, 0o600), "settings")
+}
+
+// dataCentre spreads instances and endpoints over two data centres.
+func dataCentre(i int) string { return []string{"a", "b"}[i%2] }
+
+// start starts the process; its log goes to a file for each start.
+func (n *instance) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.starts++
+	out, err := os.Create(n.soak.file(fmt.Sprintf("%s.%d.log", n.name, n.starts)))
+	if err != nil {
+		return errors.Wrap(err, "log of an instance")
+	}
+	c := exec.Command(n.soak.options.Program, "edge", "--settings", n.settings)
+	c.Stdout, c.Stderr = out, out
+	if err := c.Start(); err != nil {
+		_ = out.Close() // nothing was written
+		return errors.Wrap(err, "start an instance")
+	}
+	n.command, n.stopping, n.exited = c, false, make(chan struct{})
+	exited, start := n.exited, n.starts
+	go func() {
+		err := c.Wait()
+		_ = out.Close() // the process has ended
+		n.mu.Lock()
+		if !n.stopping {
+			n.failures = append(n.failures, fmt.Sprintf("OWN END: %s, start %d, ended by itself: %v", n.name, start, err))
+		}
+		n.mu.Unlock()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process. ends tells that it is to end by it.
+func (n *instance) signal(sig syscall.Signal, ends bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopping = n.stopping || ends
+	if err := n.command.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		n.failures = append(n.failures, fmt.Sprintf("SIGNAL: %s: %v", n.name, err))
+	}
+}
+
+// fail notes what the process did that it must not do.
+func (n *instance) fail(text string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.failures = append(n.failures, text)
+}
+
+// wait waits until the process has ended and reports false if it has not within
+// limit.
+func (n *instance) wait(limit time.Duration) bool {
+	n.mu.Lock()
+	exited := n.exited
+	n.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// unexpected returns what the process did that no signal explains.
+func (n *instance) unexpected() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.failures) == 0 {
+		return nil
+	}
+	return errors.Newf("%s", n.failures[0])
+}
+
+// end kills the process at the end of the run.
+func (n *instance) end() {
+	if n.command != nil {
+		n.signal(syscall.SIGKILL, true)
+		n.wait(time.Second)
+	}
+	n.store.Close()
+}
--- /dev/null
+++ b/soaker/soaker_test.go
@@ -0,0 +1,61 @@
+package soaker
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"go.yaml.in/yaml/v3"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// regression is a seed that has broken a promise once.
+type regression struct {
+	Seed    uint64 `yaml:"seed"`
+	Seconds int64  `yaml:"seconds"`
+	Cause   string `yaml:"cause"`
+}
+
+// Guards against broken promises of the real program under faults: one short
+// run, and each seed that ever failed, as testdata/seeds.yaml lists them. The
+// long runs are made by hand: rosemaryarch soak.
+func TestSoak(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "rosemaryarch")
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/rosemaryarch").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	text, err := os.ReadFile("testdata/seeds.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var seeds []regression
+	if err := yaml.Unmarshal(text, &seeds); err != nil {
+		t.Fatal(err)
+	}
+	for i, x := range seeds {
+		t.Run(x.Cause, func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			r, err := New(Options{
+				Program: program, Dir: dir, Seed: x.Seed, Net: 200 + i, Instances: 4, Endpoints: 2, Callers: 6,
+				Faults: clock.Millis(x.Seconds) * clock.Second,
+			}).Run(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range r.Violations {
+				t.Errorf("seed %d: %s", x.Seed, v)
+			}
+			if r.Answered == 0 {
+				t.Errorf("seed %d: none of %d requests was answered", x.Seed, r.Requests)
+			}
+			if t.Failed() {
+				for _, f := range r.Faults {
+					t.Log(f)
+				}
+			}
+		})
+	}
+}
