meter, dispatcher, launcher: latency by kind of route and outcome, age of the endpoints' list

Change: request_seconds{service,kind,outcome}, and state{endpoints_changed_seconds_ago}. checkMetrics in TestOneInstance reads the metrics address and fails without them.

--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -255,9 +255,9 @@
 
 func (x *exchange) record() {
 	o := &x.dispatcher.options
-	route, service := "", ""
+	route, service, kind := "", "", ""
 	if x.route != nil {
-		route, service = x.route.Name, x.route.ServiceFor(x.session)
+		route, service, kind = x.route.Name, x.route.ServiceFor(x.session), string(x.route.Kind)
 	}
 	version := int64(0)
 	if x.table != nil {
@@ -270,6 +270,7 @@
 		recorder.Text("endpoint", x.endpoint), recorder.Number("model", x.model), recorder.Number("confidence", x.conf),
 		recorder.Number("first_ms", x.firstMs), recorder.Number("ms", x.now()-x.start),
 		recorder.Number("config", version), recorder.Number("config_age_ms", x.now()-o.Confirmed()))
+	o.Meter.Ended(service, kind, outcome(x.status), x.now()-x.start)
 	if x.status >= 200 && x.status < 300 {
 		o.Meter.Answered(service, x.workspace.Name)
 		if x.firstMs > 0 {
@@ -278,6 +279,15 @@
 	}
 }
 
+// outcome returns the class of a status for the metrics; 0 stands for an answer
+// that was cut, or that nobody waited for.
+func outcome(status int) string {
+	if status == 0 {
+		return "cut"
+	}
+	return strconv.Itoa(status/100) + "xx"
+}
+
 // connectionHeaders concern one connection only.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
--- a/launcher/directory.go
+++ b/launcher/directory.go
@@ -113,6 +113,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		now := l.clock.Now()
 		l.meter.Set("configuration_age_seconds", (now - l.watcher.Confirmed()).Duration().Seconds())
+		l.meter.Set("endpoints_changed_seconds_ago", (now - clock.Millis(l.endpointsAt.Load())).Duration().Seconds())
 		l.meter.Set("endpoints", float64(l.catalog.Snapshot().Len()))
 		l.meter.Set("members_alive", float64(len(l.beater.Members())))
 		l.meter.Set("requests_active", float64(l.dispatcher.Active()))
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -82,24 +82,25 @@
 	path     string
 	settings *platform.Settings
 
-	clock      clock.Clock
-	bounds     atomic.Pointer[platform.Bounds]
-	table      atomic.Pointer[matcher.Table]
-	tableAt    atomic.Int64 // revision of the configuration's object
-	evacuated  atomic.Pointer[map[string]bool]
-	listed     atomic.Bool
-	stopping   atomic.Bool
-	recorder   *recorder.Recorder
-	meter      *meter.Meter
-	store      *platform.Store
-	catalog    *cataloger.Cataloger
-	stager     *stager.Stager
-	beater     *beater.Beater
-	watcher    *watcher.Watcher
-	hub        *relayer.Hub
-	started    clock.Millis
-	dispatcher *dispatcher.Dispatcher
-	servers    []*http.Server
+	clock       clock.Clock
+	bounds      atomic.Pointer[platform.Bounds]
+	table       atomic.Pointer[matcher.Table]
+	tableAt     atomic.Int64 // revision of the configuration's object
+	evacuated   atomic.Pointer[map[string]bool]
+	listed      atomic.Bool
+	endpointsAt atomic.Int64 // instant of the last change of the endpoints, in ms
+	stopping    atomic.Bool
+	recorder    *recorder.Recorder
+	meter       *meter.Meter
+	store       *platform.Store
+	catalog     *cataloger.Cataloger
+	stager      *stager.Stager
+	beater      *beater.Beater
+	watcher     *watcher.Watcher
+	hub         *relayer.Hub
+	started     clock.Millis
+	dispatcher  *dispatcher.Dispatcher
+	servers     []*http.Server
 
 	mu       sync.Mutex
 	rollouts map[string]rolloutDuty // by service
--- a/launcher/launcher_test.go
+++ b/launcher/launcher_test.go
@@ -243,6 +243,7 @@
 	if status, _ := get(url, "key-2"); status != 200 {
 		t.Errorf("with invalid settings: got %d, want 200", status)
 	}
+	checkMetrics(t, "127.0.0.1")
 	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -266,6 +267,30 @@
 	}
 }
 
+// checkMetrics guards against latencies by kind of route and ages of the
+// instance's knowledge that operators cannot see.
+func checkMetrics(t *testing.T, ip string) {
+	t.Helper()
+	resp, err := http.Get("http://" + net.JoinHostPort(ip, MetricsPort) + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`rosemaryarch_request_seconds_count{kind="unsafe",outcome="2xx",service="s"}`,
+		`rosemaryarch_state{name="configuration_age_seconds"}`,
+		`rosemaryarch_state{name="endpoints_changed_seconds_ago"}`,
+	} {
+		if !strings.Contains(string(body), "\n"+want) {
+			t.Errorf("metrics lack %s", want)
+		}
+	}
+}
+
 // Guards against a number of store calls that grows with the instances: the
 // neighbours of the reader make none but to publish and list themselves.
 func TestNeighboursFollowOneReader(t *testing.T) {
--- a/launcher/state.go
+++ b/launcher/state.go
@@ -68,7 +68,9 @@
 		}
 		endpoints = append(endpoints, e)
 	}
-	l.catalog.Replace(l.clock.Now(), endpoints)
+	now := l.clock.Now()
+	l.catalog.Replace(now, endpoints)
+	l.endpointsAt.Store(int64(now))
 	l.listed.Store(true)
 	l.recorder.Keep("endpoints_listed", recorder.Number("count", len(endpoints)))
 }
@@ -84,6 +86,7 @@
 
 func (l *Launcher) changeEndpoint(o watcher.Object) {
 	now := l.clock.Now()
+	l.endpointsAt.Store(int64(now))
 	e, err := platform.DecodeEndpoint(o)
 	if o.Deleted {
 		l.catalog.Remove(now, o.Name)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -18,6 +18,7 @@
 	requests   *prometheus.CounterVec
 	tokens     *prometheus.CounterVec
 	firstToken *prometheus.HistogramVec
+	latency    *prometheus.HistogramVec
 	storeCalls *prometheus.CounterVec
 	gauges     *prometheus.GaugeVec
 	events     *prometheus.CounterVec
@@ -26,6 +27,9 @@
 // firstTokenBuckets are seconds; 0.57 s is the target for 95 in 100.
 var firstTokenBuckets = []float64{0.05, 0.1, 0.2, 0.3, 0.4, 0.57, 0.8, 1.2, 2, 5, 10}
 
+// latencyBuckets are seconds, from a plain call to the longest stream.
+var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1.5, 3, 6, 12, 25}
+
 // New returns a meter with its own registry. Every refusal and retry reason
 // starts at zero, so that a scrape shows reasons that never occurred.
 func New() *Meter {
@@ -39,13 +43,18 @@
 			Namespace: "rosemaryarch", Name: "first_token_seconds",
 			Help: "Time to the first token by service.", Buckets: firstTokenBuckets,
 		}, []string{"service"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "rosemaryarch", Name: "request_seconds",
+			Help:    "Time to the end of an answer by service, kind of route and outcome.",
+			Buckets: latencyBuckets,
+		}, []string{"service", "kind", "outcome"}),
 		storeCalls: counter("store_calls_total", "Calls to the object API by operation and outcome.", "operation", "outcome"),
 		gauges: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Namespace: "rosemaryarch", Name: "state", Help: "Present values by name.",
 		}, []string{"name"}),
 		events: counter("events_total", "Events that operators may want to see, by name.", "name"),
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.requests, m.tokens, m.firstToken, m.storeCalls, m.gauges, m.events)
+	m.registry.MustRegister(m.refusals, m.retries, m.requests, m.tokens, m.firstToken, m.latency, m.storeCalls, m.gauges, m.events)
 	for _, r := range refuser.Refusals() {
 		m.refusals.WithLabelValues(string(r.Reason))
 	}
@@ -81,6 +90,12 @@
 	m.firstToken.WithLabelValues(service).Observe(d.Duration().Seconds())
 }
 
+// Ended records the time from a request's arrival to the end of its answer.
+// The outcome is a class of statuses, such as "2xx", or "cut".
+func (m *Meter) Ended(service, kind, outcome string, d clock.Millis) {
+	m.latency.WithLabelValues(service, kind, outcome).Observe(d.Duration().Seconds())
+}
+
 // StoreCall counts a call to the object API.
 func (m *Meter) StoreCall(operation, outcome string) {
 	m.storeCalls.WithLabelValues(operation, outcome).Inc()
