proxier, soaker: listen again while other processes start

A process that is being started holds a copy of the closed listener until it has replaced its program.

Change: proxier.Listen tries again for a second where the address is in use.

--- a/proxier/proxier.go
+++ b/proxier/proxier.go
@@ -4,7 +4,7 @@
 	"io"
 	"net"
 	"sync"
-
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,9 +37,9 @@
 // New forwards connections that reach address to target. An error tells that
 // the address is not usable.
 func New(address, target string) (*Proxier, error) {
-	l, err := net.Listen("tcp4", address)
+	l, err := Listen(address)
 	if err != nil {
-		return nil, errors.Wrap(err, "proxier: listen")
+		return nil, err
 	}
 	p := &Proxier{
 		target: target, listener: l, changed: make(chan struct{}), conns: make(map[net.Conn]bool),
@@ -49,6 +49,21 @@
 	return p, nil
 }
 
+// listenTime bounds the attempts of Listen.
+const listenTime = clock.Second
+
+// Listen listens on an address that may have been closed just now. While a
+// process is started, its copy of the program's descriptors keeps a closed
+// listener for some milliseconds.
+func Listen(address string) (net.Listener, error) {
+	for end := time.Now().Add(listenTime.Duration()); ; time.Sleep(time.Millisecond) {
+		l, err := net.Listen("tcp4", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return l, errors.Wrap(err, "proxier: listen")
+		}
+	}
+}
+
 // Address returns where the proxy listens.
 func (p *Proxier) Address() string { return p.listener.Addr().String() }
 
--- a/proxier/proxier_test.go
+++ b/proxier/proxier_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"io"
 	"net"
+	"os/exec"
+	"sync"
 	"testing"
 	"time"
 
@@ -83,3 +85,38 @@
 		})
 	}
 }
+
+// Guards against a run that ends because an address counts as in use while
+// other processes are started. Found by the soak (seed 136, 8 runs at once).
+func TestListenWhileProcessesStart(t *testing.T) {
+	done := make(chan struct{})
+	var starts sync.WaitGroup
+	for range 4 {
+		starts.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					_ = exec.Command("/bin/true").Run() // only its start matters
+				}
+			}
+		})
+	}
+	l, err := Listen("127.0.0.1:0")
+	for range 3000 {
+		if err != nil {
+			break
+		}
+		address := l.Addr().String()
+		l.Close()
+		l, err = Listen(address)
+	}
+	close(done)
+	starts.Wait()
+	if err != nil {
+		t.Errorf("listen again: got %v, want none", err)
+	} else {
+		l.Close()
+	}
+}
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -4,15 +4,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
@@ -205,9 +202,9 @@
 
 // listen serves a handler at an address until it is closed.
 func listen(address string, h http.Handler) (*http.Server, error) {
-	l, err := net.Listen("tcp4", address)
+	l, err := proxier.Listen(address)
 	if err != nil {
-		return nil, errors.Wrap(err, "stand-in")
+		return nil, err
 	}
 	server := &http.Server{Handler: h}
 	go func() { _ = server.Serve(l) }() // it returns when the server is closed
