launcher: turns to read the store after a feed has failed

Change: after a failed feed the first three instances of a data centre read the store at once, six more after half a turn, the others after a turn of 0.4 s at most, which ends before a configuration has to be in force. Whoever hears meanwhile that a neighbour feeds follows it; what was heard before the failure does not count, since it may be of a neighbour that is cut off, too. To a store that does not answer, all but the first three pause for up to 2 s.

--- a/beater/beater.go
+++ b/beater/beater.go
@@ -127,7 +127,8 @@
 	}
 }
 
-// Members returns the living instances, this one included, ordered by name.
+// Members returns the living instances with the age of what is known of them,
+// this one included, ordered by name.
 func (b *Beater) Members() []Member {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -135,7 +136,9 @@
 	list := []Member{b.self()}
 	for _, p := range b.peers {
 		if b.isAlive(now, p) {
-			list = append(list, p.member)
+			m := p.member
+			m.Age = int64(now - p.heard)
+			list = append(list, m)
 		}
 	}
 	slices.SortFunc(list, func(x, y Member) int { return strings.Compare(x.Name, y.Name) })
--- a/launcher/feed.go
+++ b/launcher/feed.go
@@ -35,6 +35,22 @@
 	minFeedBound = 1500 * clock.Millis(1)
 	// readTime is kept for a connection to the store and the lists.
 	readTime = 700 * clock.Millis(1)
+	// firstReaders instances of a data centre read the store at once after a
+	// feed has failed, nextReaders wait for half of the last turn, the others for
+	// all of it. If the first ones succeed, the others follow them: without turns
+	// each instance of a large data centre makes all its lists anew.
+	firstReaders = 3
+	nextReaders  = 6
+	// lastTurn is long enough for a connection to the store, a list of each kind
+	// and the message that this instance feeds others.
+	lastTurn = 400 * clock.Millis(1)
+	// directTime is kept of the bound on configurations for reading the store.
+	directTime = 300 * clock.Millis(1)
+	// nearPoll and farPoll are the longest pauses between two calls to a store
+	// that does not answer, of the first readers and of the others, which hear
+	// of its return from them.
+	nearPoll = 600 * clock.Millis(1)
+	farPoll  = 2 * clock.Second
 	// avoidFeed is how long a neighbour whose feed failed is left alone.
 	avoidFeed = 3 * clock.Second
 )
@@ -74,9 +90,12 @@
 }
 
 func (l *Launcher) chooseRole(now clock.Millis, members []beater.Member) watcher.Role {
-	if reading := l.hub.Ready() && l.watcher.Up(); reading && now < l.urgent || now < l.urgent-settleFeeds {
+	if reading := l.hub.Ready() && l.watcher.Up(); reading && now < l.urgent {
 		return watcher.Role{Direct: true}
 	}
+	if now < l.urgent-settleFeeds {
+		return l.urgentRole(now, members)
+	}
 	position := 0
 	for _, m := range members {
 		if m.DataCentre != l.settings.DataCentre {
@@ -110,6 +129,63 @@
 	return watcher.Role{Direct: now >= due}
 }
 
+// urgentRole decides where this instance reads after its feed has failed: from
+// a neighbour that has told since then that it feeds, or, when its turn has
+// come, from the store. An earlier message may be of a neighbour that is cut
+// off, too. The lock is held.
+func (l *Launcher) urgentRole(now clock.Millis, members []beater.Member) watcher.Role {
+	waited := now - (l.urgent - settleFeeds - urgentRead)
+	for _, m := range members {
+		if l.neighbour(now, m) && m.Feeds && clock.Millis(m.Age) < waited {
+			return watcher.Role{Feed: m.Beat}
+		}
+	}
+	return watcher.Role{Direct: waited >= l.readTurn(l.position(now, members))}
+}
+
+// neighbour reports whether m is another instance of the data centre, whose
+// feed has not failed lately. The lock is held.
+func (l *Launcher) neighbour(now clock.Millis, m beater.Member) bool {
+	return m.DataCentre == l.settings.DataCentre && m.Name != l.settings.Instance && now-l.avoided[m.Name] >= avoidFeed
+}
+
+// position returns the number of neighbours before this instance. The lock is
+// held.
+func (l *Launcher) position(now clock.Millis, members []beater.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Name < l.settings.Instance && l.neighbour(now, m) {
+			n++
+		}
+	}
+	return n
+}
+
+// readTurn returns how long an instance waits for another one's feed before it
+// reads the store itself.
+func (l *Launcher) readTurn(position int) clock.Millis {
+	last := min(lastTurn, max(0, clock.Millis(l.bounds.Load().ConfigApplyMs)-l.feedBound()-directTime))
+	switch {
+	case position < firstReaders:
+		return 0
+	case position < firstReaders+nextReaders:
+		return last / 2
+	}
+	return last
+}
+
+// poll returns the longest pause between two calls to a store that does not
+// answer.
+func (l *Launcher) poll() clock.Millis {
+	members := l.beater.Members()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.position(l.clock.Now(), members) < firstReaders {
+		return nearPoll
+	}
+	return farPoll
+}
+
 // feedBound returns how long a feed is trusted without a new confirmation. What
 // is left of the time within which a configuration has to be in force is for
 // reading the store.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -147,6 +147,7 @@
 	l.watcher = watcher.New(watcher.Options{
 		Clock: l.clock, Source: l.store.Source(), Kinds: l.feedingKinds(), Lost: l.storeLost, Regained: l.storeRegained,
 		Role: l.role, Follow: l.follow, Direct: l.readDirectly, Confirmed: l.hub.Confirm, FeedEnded: l.feedEnded,
+		Poll: l.poll,
 	})
 	l.dispatcher = dispatcher.New(l.dispatcherOptions())
 	return l, nil
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -30,10 +30,9 @@
 	answerSlack = 900 * clock.Millis(1)
 	// quickWait is the wait of the first watch after a failure.
 	quickWait = clock.Millis(1)
-	// firstBackoff and maxBackoff space the calls to a store that does not
-	// answer; refused calls are priced too.
+	// firstBackoff is the first pause between two calls to a store that does
+	// not answer, which doubles up to Options.Poll; refused calls are priced too.
 	firstBackoff = 150 * clock.Millis(1)
-	maxBackoff   = 600 * clock.Millis(1)
 )
 
 // Object is one object of the store.
@@ -90,6 +89,9 @@
 	// FeedEnded takes the end of a feed, with a nil error if it ended because the
 	// role has changed.
 	FeedEnded func(address string, err error)
+	// Poll returns the longest pause between two calls to a store that does not
+	// answer.
+	Poll func() clock.Millis
 	// Lost and Regained are called when the store stops and begins to answer.
 	Lost     func(err error)
 	Regained func(away clock.Millis)
@@ -225,7 +227,7 @@
 			continue
 		}
 		w.setUp(false, err)
-		pause(ctx, min(maxBackoff, firstBackoff<<min(failures-2, 4)))
+		pause(ctx, min(w.options.Poll(), firstBackoff<<min(failures-2, 4)))
 	}
 }
 
