tests: load patterns of an emptied data centre, a crash of a quarter, abusive retries

TestLossSpreads fails if the choice ignores the work at an endpoint; the two cases of abusive retries hold the sum of repeats within the bound while clients that repeat at once begin and end.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -102,6 +102,57 @@
 	}
 }
 
+// Guards against queues at a few endpoints while others are idle: patterns "a
+// data centre is emptied", where all endpoints are far, and "a quarter of the
+// engines crashes", at four fifths of what the rest can do. Each endpoint reads
+// one ms of prompts in a ms.
+func TestLossSpreads(t *testing.T) {
+	tests := map[string]func(list []Candidate) []Candidate{
+		"emptied data centre": func(list []Candidate) []Candidate {
+			for i := range list {
+				list[i].Near = false
+			}
+			return list[:45]
+		},
+		"crash of a quarter": func(list []Candidate) []Candidate {
+			for i := range list {
+				list[i].Near = i%4 == 0
+			}
+			return list[:45]
+		},
+		"no near endpoint left": func(list []Candidate) []Candidate {
+			for i := range list {
+				list[i].Near = i >= 45
+			}
+			return list[:45]
+		},
+	}
+	for name, loss := range tests {
+		t.Run(name, func(t *testing.T) {
+			b, list := Default(), loss(candidates(60))
+			const requests, load = 4000, 0.8
+			q := Query{Prompt: 60, Shared: 26, Distance: 350}
+			step := q.Prompt / (load * float64(len(list)))
+			late := 0
+			for k := range requests {
+				q.Subject = fmt.Sprint("topic-", k*7919%573)
+				i := b.Pick(q, list, fmt.Sprint(k))
+				if list[i].Work > 1500 {
+					late++
+				}
+				list[i].Work += q.Prompt
+				for j := range list {
+					list[j].Work = max(0, list[j].Work-step)
+				}
+			}
+			// 1.5 s is the target of short prompts.
+			if late > 0 {
+				t.Errorf("%d of %d requests wait more than 1.5 s at 0.8 of the capacity", late, requests)
+			}
+		})
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	list := candidates(20)
 	d := Default()
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -20,12 +20,15 @@
 		requests int // per second and instance at the start
 		later    int // after 15 s
 	}{
-		"steady":          {9, 10, 10},
-		"burst ends":      {9, 60, 2},
-		"idle":            {9, 0, 0},
-		"idle, many":      {76, 0, 0},
-		"many":            {76, 4, 4},
-		"traffic returns": {9, 0, 20},
+		// Clients that repeat at once send four times the usual.
+		"abusive retries begin": {9, 5, 20},
+		"abusive retries end":   {9, 20, 5},
+		"steady":                {9, 10, 10},
+		"burst ends":            {9, 60, 2},
+		"idle":                  {9, 0, 0},
+		"idle, many":            {76, 0, 0},
+		"many":                  {76, 4, 4},
+		"traffic returns":       {9, 0, 20},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
