soaker, cmd: options of a soak are checked, errors of the soak spoil the run

An error of the soak itself, such as an instance that cannot be started again, was only noted; it counts as a broken run now. Numbers of instances and endpoints that do not fit into the addresses of a run end the command with one line. Two functions are split for the linter.

--- a/cmd/rosemaryarch/soak.go
+++ b/cmd/rosemaryarch/soak.go
@@ -28,19 +28,37 @@
 	Faults    bool   `arg:"--faults" help:"print each fault"`
 }
 
-// maxParallel keeps the runs apart on loopback addresses and the processes
-// within a few hundred.
-const maxParallel = 24
+const (
+	// firstLane is the third byte of the loopback addresses of the first of
+	// several runs at once; the tests of the soak use those from 200 on.
+	firstLane = 100
+	// maxParallel keeps the runs apart on these addresses.
+	maxParallel = 24
+	// maxInstances and maxEndpoints fit into the addresses and ports of one run.
+	maxInstances = 200
+	maxEndpoints = 50
+)
 
 var errPromises = errors.New("promises were broken")
 
-func (c *soakCommand) run(ctx context.Context) error {
+// check reports options that cannot be used.
+func (c *soakCommand) check() error {
 	if c.Count < 1 || c.Instances < 1 || c.Endpoints < 1 || c.Callers < 1 || c.Seconds < 0 {
 		return usageError("the numbers of seeds, instances, endpoints and callers must be positive")
 	}
 	if c.Parallel < 1 || c.Parallel > maxParallel {
 		return usageError(fmt.Sprintf("--parallel must be 1 to %d", maxParallel))
 	}
+	if c.Instances > maxInstances || c.Endpoints > maxEndpoints {
+		return usageError(fmt.Sprintf("at most %d instances and %d endpoints of a service", maxInstances, maxEndpoints))
+	}
+	return nil
+}
+
+func (c *soakCommand) run(ctx context.Context) error {
+	if err := c.check(); err != nil {
+		return err
+	}
 	program := c.Program
 	if program == "" {
 		self, err := os.Executable()
@@ -51,7 +69,7 @@
 	}
 	lanes := make(chan int, c.Parallel)
 	for i := range c.Parallel {
-		lanes <- 100 + i
+		lanes <- firstLane + i
 	}
 	var runs errgroup.Group
 	runs.SetLimit(c.Parallel)
@@ -60,22 +78,13 @@
 		runs.Go(func() error {
 			lane := <-lanes
 			defer func() { lanes <- lane }()
-			seed := c.First + uint64(i)
-			o := soaker.Options{
-				Program: program, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", seed)), Seed: seed, Net: lane,
-				Instances: c.Instances, Endpoints: c.Endpoints, Callers: c.Callers,
-				Faults: clock.Millis(c.Seconds) * clock.Second,
-			}
-			if c.Faults {
-				o.Out = os.Stdout
-			}
-			r, err := soaker.New(o).Run(ctx)
+			r, err := soaker.New(c.options(program, c.First+uint64(i), lane)).Run(ctx)
 			if err != nil {
-				return errors.Wrapf(err, "seed %d", seed)
+				return errors.Wrapf(err, "seed %d", c.First+uint64(i))
 			}
 			fmt.Println(r)
 			if len(r.Violations) > 0 {
-				broken <- seed
+				broken <- r.Seed
 			}
 			return nil
 		})
@@ -88,3 +97,16 @@
 	}
 	return nil
 }
+
+// options returns the settings of one run; lane is the third byte of its
+// loopback addresses.
+func (c *soakCommand) options(program string, seed uint64, lane int) soaker.Options {
+	o := soaker.Options{
+		Program: program, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", seed)), Seed: seed, Net: lane,
+		Instances: c.Instances, Endpoints: c.Endpoints, Callers: c.Callers, Faults: clock.Millis(c.Seconds) * clock.Second,
+	}
+	if c.Faults {
+		o.Out = os.Stdout
+	}
+	return o
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -54,7 +54,8 @@
 		}, []string{"name"}),
 		events: counter("events_total", "Events that operators may want to see, by name.", "name"),
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.requests, m.tokens, m.firstToken, m.latency, m.storeCalls, m.gauges, m.events)
+	m.registry.MustRegister(
+		m.refusals, m.retries, m.requests, m.tokens, m.firstToken, m.latency, m.storeCalls, m.gauges, m.events)
 	for _, r := range refuser.Refusals() {
 		m.refusals.WithLabelValues(string(r.Reason))
 	}
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -53,8 +53,8 @@
 
 // span is the time of a fault.
 type span struct {
-	from, to clock.Millis
-	planned  bool // a signal to stop, which bounds in time do not excuse for all
+	from, to clock.Millis // to is 0 while it lasts
+	planned  bool         // work of operators, around which no answer may be cut
 }
 
 // checker collects what callers and endpoints see. It is safe for concurrent
@@ -110,7 +110,7 @@
 }
 
 // calm reports whether no fault touched the time from contactTime before from
-// until to. The lock is held.
+// until to. Planned work counts only if planned is set. The lock is held.
 func (c *checker) calm(from, to clock.Millis, planned bool) bool {
 	for _, s := range c.spans {
 		if s.planned && !planned {
@@ -165,20 +165,29 @@
 func promise(status int) bool { return slices.Contains([]int{408, 421, 429, 503}, status) }
 
 func (c *checker) judgeAnswer(q request, a answer, broken func(string, ...any)) {
-	at := func() string { return fmt.Sprintf("%s at %d ms, by %s", a.id, q.sent-c.begin, a.instance) }
+	at := fmt.Sprintf("%s at %d ms, by %s", a.id, q.sent-c.begin, a.instance)
+	ran := len(c.runs[a.id]) > 0
 	switch {
 	case a.problem != "":
-		broken("MIXED: %s: %s", at(), a.problem)
-	case a.err == nil && a.status >= 200 && a.status < 300 && a.signature != "signed "+a.id:
-		broken("MIXED: %s: success with the signature %q", at(), a.signature)
-	case a.err == nil && promise(a.status) && q.kind == matcher.Unsafe && len(c.runs[a.id]) > 0:
-		broken("REFUSED: %s: status %d, and ran at %s", at(), a.status, c.runs[a.id][0].endpoint)
-	case a.err == nil && slices.Contains([]int{400, 404, 413, 431}, a.status):
-		broken("DENIED: %s: status %d", at(), a.status)
-	case a.err == nil && a.status == 401 && c.inForce(q, a):
-		broken("DENIED: %s: status 401 for a key in force", at())
-	case a.err != nil && !a.timedOut && len(c.runs[a.id]) > 0 && c.calm(q.sent, a.ended, false):
-		broken("LOST: %s: cut after it had been passed on, with no fault: %v", at(), a.err)
+		broken("MIXED: %s: %s", at, a.problem)
+	case a.err == nil:
+		c.judgeStatus(q, a, at, broken)
+	case !a.timedOut && ran && c.calm(q.sent, a.ended, false):
+		broken("LOST: %s: cut after it had been passed on, with no fault: %v", at, a.err)
+	}
+}
+
+// judgeStatus judges an answer that came whole.
+func (c *checker) judgeStatus(q request, a answer, at string, broken func(string, ...any)) {
+	switch {
+	case a.status >= 200 && a.status < 300 && a.signature != "signed "+a.id:
+		broken("MIXED: %s: success with the signature %q", at, a.signature)
+	case promise(a.status) && q.kind == matcher.Unsafe && len(c.runs[a.id]) > 0:
+		broken("REFUSED: %s: status %d, and ran at %s", at, a.status, c.runs[a.id][0].endpoint)
+	case slices.Contains([]int{400, 404, 413, 431}, a.status):
+		broken("DENIED: %s: status %d", at, a.status)
+	case a.status == 401 && c.inForce(q, a):
+		broken("DENIED: %s: status 401 for a key in force", at)
 	}
 }
 
@@ -221,7 +230,8 @@
 	if len(r.Violations) > 0 {
 		verdict = fmt.Sprintf("broke %d promises", len(r.Violations))
 	}
-	fmt.Fprintf(&b, "seed %d: %d requests, %d answered, %d faults: %s", r.Seed, r.Requests, r.Answered, len(r.Faults), verdict)
+	fmt.Fprintf(&b, "seed %d: %d requests, %d answered, %d faults: %s",
+		r.Seed, r.Requests, r.Answered, len(r.Faults), verdict)
 	for _, v := range r.Violations {
 		fmt.Fprintf(&b, "\n  %s", v)
 	}
--- a/soaker/schedule.go
+++ b/soaker/schedule.go
@@ -87,11 +87,15 @@
 	s.store.SetFault(storekeeper.None)
 }
 
-// report notes an error of the soak itself as a broken promise.
+// report notes an error of the soak itself, which spoils the run.
 func (s *Soaker) report(err error) {
-	if err != nil {
-		s.note("soak: %v", err)
+	if err == nil {
+		return
 	}
+	s.note("soak: %v", err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.problems = append(s.problems, fmt.Sprintf("SOAK: %v", err))
 }
 
 func storeFault(f storekeeper.Fault) func(*Soaker, context.Context, step) {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -34,13 +34,13 @@
 
 // Options are the settings of a run.
 type Options struct {
-	Program   string       // built rosemaryarch
-	Dir       string       // takes settings and logs
-	Seed      uint64       //
-	Net       int          // third byte of the loopback addresses, so that runs can stand side by side
-	Instances int          //
-	Endpoints int          // of each service
-	Callers   int          //
+	Program   string // built rosemaryarch
+	Dir       string // takes settings and logs
+	Seed      uint64
+	Net       int // third byte of the loopback addresses, so that runs can stand side by side
+	Instances int
+	Endpoints int // of each service
+	Callers   int
 	Faults    clock.Millis // length of the part with faults
 	Out       io.Writer    // takes one line for each fault; nil: none
 }
@@ -67,8 +67,9 @@
 	config    *operator
 	done      chan struct{} // closed when callers stop
 
-	mu     sync.Mutex
-	faults []string
+	mu       sync.Mutex
+	faults   []string // lines of the schedule as it was played
+	problems []string // errors of the soak itself
 }
 
 // New prepares a run. It panics if a number of parts is not positive.
@@ -106,6 +107,7 @@
 	}
 	r := &Report{Seed: s.options.Seed, Faults: s.faults}
 	r.Requests, r.Answered, r.Violations = s.checker.judge(calm + calmTime - checkedTime)
+	r.Violations = append(r.Violations, s.problems...)
 	for _, i := range s.instances {
 		if err := i.unexpected(); err != nil {
 			r.Violations = append(r.Violations, err.Error())
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -289,7 +289,7 @@
 						}
 						return Role{}
 					},
-					Follow:    func(ctx context.Context, _ string) error { return tt.follow(ctx) },
+					Follow: func(ctx context.Context, _ string) error { return tt.follow(ctx) },
 					FeedEnded: func(_ string, err error) {
 						select {
 						case ended <- err:
