--- a/cmd/rosemaryarch/main_test.go
+++ b/cmd/rosemaryarch/main_test.go
@@ -56,7 +56,7 @@
 		"empty key file":        {"status --key-file /dev/null", exitFailed, "/dev/null is empty"},
 		"no base URL":           {"status --key-file KEY --instance 127.0.0.1:1", exitFailed, "http://127.0.0.1:8101"},
 		"unreachable":           {"status --key-file KEY --instance http://127.0.0.1:1", exitFailed, "cannot be reached"},
-		"soak without a folder": {"soak", exitUsage, "--dir is required"},
+		"soak without a folder": {"soak", exitUsage, "DIR is required"},
 		"soak of nothing":       {"soak --dir x --instances 0", exitUsage, "must be positive"},
 		"too many runs at once": {"soak --dir x --parallel 99", exitUsage, "--parallel must be 1 to 24"},
 		"too many processes":    {"soak --dir x --instances 500", exitUsage, "at most 200 instances"},
