--- a/launcher/feed.go
+++ b/launcher/feed.go
@@ -33,7 +33,8 @@
 	// minFeedBound is above the time between two confirmations of a reader, one
 	// second and the answer of a slow store.
 	minFeedBound = 1500 * clock.Millis(1)
-	// readTime is kept for a connection to the store and the lists.
+	// readTime is kept of the bound on configurations for the turn of an instance
+	// and for reading the store.
 	readTime = 700 * clock.Millis(1)
 	// firstReaders instances of a data centre read the store at once after a
 	// feed has failed, nextReaders wait for half of the last turn, the others for
@@ -41,10 +42,11 @@
 	// each instance of a large data centre makes all its lists anew.
 	firstReaders = 3
 	nextReaders  = 6
-	// lastTurn is long enough for a connection to the store, a list of each kind
-	// and the message that this instance feeds others.
+	// lastTurn is the longest turn: a connection to the store, a list of each kind
+	// and the message that an instance feeds others fit into it.
 	lastTurn = 400 * clock.Millis(1)
-	// directTime is kept of the bound on configurations for reading the store.
+	// directTime is the part of readTime for the reading alone: a connection to
+	// the store and the lists.
 	directTime = 300 * clock.Millis(1)
 	// nearPoll and farPoll are the longest pauses between two calls to a store
 	// that does not answer, of the first readers and of the others, which hear
@@ -237,8 +239,8 @@
 	}
 }
 
-// distrust makes this instance read the store at once after a feed has failed:
-// it may have missed a change that has to be in force within two seconds.
+// distrust makes this instance read the store at its turn after a feed has
+// failed: it may have missed a change that has to be in force within seconds.
 func (l *Launcher) distrust(now clock.Millis, address string, members []beater.Member) {
 	l.avoid(now, address, members)
 	l.mu.Lock()
