soaker: a run takes loopback addresses that no other run uses

Change: a run claims a network by the address of its store and keeps that listener; a program that does not exist is reported before anything is set up.

--- a/cmd/rosemaryarch/main_test.go
+++ b/cmd/rosemaryarch/main_test.go
@@ -60,7 +60,7 @@
 		"soak of nothing":       {"soak --dir x --instances 0", exitUsage, "must be positive"},
 		"too many runs at once": {"soak --dir x --parallel 99", exitUsage, "--parallel must be 1 to 24"},
 		"too many processes":    {"soak --dir x --instances 500", exitUsage, "at most 200 instances"},
-		"no program":            {"soak --dir KEY.d --program /none --seconds 0", exitFailed, "start an instance"},
+		"no program":            {"soak --dir KEY.d --program /none --seconds 0", exitFailed, "program to run"},
 		"change not sent": {
 			"keys rotate --change-id x --key-file KEY --instance http://127.0.0.1:1", exitFailed, "change x was not made",
 		},
--- a/cmd/rosemaryarch/soak.go
+++ b/cmd/rosemaryarch/soak.go
@@ -29,10 +29,7 @@
 }
 
 const (
-	// firstLane is the third byte of the loopback addresses of the first of
-	// several runs at once; the tests of the soak use those from 200 on.
-	firstLane = 100
-	// maxParallel keeps the runs apart on these addresses.
+	// maxParallel keeps the processes within a few hundred at the usual size.
 	maxParallel = 24
 	// maxInstances and maxEndpoints fit into the addresses and ports of one run.
 	maxInstances = 200
@@ -67,18 +64,12 @@
 		}
 		program = self
 	}
-	lanes := make(chan int, c.Parallel)
-	for i := range c.Parallel {
-		lanes <- firstLane + i
-	}
 	var runs errgroup.Group
 	runs.SetLimit(c.Parallel)
 	broken := make(chan uint64, c.Count)
 	for i := range c.Count {
 		runs.Go(func() error {
-			lane := <-lanes
-			defer func() { lanes <- lane }()
-			r, err := soaker.New(c.options(program, c.First+uint64(i), lane)).Run(ctx)
+			r, err := soaker.New(c.options(program, c.First+uint64(i))).Run(ctx)
 			if err != nil {
 				return errors.Wrapf(err, "seed %d", c.First+uint64(i))
 			}
@@ -98,11 +89,10 @@
 	return nil
 }
 
-// options returns the settings of one run; lane is the third byte of its
-// loopback addresses.
-func (c *soakCommand) options(program string, seed uint64, lane int) soaker.Options {
+// options returns the settings of one run.
+func (c *soakCommand) options(program string, seed uint64) soaker.Options {
 	o := soaker.Options{
-		Program: program, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", seed)), Seed: seed, Net: lane,
+		Program: program, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", seed)), Seed: seed,
 		Instances: c.Instances, Endpoints: c.Endpoints, Callers: c.Callers, Faults: clock.Millis(c.Seconds) * clock.Second,
 	}
 	if c.Faults {
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -55,10 +56,11 @@
 
 // start starts the endpoint's next process, under its former id or a new one.
 func (e *endpoint) start(sameID bool) error {
-	server, err := listen(e.soak.address(endpointHost, endpointPort+e.index), e)
+	l, err := proxier.Listen(e.soak.address(endpointHost, endpointPort+e.index))
 	if err != nil {
 		return err
 	}
+	server := serve(l, e)
 	e.mu.Lock()
 	e.life++
 	if !sameID || e.id == "" {
@@ -200,13 +202,9 @@
 	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", i, request, i)
 }
 
-// listen serves a handler at an address until it is closed.
-func listen(address string, h http.Handler) (*http.Server, error) {
-	l, err := proxier.Listen(address)
-	if err != nil {
-		return nil, err
-	}
+// serve serves a handler until it is closed.
+func serve(l net.Listener, h http.Handler) *http.Server {
 	server := &http.Server{Handler: h}
 	go func() { _ = server.Serve(l) }() // it returns when the server is closed
-	return server, nil
+	return server
 }
--- a/soaker/instance.go
+++ b/soaker/instance.go
@@ -40,7 +40,7 @@
 	}
 	n := &instance{soak: s, name: fmt.Sprintf("edge-%d", i+1), store: store}
 	set := &platform.Settings{
-		Instance: n.name, DataCentre: dataCentre(i), Region: "r", IP: fmt.Sprintf("127.0.%d.%d", s.options.Net, host),
+		Instance: n.name, DataCentre: dataCentre(i), Region: "r", IP: fmt.Sprintf("127.0.%d.%d", s.net, host),
 		PeerPorts: []int{peerPort, peerPort},
 	}
 	set.Listen.Front, set.Listen.Ready = s.address(host, frontPort), s.address(host, readyPort)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -37,7 +38,6 @@
 	Program   string // built rosemaryarch
 	Dir       string // takes settings and logs
 	Seed      uint64
-	Net       int // third byte of the loopback addresses, so that runs can stand side by side
 	Instances int
 	Endpoints int // of each service
 	Callers   int
@@ -57,6 +57,7 @@
 // Soaker is one run.
 type Soaker struct {
 	options   Options
+	net       int // third byte of the loopback addresses of this run
 	clock     clock.Clock
 	rand      *rand.Rand // of the schedule
 	store     *storekeeper.Storekeeper
@@ -118,7 +119,7 @@
 
 // address returns a loopback address of this run.
 func (s *Soaker) address(host, port int) string {
-	return fmt.Sprintf("127.0.%d.%d:%d", s.options.Net, host, port)
+	return fmt.Sprintf("127.0.%d.%d:%d", s.net, host, port)
 }
 
 // Ports and hosts of a run.
@@ -135,15 +136,39 @@
 	firstHost    = 10 // of the instances
 )
 
+// Loopback networks of runs, by the third byte of their addresses.
+const (
+	firstNet = 100
+	nets     = 150
+)
+
+// claimNet takes a network that no other run on this machine uses and returns
+// the listener of its store.
+func (s *Soaker) claimNet() (net.Listener, error) {
+	var last error
+	for range nets {
+		s.net = firstNet + rand.IntN(nets)
+		l, err := net.Listen("tcp4", s.address(storeHost, storePort))
+		if err == nil {
+			return l, nil
+		}
+		last = err
+	}
+	return nil, errors.Wrap(last, "no free loopback network for the run")
+}
+
 func (s *Soaker) setUp() error {
+	if _, err := os.Stat(s.options.Program); err != nil {
+		return errors.Wrap(err, "program to run")
+	}
 	if err := os.MkdirAll(s.options.Dir, 0o700); err != nil {
 		return errors.Wrap(err, "directory of the run")
 	}
-	server, err := listen(s.address(storeHost, storePort), s.store)
+	store, err := s.claimNet()
 	if err != nil {
 		return err
 	}
-	s.storeHTTP = server
+	s.storeHTTP = serve(store, s.store)
 	for i := range 2 * s.options.Endpoints {
 		service := plainService
 		if i >= s.options.Endpoints {
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -34,12 +34,12 @@
 	if err := yaml.Unmarshal(text, &seeds); err != nil {
 		t.Fatal(err)
 	}
-	for i, x := range seeds {
+	for _, x := range seeds {
 		t.Run(x.Cause, func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
 			r, err := New(Options{
-				Program: program, Dir: dir, Seed: x.Seed, Net: 200 + i, Instances: 4, Endpoints: 2, Callers: 6,
+				Program: program, Dir: dir, Seed: x.Seed, Instances: 4, Endpoints: 2, Callers: 6,
 				Faults: clock.Millis(x.Seconds) * clock.Second,
 			}).Run(t.Context())
 			if err != nil {
