--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -132,6 +132,12 @@
 	return s.specs[name]
 }
 
+func (s *seen) changes() (lost, back int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost, s.back
+}
+
 func start(ctx context.Context, c clock.Clock, source Source) (*Watcher, *seen) {
 	s := &seen{specs: make(map[string]string)}
 	kind := func(name string, wait clock.Millis) Kind {
@@ -227,8 +233,8 @@
 		}
 		f.set(func() { f.down = nil })
 		time.Sleep(2 * time.Second)
-		if !w.Up() || s.lost != 1 || s.back != 2 {
-			t.Errorf("after the return: up %v, lost %d times, regained %d times", w.Up(), s.lost, s.back)
+		if lost, back := s.changes(); !w.Up() || lost != 1 || back != 2 {
+			t.Errorf("after the return: up %v, lost %d times, regained %d times", w.Up(), lost, back)
 		}
 		cancel()
 		synctest.Wait()
