dispatcher: a small model's answer is dropped only once the larger model has a place

Cause: stream dropped an answer below the threshold and only then asked the retry budget; when the budget of the instance was spent, the client got 502 (logged as no_endpoint, the initial value of the last error).

Change: escalate reserves the endpoint and counts the repeat first; if either cannot be had, the answer that is there is delivered. A reservation is given back when the configuration changes or the client leaves.

Ruled out: too few endpoints (64 listed, least work 0 to 500 ms when it happened).

--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -44,6 +44,7 @@
 	begun    bool // the client has got the header
 	lastID   int64
 	model    int // index into the route's models
+	reserved *reservation
 	endpoint string
 	status   int
 	reason   string
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/recorder"
 	"rosemaryarch.example/rosemaryarch/refuser"
 )
@@ -45,13 +46,14 @@
 const (
 	finished next = iota // the client has its final answer
 	again                // another endpoint may be tried
-	larger               // the largest model is to answer
+	larger               // the largest model is to answer at the reserved endpoint
 )
 
 // run sends the request until it has an answer.
 func (x *exchange) run(ctx context.Context) {
 	d := x.dispatcher
-	var last error = refuser.ErrNoEndpoint.WithRetryAfter(busyRetry)
+	defer x.dropReserved()
+	var last error
 	for {
 		if err := x.mayGoOn(ctx); err != nil {
 			x.refuse(pickError(x, err, last))
@@ -63,7 +65,9 @@
 			return
 		}
 		repeat := x.sends > 0
-		if repeat && !d.options.Budget.Repeat(x.now(), q.service, d.options.Members(), x.reserveShare()) {
+		if x.reserved != nil {
+			x.reserved = nil // escalate has counted the repeat
+		} else if repeat && !x.countRepeat(q) {
 			d.ended(x.now(), c, true)
 			x.refuse(pickError(x, refuser.ErrRetryBudget, last))
 			return
@@ -90,7 +94,6 @@
 				x.model = 0
 			}
 		case larger:
-			x.model = len(x.route.Models) - 1
 			d.options.Meter.Retried(refuser.RetryEscalate)
 		}
 	}
@@ -131,6 +134,59 @@
 	return nil
 }
 
+// countRepeat reports whether the retry budget allows one more send of the
+// request, and counts it if so.
+func (x *exchange) countRepeat(q *search) bool {
+	d := x.dispatcher
+	return d.options.Budget.Repeat(x.now(), q.service, d.options.Members(), x.reserveShare())
+}
+
+// reservation is an endpoint for the largest model, with the repeat counted by
+// the retry budget.
+type reservation struct {
+	choice *choice
+	search *search
+	table  *matcher.Table // configuration for which it holds
+}
+
+// escalate makes the largest model answer. It reports false, and changes
+// nothing, if no endpoint may take it or the retry budget is spent: the answer
+// that is there must not be dropped for one that cannot be had.
+func (x *exchange) escalate() bool {
+	d, model := x.dispatcher, x.model
+	x.model = len(x.route.Models) - 1
+	q := x.search()
+	if x.countRepeat(q) {
+		if c := d.choose(x.now(), q); c != nil {
+			x.reserved = &reservation{choice: c, search: q, table: x.table}
+			return true
+		}
+		d.options.Budget.Return(x.now(), q.service)
+	}
+	x.model = model
+	return false
+}
+
+// takeReserved returns the endpoint that escalate reserved, nil if there is
+// none or the configuration has changed since.
+func (x *exchange) takeReserved() *reservation {
+	if x.reserved != nil && x.reserved.table != x.table {
+		x.dropReserved()
+	}
+	return x.reserved
+}
+
+// dropReserved gives back what escalate reserved and nothing has used.
+func (x *exchange) dropReserved() {
+	r := x.reserved
+	if r == nil {
+		return
+	}
+	x.reserved = nil
+	x.dispatcher.ended(x.now(), r.choice, true)
+	x.dispatcher.options.Budget.Return(x.now(), r.search.service)
+}
+
 // reserve finds an endpoint, waiting for a while if none may take the request.
 func (x *exchange) reserve(ctx context.Context) (*choice, *search, error) {
 	d := x.dispatcher
@@ -139,6 +195,9 @@
 		if err := x.stillPermitted(); err != nil {
 			return nil, nil, err
 		}
+		if r := x.takeReserved(); r != nil {
+			return r.choice, r.search, nil
+		}
 		q := x.search()
 		if c := d.choose(x.now(), q); c != nil {
 			return c, q, nil
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -45,7 +45,7 @@
 // stream passes events on as they arrive.
 func (s *sending) stream(ctx context.Context) (next, error) {
 	x, a := s.exchange, s.answer
-	if !x.begun && !s.accept() {
+	if !x.begun && !s.accept() && x.escalate() {
 		s.outcome, s.counts = "less_confident", true
 		return larger, nil
 	}
--- a/dispatcher/stream_test.go
+++ b/dispatcher/stream_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 
+	"rosemaryarch.example/rosemaryarch/budgeter"
+	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
 )
 
@@ -132,3 +134,45 @@
 		})
 	}
 }
+
+// Guards against a ready answer of a small model that is dropped although the
+// retry budget or the endpoints leave no room for the larger model: the client
+// got 502 in place of it. Found on kseal-router-grown, where one stream in
+// twenty-five ended so.
+func TestCascadeKeepsAnswerWithoutRoom(t *testing.T) {
+	small := func(c net.Conn, r *http.Request, _ string) bool {
+		if r.Header.Get("X-Model") != "m0" {
+			return say(c, r, 503, "", "X-Not-Run: 1")
+		}
+		return events(c, r, 1, 4, true, "X-Confidence: 1")
+	}
+	tests := map[string]struct {
+		endpoints []behaviour
+		budget    budgeter.Options
+	}{
+		"budget spent":      {[]behaviour{small, small, small}, budgeter.Options{Window: 10 * clock.Second}},
+		"no other endpoint": {[]behaviour{small}, budgeter.Options{Window: 10 * clock.Second, Ratio: 0.9, Slack: 50}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(matcher.Stream, func(r *matcher.Route) {
+				r.Resumable, r.Models = true, []string{"m0", "m1", "m2"}
+			}), tt.endpoints...)
+			f.dispatcher.options.Budget = budgeter.New(tt.budget)
+			got := f.do("POST", "/a/x", "prompt", "X-Model", "*")
+			if got.status != 200 || got.body != wholeStream || got.err != nil {
+				t.Errorf("got %d %q %v, want the small model's whole stream", got.status, got.body, got.err)
+			}
+			if n := f.sent(); n != 1 {
+				t.Errorf("sends: got %d, want 1", n)
+			}
+			f.dispatcher.mu.Lock()
+			defer f.dispatcher.mu.Unlock()
+			for id, l := range f.dispatcher.loads {
+				if l.running != 0 {
+					t.Errorf("endpoint %s: got %d reserved sends after the end, want 0", id, l.running)
+				}
+			}
+		})
+	}
+}
