beater: work that neighbours have told shrinks once, not for each of them

Cause: Load subtracted the age of each neighbour's message from that neighbour's part, so ten parts of 100 ms were gone after 100 ms although the endpoint had done 100 ms of them.

Change: the parts are added first and shrink by their mean age.

--- a/beater/beater_test.go
+++ b/beater/beater_test.go
@@ -315,6 +315,28 @@
 	}
 }
 
+// Guards against work of several neighbours that shrinks by the age of each of
+// their messages, as if the endpoint did it several times over: full endpoints
+// looked empty.
+func TestWorkShrinksOnce(t *testing.T) {
+	now := clock.Minute
+	b := quiet(t, &now, "a0", "a")
+	for i := range 10 {
+		b.hear(&Message{
+			From:   Member{Name: fmt.Sprint("a", i+1), DataCentre: "a", Incarnation: 1},
+			Loaded: true, Loads: []Load{{Endpoint: 7, Work: 100, Running: 1}},
+		})
+	}
+	now += 400
+	if work, _, _ := b.Load(7); work != 600 {
+		t.Errorf("work of ten neighbours after 400 ms: got %v, want 600 of 1000", work)
+	}
+	now += 700
+	if work, _, _ := b.Load(7); work != 0 {
+		t.Errorf("work after 1100 ms: got %v, want 0", work)
+	}
+}
+
 // Guards against full answers to every instance of a fleet that starts: with
 // 300 instances they took most of the processor before the first request.
 func TestFullRepliesAreSpaced(t *testing.T) {
--- a/beater/loads.go
+++ b/beater/loads.go
@@ -44,13 +44,28 @@
 
 // endpointLoad is the work on one endpoint.
 type endpointLoad struct {
-	work    float64
+	work    float64 // ms, as told
+	aging   float64 // sum of each part of work times its age
 	running int
 	delay   float64
 }
 
-func (l endpointLoad) plus(work float64, running int, delay float64) endpointLoad {
-	return endpointLoad{work: l.work + max(0, work), running: l.running + running, delay: max(l.delay, delay)}
+// plus adds what was told some time ago.
+func (l endpointLoad) plus(work float64, running int, delay float64, age clock.Millis) endpointLoad {
+	return endpointLoad{
+		work: l.work + work, aging: l.aging + work*float64(age), running: l.running + running,
+		delay: max(l.delay, delay*math.Exp2(-float64(age)/delayHalf)),
+	}
+}
+
+// left returns the work that is still to be done: an endpoint does one ms of it
+// in a ms, whoever has sent it. Work that is over would send all instances
+// elsewhere at once.
+func (l endpointLoad) left() float64 {
+	if l.work <= 0 {
+		return 0
+	}
+	return max(0, l.work-l.aging/l.work)
 }
 
 // loadTable holds the work of all other instances, by the low half of the hash
@@ -60,11 +75,7 @@
 	loads map[uint32]endpointLoad
 }
 
-func aged(delay float64, age clock.Millis) float64 { return delay * math.Exp2(-float64(age)/delayHalf) }
-
-// neighbourLoads sums what living neighbours have told. Work is taken to shrink
-// since the message: work that is over would send all instances elsewhere at
-// once. The lock is held.
+// neighbourLoads sums what living neighbours have told. The lock is held.
 func (b *Beater) neighbourLoads(now clock.Millis) map[uint32]endpointLoad {
 	sums := make(map[uint32]endpointLoad, len(b.table.loads))
 	for p := range b.peers.ordered() {
@@ -74,7 +85,7 @@
 		age := now - p.heard
 		for _, l := range p.loads {
 			key := uint32(l.Endpoint)
-			sums[key] = sums[key].plus(float64(l.Work)-float64(age), l.Running, aged(float64(l.Delay), age))
+			sums[key] = sums[key].plus(float64(l.Work), l.Running, float64(l.Delay), age)
 		}
 	}
 	return sums
@@ -86,12 +97,12 @@
 	loads := b.neighbourLoads(now)
 	for _, l := range own.Loads {
 		key := uint32(l.Endpoint)
-		loads[key] = loads[key].plus(float64(l.Work), l.Running, float64(l.Delay))
+		loads[key] = loads[key].plus(float64(l.Work), l.Running, float64(l.Delay), 0)
 	}
 	s := &Summary{Instances: 1, Rates: own.Rates}
 	for key, l := range loads {
 		s.Loads = append(s.Loads, LoadSum{
-			Endpoint: key, Work: uint32(l.work), Running: uint32(l.running), Delay: uint32(l.delay),
+			Endpoint: key, Work: uint32(l.left()), Running: uint32(l.running), Delay: uint32(l.delay),
 		})
 	}
 	rates := make(map[uint64]Rate)
@@ -126,7 +137,7 @@
 		b.table = loadTable{at: now, loads: b.loads(now)}
 	}
 	l := b.table.loads[uint32(endpoint)]
-	return l.work, l.running, l.delay
+	return l.left(), l.running, l.delay
 }
 
 // loads sums the work that all living instances have told. The lock is held.
@@ -138,9 +149,7 @@
 			continue
 		}
 		for _, l := range s.Loads {
-			sums[l.Endpoint] = sums[l.Endpoint].plus(
-				float64(l.Work)-float64(age), int(l.Running), aged(float64(l.Delay), age),
-			)
+			sums[l.Endpoint] = sums[l.Endpoint].plus(float64(l.Work), int(l.Running), float64(l.Delay), age)
 		}
 	}
 	return sums
