balancer, budgeter: distance by bytes, large shared parts anywhere, reserve by confidence

Change: 40 ms and 4 ms for each KB of body; subjects whose cached part saves more than twice that are hashed over all data centres; the reserve grows with the confidence from 0.1 to 0.35 and holds for the own part, too; shares below one repeat give one in a longer time.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -60,7 +60,10 @@
 	if key == "" {
 		key = salt
 	}
-	chosen := order(key, list)
+	// A cache that saves more than a far endpoint costs is worth its place
+	// anywhere; the others are looked for nearby.
+	anywhere := q.Subject != "" && b.HitFirst*q.Shared > 2*q.Distance
+	chosen := order(key, list, anywhere)
 	best, bestCost := -1, 0.0
 	for rank, i := range chosen {
 		if i < 0 {
@@ -71,7 +74,7 @@
 		}
 	}
 	// Of the others, too, only a few are looked at, which differ by request.
-	for _, i := range order(salt, list) {
+	for _, i := range order(salt, list, false) {
 		if i < 0 {
 			break
 		}
@@ -118,13 +121,13 @@
 }
 
 // order returns the indices of the first endpoints for a key, nearby ones
-// before others; -1 where there are fewer.
-func order(key string, list []Candidate) [choices]int {
+// before others unless anywhere is set; -1 where there are fewer.
+func order(key string, list []Candidate, anywhere bool) [choices]int {
 	first := [choices]int{-1, -1, -1}
 	var hashes [choices]uint64
 	for i := range list {
 		h := matcher.Hash(list[i].ID, key) >> 1
-		if list[i].Near {
+		if list[i].Near && !anywhere {
 			h |= 1 << 63
 		}
 		for k := range first {
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -17,8 +17,8 @@
 	// instance sees few requests, so its own need varies much. The rest covers
 	// what several instances take from the pool before they hear of each other:
 	// a quarter of the pool at most, since each takes half of its share at once.
-	ownShare  = 0.5
-	poolShare = 0.3
+	ownShare  = 0.6
+	poolShare = 0.25
 )
 
 // Options are the bounds on repeats of one service.
@@ -31,7 +31,7 @@
 // Others is what neighbours have told of the window.
 type Others struct {
 	Requests  float64
-	Borrowed  float64 // repeats beyond their own parts
+	Borrowed  float64 // repeats that were taken from the pool
 	Instances int
 	Age       clock.Millis // of the oldest message
 }
@@ -46,10 +46,9 @@
 
 type window struct {
 	requests [buckets]int
-	repeats  [buckets]int
-	borrowed [buckets]int // repeats that were taken from the pool
+	repeats  [buckets]int // within the instance's own part
+	borrowed [buckets]int // from the pool
 	at       clock.Millis // number of the newest bucket
-	slack    float64      // of this instance, as of the last repeat
 }
 
 // sum returns the total of the newest n buckets.
@@ -78,42 +77,57 @@
 }
 
 // Repeat reports whether one more repeat is within the budget, keeping the
-// share reserve (0 to 1) of what is shared for more important ones, and counts
-// it if so. members is the number of instances that share the slack.
+// share reserve (0 to 1) of it for more important ones, and counts it if so.
+// members is the number of instances that share the slack.
 func (b *Budgeter) Repeat(now clock.Millis, service string, members int, reserve float64, o Others) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
-	w.slack = b.options.Slack / float64(max(1, members))
-	requests, repeats := w.sum(&w.requests, buckets), w.sum(&w.repeats, buckets)
-	limit := b.options.Ratio*requests + w.slack
-	switch {
-	case o.Instances == 0:
-		if repeats+1 > safety*limit*(1-reserve) {
-			return false
-		}
-	case repeats+1 > ownShare*limit:
-		pool := limit + b.options.Ratio*o.Requests + w.slack*float64(o.Instances)
-		left := poolShare*pool*(1-reserve) - o.Borrowed - max(0, repeats-ownShare*limit)
-		unheard := int(o.Age/(b.options.Window/buckets)) + 2
-		if w.sum(&w.borrowed, unheard)+1 > left/float64(2*(o.Instances+1)) {
+	slack := b.options.Slack / float64(max(1, members))
+	limit := b.options.Ratio*w.sum(&w.requests, buckets) + slack
+	own, borrowed := w.sum(&w.repeats, buckets), w.sum(&w.borrowed, buckets)
+	if o.Instances == 0 {
+		if own+borrowed+1 > safety*limit*(1-reserve) {
 			return false
 		}
-		w.borrowed[w.at%buckets]++
+		w.repeats[w.at%buckets]++
+		return true
+	}
+	if own+1 <= ownShare*limit*(1-reserve) {
+		w.repeats[w.at%buckets]++
+		return true
+	}
+	pool := limit + b.options.Ratio*o.Requests + slack*float64(o.Instances)
+	left := poolShare*pool*(1-reserve) - o.Borrowed - borrowed
+	if !b.mayBorrow(w, left/float64(2*(o.Instances+1)), o.Age) {
+		return false
 	}
-	w.repeats[w.at%buckets]++
+	w.borrowed[w.at%buckets]++
 	return true
 }
 
+// mayBorrow reports whether one more repeat is within an instance's share of
+// the pool for the time in which its news may not have reached the others. Less
+// than one repeat in that time is one in a longer time.
+func (b *Budgeter) mayBorrow(w *window, share float64, age clock.Millis) bool {
+	unheard := int(age/(b.options.Window/buckets)) + 2
+	switch {
+	case share <= 0:
+		return false
+	case share >= 1:
+		return w.sum(&w.borrowed, unheard)+1 <= share
+	}
+	return float64(unheard)/share <= buckets && w.sum(&w.borrowed, int(float64(unheard)/share)+1) == 0
+}
+
 // Counts returns the requests of each service in the window, and the repeats
-// beyond this instance's own part.
+// that were taken from the pool.
 func (b *Budgeter) Counts(now clock.Millis, each func(service string, requests, borrowed float64)) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for service := range b.services {
 		w := b.window(now, service)
-		requests, repeats := w.sum(&w.requests, buckets), w.sum(&w.repeats, buckets)
-		each(service, requests, max(0, repeats-ownShare*(b.options.Ratio*requests+w.slack)))
+		each(service, w.sum(&w.requests, buckets), w.sum(&w.borrowed, buckets))
 	}
 }
 
@@ -122,8 +136,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
-	if at := w.at % buckets; w.repeats[at] > 0 {
+	switch at := w.at % buckets; {
+	case w.repeats[at] > 0:
 		w.repeats[at]--
+	case w.borrowed[at] > 0:
+		w.borrowed[at]--
 	}
 }
 
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -12,8 +12,11 @@
 
 const (
 	// engineDistance is the work in ms that an engine in another data centre
-	// must save: bytes between data centres are priced.
-	engineDistance = 350
+	// must save for a request without a body, and bodyDistance is added for each
+	// KB: bytes between data centres are priced, and what is known of the work
+	// there is a second older.
+	engineDistance = 40
+	bodyDistance   = 4
 	// plainDistance is the same for services without an engine.
 	plainDistance = 40
 	// plainWork is the assumed time of one plain request.
@@ -24,6 +27,8 @@
 	// startOverhead is the time in ms of a first event that no queue explains:
 	// the way to the endpoint, its setup and one step.
 	startOverhead = 30
+	// openPenalty keeps work from an endpoint that fails unless all do.
+	openPenalty = 35000
 	// halfOpenPenalty keeps work from an endpoint that has failed lately.
 	halfOpenPenalty = 200
 )
@@ -46,6 +51,7 @@
 	model   string
 	below   int // larger models on the route
 	prompt  prompt
+	body    int // bytes
 	tried   map[string]bool
 	usable  int // endpoints that may take the request, set by choose
 }
@@ -143,7 +149,7 @@
 	if engine {
 		perToken = d.perToken(q.model, q.below)
 		query = balancer.Query{
-			Distance: engineDistance, Subject: q.prompt.subject,
+			Distance: engineDistance + bodyDistance*float64(q.body)/1024, Subject: q.prompt.subject,
 			Prompt: q.prompt.tokens * perToken, Shared: q.prompt.shared * perToken,
 		}
 	}
@@ -177,7 +183,7 @@
 	}
 	switch d.breakers.State(now, e.ID) {
 	case breaker.Open:
-		c.Penalty += 100 * engineDistance
+		c.Penalty += openPenalty
 	case breaker.HalfOpen:
 		c.Penalty += halfOpenPenalty
 	}
@@ -252,7 +258,7 @@
 		c := d.candidate(now, q, e)
 		work := c.Work + c.Penalty
 		if !c.Near {
-			work += engineDistance
+			work += engineDistance + bodyDistance*float64(q.body)/1024
 		}
 		if !found || work < least {
 			least, found = work, true
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"rosemaryarch.example/rosemaryarch/cascader"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/matcher"
@@ -50,7 +51,11 @@
 	reason   string
 	firstMs  clock.Millis
 	conf     float64
-	fallback func() // passes on a failure for which no better answer came
+	// weighed is what the decision on the first model's answer went by, and
+	// threshold the confidence that it asked for.
+	weighed   cascader.Answer
+	threshold float64
+	fallback  func() // passes on a failure for which no better answer came
 }
 
 func (x *exchange) now() clock.Millis { return x.dispatcher.options.Clock.Now() }
@@ -269,6 +274,8 @@
 		recorder.Text("route", route), recorder.Text("workspace", x.workspace.Name),
 		recorder.Number("status", x.status), recorder.Text("reason", x.reason), recorder.Number("sends", x.sends),
 		recorder.Text("endpoint", x.endpoint), recorder.Number("model", x.model), recorder.Number("confidence", x.conf),
+		recorder.Number("threshold", x.threshold), recorder.Number("room", x.weighed.Room),
+		recorder.Number("pressure", x.weighed.Pressure),
 		recorder.Number("first_ms", x.firstMs), recorder.Number("ms", x.now()-x.start),
 		recorder.Number("config", version), recorder.Number("config_age_ms", x.now()-o.Confirmed()))
 	o.Meter.Ended(service, kind, outcome(x.status), x.now()-x.start)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -108,17 +108,24 @@
 	return err
 }
 
-// largerReserve is the part of the retry budget that is kept for failures: a
-// request without an answer loses more than one with the small model's.
-const largerReserve = 0.25
+// leastReserve and mostReserve are the parts of the retry budget that are kept
+// for failures, from larger models for the least confident answers and for those
+// just below the threshold: a request without an answer loses more than one with
+// the small model's, and a small model that is sure to be wrong has nothing to
+// lose.
+const (
+	leastReserve = 0.1
+	mostReserve  = 0.35
+)
 
 // reserveShare returns the part of the retry budget that this repeat may not
 // use.
 func (x *exchange) reserveShare() float64 {
-	if x.model > 0 && !x.begun {
-		return largerReserve
+	if x.model == 0 || x.begun {
+		return 0
 	}
-	return 0
+	sure := min(1, max(0, x.conf/x.dispatcher.options.Cascader.Keep))
+	return leastReserve + (mostReserve-leastReserve)*sure
 }
 
 // mayGoOn reports why no further endpoint may be tried.
@@ -247,7 +254,8 @@
 
 func (x *exchange) search() *search {
 	q := &search{
-		service: x.route.ServiceFor(x.session), session: x.session, salt: x.id, prompt: x.prompt, tried: x.tried,
+		service: x.route.ServiceFor(x.session), session: x.session, salt: x.id, prompt: x.prompt, body: len(x.body),
+		tried: x.tried,
 	}
 	q.settled = x.table.Service(q.service)
 	if n := len(x.route.Models); n > 0 {
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -37,9 +37,9 @@
 	ahead := d.pressure(x.now(), s.search)
 	target := float64(max(1, x.route.Target))
 	late := float64(x.now()-x.start)+ahead+large > target
-	return d.options.Cascader.Accept(cascader.Answer{
-		Confidence: x.conf, Pressure: (ahead + large) / target, Late: late, Room: room,
-	})
+	answer := cascader.Answer{Confidence: x.conf, Pressure: (ahead + large) / target, Late: late, Room: room}
+	x.weighed, x.threshold = answer, d.options.Cascader.Threshold(answer)
+	return d.options.Cascader.Accept(answer)
 }
 
 // stream passes events on as they arrive.
