--- a/dispatcher/prompt.go
+++ b/dispatcher/prompt.go
@@ -54,8 +54,14 @@
 	largestPerToken = 0.05
 	// smallerBy is the first guess of the ratio between neighbouring sizes.
 	smallerBy = 0.3
-	// paceWeight is the weight of a new sample.
-	paceWeight = 0.05
+	// paceDown and paceUp are the parts by which the pace moves towards a smaller
+	// or a larger sample, so that it settles where two fifths of the samples are
+	// smaller. A mean would follow the first events that waited for other
+	// requests, of which this instance knows late or nothing.
+	paceDown = 0.03
+	paceUp   = 0.02
+	// firstSamples set the pace by their smallest one.
+	firstSamples = 8
 	// minSampleTokens keeps short prompts out, whose time is mostly overhead.
 	minSampleTokens = 1500
 )
@@ -63,7 +69,7 @@
 // perToken returns the time in ms that an engine needs for a prompt token.
 // below is the number of larger models on the route. The lock is held.
 func (d *Dispatcher) perToken(model string, below int) float64 {
-	if p := d.paces[model]; p != nil && p.samples >= 8 {
+	if p := d.paces[model]; p != nil && p.samples >= firstSamples {
 		return p.perToken
 	}
 	guess := largestPerToken
@@ -79,11 +85,19 @@
 	if tokens < minSampleTokens {
 		return
 	}
+	sample := ms / tokens
 	p := d.paces[model]
 	if p == nil {
-		p = &pace{perToken: ms / tokens}
+		p = &pace{perToken: sample}
 		d.paces[model] = p
 	}
 	p.samples++
-	p.perToken += (ms/tokens - p.perToken) * max(paceWeight, 1/float64(p.samples))
+	switch {
+	case p.samples <= firstSamples:
+		p.perToken = min(p.perToken, sample)
+	case sample < p.perToken:
+		p.perToken = max(sample, p.perToken*(1-paceDown))
+	default:
+		p.perToken = min(sample, p.perToken*(1+paceUp))
+	}
 }
