dispatcher: a silent endpoint is given up only if the request can go on elsewhere

Cause: a stream whose endpoint was silent for 1.8 s was ended here, and then the retry budget did not let it go on, so the client's answer was cut although the endpoint still worked on it.

Change: when the wait ends, the repeat is counted first; without one, or without another endpoint, the wait begins anew.

Test: TestSilenceWithoutBudgetIsWaitedFor fails before with the stream cut after two events.

--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -47,6 +47,7 @@
 	lastID   int64
 	model    int // index into the route's models
 	reserved *reservation
+	prepaid  string // service for which the retry budget has counted the next send; empty: none
 	endpoint string
 	status   int
 	reason   string
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -65,8 +65,8 @@
 			return
 		}
 		repeat := x.sends > 0
-		if x.reserved != nil {
-			x.reserved = nil // escalate has counted the repeat
+		if x.reserved != nil || x.prepaid != "" {
+			x.reserved, x.prepaid = nil, "" // the repeat is counted
 		} else if repeat && !x.countRepeat(q) {
 			d.ended(x.now(), c, true)
 			x.refuse(pickError(x, refuser.ErrRetryBudget, last))
@@ -185,8 +185,13 @@
 	return x.reserved
 }
 
-// dropReserved gives back what escalate reserved and nothing has used.
+// dropReserved gives back what escalate reserved, and what the retry budget
+// counted, and nothing has used.
 func (x *exchange) dropReserved() {
+	if x.prepaid != "" {
+		x.dispatcher.options.Budget.Return(x.now(), x.prepaid)
+		x.prepaid = ""
+	}
 	r := x.reserved
 	if r == nil {
 		return
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -37,7 +37,7 @@
 		// A kept connection may be closed just as it is used, which leaves an
 		// unknown outcome.
 		Fresh: !x.route.Repeatable(),
-		Alive: func() bool { return x.now()-d.lastHeard(e.ID) < aliveAfter },
+		Alive: func() bool { return x.now()-d.lastHeard(e.ID) < aliveAfter || !s.mayLeave() },
 	}
 	x.tried[e.ID] = true
 	x.sends++
@@ -55,6 +55,22 @@
 	return s.answered(ctx)
 }
 
+// mayLeave reports whether a silent endpoint may be given up: only if the request
+// can go on elsewhere, which the retry budget then has counted. An endpoint that
+// is only slow still has the answer.
+func (s *sending) mayLeave() bool {
+	x, d := s.exchange, s.exchange.dispatcher
+	if x.prepaid != "" {
+		return true
+	}
+	q := x.search()
+	if len(d.eligible(x.now(), q)) == 0 || !x.countRepeat(q) {
+		return false
+	}
+	x.prepaid = q.service
+	return true
+}
+
 // patience returns how long the answer's header may take; 0 means the whole
 // time that is left.
 func (s *sending) patience() clock.Millis {
--- a/dispatcher/stream_test.go
+++ b/dispatcher/stream_test.go
@@ -1,10 +1,13 @@
 package dispatcher
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"rosemaryarch.example/rosemaryarch/budgeter"
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -176,3 +179,47 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut because its endpoint is silent for a while,
+// although the retry budget does not let it go on elsewhere. Found by a hunt
+// (thekkedath-tabs-grown, hunt-2d10-7): cut after four seconds, beside a change
+// of the configuration.
+func TestSilenceWithoutBudgetIsWaitedFor(t *testing.T) {
+	pauses := func(c net.Conn, r *http.Request, _ string) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+
+			"\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := 1; i <= 4; i++ {
+			if i == 3 {
+				// Longer than the wait for an event and for signs of life.
+				time.Sleep((silentAfter + aliveAfter + 700).Duration())
+			}
+			piece := fmt.Sprintf("id: %d\ndata: p%d\n\n", i, i)
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(piece), piece)
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}
+	tests := map[string]struct {
+		budget budgeter.Options
+		sends  int
+	}{
+		"no budget": {budgeter.Options{Window: 10 * clock.Second}, 1},
+		"budget":    {budgeter.Options{Window: 10 * clock.Second, Ratio: 0.9, Slack: 50}, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			rest := func(c net.Conn, r *http.Request, _ string) bool { return events(c, r, 3, 4, true) }
+			f := newFleet(t, route(matcher.Stream, func(r *matcher.Route) {
+				r.Resumable, r.Timeout = true, 8000
+			}), firstThen(pauses, rest)...)
+			f.dispatcher.options.Budget = budgeter.New(tt.budget)
+			got := f.do("POST", "/a/x", "prompt", names.Deadline, "8000")
+			if got.err != nil || got.body != wholeStream {
+				t.Errorf("got %q %v, want the whole stream", got.body, got.err)
+			}
+			if n := f.sent(); n != tt.sends {
+				t.Errorf("sends: got %d, want %d", n, tt.sends)
+			}
+		})
+	}
+}
