dispatcher: larger models yield to the mean work of the endpoints, not the least

Cause: of 60 endpoints one is nearly always free, so the least work ahead was about 0 and the threshold did not fall while the others were full.

Change: Pressure is the mean work ahead and the larger model's own; Late still goes by the least.

--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -254,27 +254,28 @@
 	d.breakers.Report(now, c.ticket, succeeded)
 }
 
-// pressure returns the least work that waits at an endpoint of the service,
-// with the distance of its data centre.
-func (d *Dispatcher) pressure(now clock.Millis, q *search) float64 {
+// pressure returns the least and the mean work that waits at the endpoints of
+// the service, the least with the distance of its data centre.
+func (d *Dispatcher) pressure(now clock.Millis, q *search) (least, mean float64) {
 	list := d.options.Catalog.Snapshot().Service(q.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	least, found := 0.0, false
+	count := 0
 	for _, e := range list {
 		if d.options.Evacuated(e.DataCentre) {
 			continue
 		}
 		c := d.candidate(now, q, e)
+		mean += c.Work
 		work := c.Work + c.Penalty
 		if !c.Near {
 			work += engineDistance + bodyDistance*float64(q.body)/1024
 		}
-		if !found || work < least {
-			least, found = work, true
+		if count++; count == 1 || work < least {
+			least = work
 		}
 	}
-	return least
+	return least, mean / float64(max(1, count))
 }
 
 // chill treats an endpoint as cold until an instant.
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -34,10 +34,10 @@
 	if x.conf >= 0 && x.conf < d.options.Cascader.Keep {
 		room = d.larger(x.now(), s.search, x.priority(), large)
 	}
-	ahead := d.pressure(x.now(), s.search)
+	ahead, mean := d.pressure(x.now(), s.search)
 	target := float64(max(1, x.route.Target))
 	late := float64(x.now()-x.start)+ahead+large > target
-	answer := cascader.Answer{Confidence: x.conf, Pressure: (ahead + large) / target, Late: late, Room: room}
+	answer := cascader.Answer{Confidence: x.conf, Pressure: (mean + large) / target, Late: late, Room: room}
 	x.weighed, x.threshold = answer, d.options.Cascader.Threshold(answer)
 	return d.options.Cascader.Accept(answer)
 }
