--- a/beater/beater.go
+++ b/beater/beater.go
@@ -252,7 +252,7 @@
 	}
 	var farMessage Message
 	if len(far) > 0 {
-		farMessage = Message{From: m.From, Rollouts: m.Rollouts, Summary: b.summarize(now, &m)}
+		farMessage = Message{From: m.From, Rollouts: m.Rollouts, Summary: b.sums(now, &m)}
 		farMessage.Neighbours, farMessage.States = b.news(now)
 	}
 	b.mu.Unlock()
--- a/beater/beater_test.go
+++ b/beater/beater_test.go
@@ -284,7 +284,7 @@
 		})
 	}
 	own := &Message{Loads: []Load{{Endpoint: 7, Work: 50, Running: 1}}, Rates: []Rate{{Service: 9, Requests: 5}}}
-	s := sender.summarize(now, own)
+	s := sender.sums(now, own)
 	data, err := (&Message{From: Member{Name: "a0", DataCentre: "a", Incarnation: 1}, Summary: s}).encode()
 	if err != nil {
 		t.Fatal(err)
@@ -324,7 +324,7 @@
 	for i := range 3000 {
 		own.Loads = append(own.Loads, Load{Endpoint: uint64(i), Work: float32(i % 500), Running: 3})
 	}
-	s := b.summarize(now, own)
+	s := b.sums(now, own)
 	data, err := (&Message{From: b.options.Self, Summary: s}).encode()
 	if err != nil {
 		t.Fatal(err)
--- a/beater/loads.go
+++ b/beater/loads.go
@@ -100,9 +100,9 @@
 	return sums
 }
 
-// summarize adds this instance's own message to what the neighbours have told.
+// sums adds this instance's own message to what the neighbours have told.
 // The lock is held.
-func (b *Beater) summarize(now clock.Millis, own *Message) *Summary {
+func (b *Beater) sums(now clock.Millis, own *Message) *Summary {
 	loads := b.neighbourLoads(now)
 	for _, l := range own.Loads {
 		key := uint32(l.Endpoint)
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -52,14 +52,8 @@
 			next := make([]Others, tt.members)
 			for now := clock.Millis(0); now < length; now += 50 {
 				if tt.told > 0 && now%tt.told == 0 {
-					// What was told a round ago is known now.
-					copy(told, next)
-					for i, b := range list {
-						next[i] = Others{}
-						b.Counts(now, func(_ string, requests, borrowed float64) {
-							next[i] = Others{Requests: requests, Borrowed: borrowed}
-						})
-					}
+					copy(told, next) // what was told a round ago is known now
+					next = counts(list, now)
 				}
 				rate := tt.requests
 				if now > 15000 {
@@ -78,26 +72,44 @@
 					}
 				}
 			}
-			for from := 0; from+int(window) < length; from += 250 {
-				n, requests := 0, 0
-				for at := from; at < from+int(window); at++ {
-					n += repeated[at]
-				}
-				// The users count the requests of this window, of the one before
-				// or of the one half a window before, whichever has most.
-				for _, back := range []int{0, int(window) / 2, int(window)} {
-					count := 0
-					for at := max(0, from-back); at < from+int(window)-back; at++ {
-						count += sent[at]
-					}
-					requests = max(requests, count)
-				}
-				if bound := ratio*float64(requests) + slack; float64(n) > bound {
-					t.Fatalf("from %d ms: got %d repeats, want at most %.0f", from, n, bound)
-				}
+			checkBound(t, sent[:], repeated[:], int(window), ratio, slack)
+		})
+	}
+}
+
+// checkBound compares the repeats of each window with the users' bound. sent and
+// repeated hold the numbers for each ms.
+func checkBound(t *testing.T, sent, repeated []int, window int, ratio, slack float64) {
+	t.Helper()
+	for from := 0; from+window < len(sent); from += 250 {
+		n, requests := 0, 0
+		for _, x := range repeated[from : from+window] {
+			n += x
+		}
+		// The users count the requests of this window, of the one before or of
+		// the one half a window before, whichever has most.
+		for _, back := range []int{0, window / 2, window} {
+			count := 0
+			for _, x := range sent[max(0, from-back):max(0, from+window-back)] {
+				count += x
 			}
+			requests = max(requests, count)
+		}
+		if bound := ratio*float64(requests) + slack; float64(n) > bound {
+			t.Fatalf("from %d ms: got %d repeats, want at most %.0f", from, n, bound)
+		}
+	}
+}
+
+// counts returns what each instance tells.
+func counts(list []*Budgeter, now clock.Millis) []Others {
+	told := make([]Others, len(list))
+	for i, b := range list {
+		b.Counts(now, func(_ string, requests, borrowed float64) {
+			told[i] = Others{Requests: requests, Borrowed: borrowed}
 		})
 	}
+	return told
 }
 
 // others sums what all instances but one have told, as news that are up to two
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -65,9 +65,7 @@
 			return
 		}
 		repeat := x.sends > 0
-		if x.reserved != nil || x.prepaid != "" {
-			x.reserved, x.prepaid = nil, "" // the repeat is counted
-		} else if repeat && !x.countRepeat(q) {
+		if repeat && !x.takeRepeat(q) {
 			d.ended(x.now(), c, true)
 			x.refuse(pickError(x, refuser.ErrRetryBudget, last))
 			return
@@ -141,6 +139,16 @@
 	return nil
 }
 
+// takeRepeat reports whether the next send is within the retry budget, which may
+// have counted it already.
+func (x *exchange) takeRepeat(q *search) bool {
+	if x.reserved != nil || x.prepaid != "" {
+		x.reserved, x.prepaid = nil, ""
+		return true
+	}
+	return x.countRepeat(q)
+}
+
 // countRepeat reports whether the retry budget allows one more send of the
 // request, and counts it if so.
 func (x *exchange) countRepeat(q *search) bool {
--- a/relayer/hub.go
+++ b/relayer/hub.go
@@ -52,7 +52,8 @@
 // NewHub returns a hub for kinds, of which nothing is known.
 func NewHub(c clock.Clock, kinds []string) *Hub {
 	return &Hub{
-		clock: c, kinds: kinds, large: make(chan struct{}, largeSends), objects: make(map[string]map[string]watcher.Object), changed: make(chan struct{}),
+		clock: c, kinds: kinds, large: make(chan struct{}, largeSends), changed: make(chan struct{}),
+		objects: make(map[string]map[string]watcher.Object),
 	}
 }
 
--- a/surger/surger_test.go
+++ b/surger/surger_test.go
@@ -8,18 +8,36 @@
 	"rosemaryarch.example/rosemaryarch/clock"
 )
 
+// surgeTest is a pattern of requests of ten workspaces.
+type surgeTest struct {
+	hot     float64 // factor on workspace 3 from second 30 to 36
+	large   float64 // factor on workspace 0 all the time
+	burst   float64 // factor on all from second 30 to 36
+	least   float64 // part of workspace 3's requests in seconds 32 to 36 that surge
+	most    float64
+	mistake float64 // part of all others that may count as a surge
+}
+
+// rate returns the requests a second of a workspace.
+func (x surgeTest) rate(workspace int, now clock.Millis) float64 {
+	rate := 0.5
+	if workspace == 0 {
+		rate *= x.large
+	}
+	if now <= 30*clock.Second || now >= 36*clock.Second {
+		return rate
+	}
+	if workspace == 3 {
+		rate *= x.hot
+	}
+	return rate * x.burst
+}
+
 // Guards against one workspace that sends many times its usual and slows down
 // all others, and against a large workspace, a burst of all, or the start of
 // traffic that is taken for it. Patterns: hot tenant, burst.
 func TestSurge(t *testing.T) {
-	tests := map[string]struct {
-		hot     float64 // factor on workspace 3 from second 30 to 36
-		large   float64 // factor on workspace 0 all the time
-		burst   float64 // factor on all from second 30 to 36
-		least   float64 // part of workspace 3's requests in seconds 32 to 36 that surge
-		most    float64
-		mistake float64 // part of all others that may count as a surge
-	}{
+	tests := map[string]surgeTest{
 		"hot workspace":              {7, 1, 1, 0.7, 1, 0.02},
 		"hot beside a large one":     {10, 5, 1, 0.6, 1, 0.03},
 		"hot in a burst":             {7, 1, 1.7, 0.7, 1, 0.02},
@@ -31,38 +49,25 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(1, 2))
-			s := New(Default())
 			var hot, hotSurges, other, otherSurges float64
 			for range 40 { // instances
-				s = New(Default())
+				s := New(Default())
 				for now := clock.Second; now < 40*clock.Second; now += 10 {
-					during := now > 30*clock.Second && now < 36*clock.Second
 					for w := range 10 {
-						rate := 0.5 // a second
-						if w == 0 {
-							rate *= tt.large
-						}
-						if during {
-							rate *= tt.burst
-							if w == 3 {
-								rate *= tt.hot
-							}
-						}
-						if r.Float64() > rate/100 {
+						if r.Float64() > tt.rate(w, now)/100 {
 							continue
 						}
-						surges := s.Add(now, fmt.Sprint("w", w), 100)
+						surges := 0.0
+						if s.Add(now, fmt.Sprint("w", w), 100) {
+							surges = 1
+						}
 						switch {
-						case w == 3 && now > 32*clock.Second && during:
-							hot++
-							if surges {
-								hotSurges++
-							}
 						case w != 3:
 							other++
-							if surges {
-								otherSurges++
-							}
+							otherSurges += surges
+						case now > 32*clock.Second && now < 36*clock.Second:
+							hot++
+							hotSurges += surges
 						}
 					}
 				}
