dispatcher, beater: one function for the distance; loads are taken from neighbours only

No change of behaviour between processes of this version: instances of other data centres send sums.

--- a/beater/hear.go
+++ b/beater/hear.go
@@ -10,7 +10,8 @@
 	now := b.options.Clock.Now()
 	old := b.peers.get(m.From.Name)
 	fresh := old == nil || old.heard == 0 || old.member.Incarnation != m.From.Incarnation
-	if p := b.learn(m.From, now); p != nil && m.Loaded {
+	near := m.From.DataCentre == b.options.Self.DataCentre
+	if p := b.learn(m.From, now); p != nil && near && m.Loaded {
 		p.loads, p.rates, p.loaded = m.Loads, m.Rates, true
 	}
 	for _, n := range m.Neighbours {
@@ -19,7 +20,7 @@
 		}
 	}
 	b.learnStates(now, m.States)
-	if m.Summary != nil && m.From.DataCentre != b.options.Self.DataCentre {
+	if m.Summary != nil && !near {
 		b.adopt(now, m.From.DataCentre, *m.Summary)
 	}
 	reply, due := b.reply(now, m.From, fresh)
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -60,6 +60,10 @@
 // engine reports whether the service's endpoints are model engines.
 func (q *search) engine() bool { return q.settled != nil && q.settled.CacheTokens > 0 }
 
+// distance returns the work in ms that an engine in another data centre must
+// save.
+func (q *search) distance() float64 { return engineDistance + bodyDistance*float64(q.body)/1024 }
+
 // choose reserves the endpoint for a send; nil tells that none may take it
 // now.
 func (d *Dispatcher) choose(now clock.Millis, q *search) *choice {
@@ -157,7 +161,7 @@
 	if engine {
 		perToken = d.perToken(q.model, q.below)
 		query = balancer.Query{
-			Distance: engineDistance + bodyDistance*float64(q.body)/1024, Subject: q.prompt.subject,
+			Distance: q.distance(), Subject: q.prompt.subject,
 			Prompt: q.prompt.tokens * perToken, Shared: q.prompt.shared * perToken,
 		}
 	}
@@ -269,7 +273,7 @@
 		mean += c.Work
 		work := c.Work + c.Penalty
 		if !c.Near {
-			work += engineDistance + bodyDistance*float64(q.body)/1024
+			work += q.distance()
 		}
 		if count++; count == 1 || work < least {
 			least = work
