--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -94,11 +94,12 @@
 	return best
 }
 
-// unusable is a cost in ms at which all other endpoints are looked at.
+// unusable is a cost in ms at which all other endpoints are looked at. Long
+// prompts of large models reach it by the weight of their own work alone.
 const unusable = 1000
 
-// cost returns the time in ms until the request's first token at an endpoint
-// that has a rank in the order of the subject.
+// cost returns the work in ms that waits at an endpoint and the weighted work of
+// the request there. rank is the endpoint's place in the order of the subject.
 func (b Balancer) cost(q Query, c *Candidate, rank int) float64 {
 	hit := 0.0
 	if q.Subject != "" {
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -39,10 +39,17 @@
 		},
 		"far is worth it": {func(c []Candidate) {
 			for i := range c {
-				c[i].Work = 900
+				c[i].Work = 2500
 			}
 			c[other].Work, c[other].Near = 0, false
 		}, func(i int) bool { return i == other }},
+		// Reading 189 ms of shared tokens again delays all that come after.
+		"far and idle is not worth a cache": {func(c []Candidate) {
+			for i := range c {
+				c[i].Work = 900
+			}
+			c[other].Work, c[other].Near = 0, false
+		}, func(i int) bool { return i == home }},
 		"failed lately": {func(c []Candidate) { c[home].Penalty = 35000 }, func(i int) bool { return i != home }},
 	}
 	for name, tt := range tests {
