beater: one iterator over neighbours with loads; comments say what is left out

The loop over living neighbours stood three times, and sums set the rates twice. LoadSum is not used outside of the package. No change of behaviour.

--- a/beater/loads.go
+++ b/beater/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 
@@ -19,8 +20,8 @@
 	summaryKept = 2*farInterval + 200
 	// leastWork and leastDelay are what an endpoint must have, in ms, to be named
 	// in a summary, and maxLoads is the number of endpoints that one names: those
-	// with most work. What is left out changes no choice by more than the
-	// distance between data centres.
+	// with most work. Less work than leastWork is below the distance between data
+	// centres and changes no choice.
 	leastWork  = 20
 	leastDelay = 30
 	maxLoads   = 96
@@ -32,12 +33,12 @@
 	_         struct{} `cbor:",toarray"`
 	Instances int
 	Age       int64 // of the oldest part, in ms
-	Loads     []LoadSum
+	Loads     []loadSum
 	Rates     []Rate
 }
 
-// LoadSum is the work of several instances on one endpoint.
-type LoadSum struct {
+// loadSum is the work of several instances on one endpoint.
+type loadSum struct {
 	_        struct{} `cbor:",toarray"`
 	Endpoint uint32   // low half of the hash of the endpoint's id
 	Work     uint32   // ms
@@ -84,13 +85,22 @@
 	loads map[uint32]endpointLoad
 }
 
+// loaded yields the living neighbours that have told their loads and rates. The
+// lock is held.
+func (b *Beater) loaded(now clock.Millis) iter.Seq[*peer] {
+	return func(yield func(*peer) bool) {
+		for p := range b.peers.ordered() {
+			if p.loaded && b.isAlive(now, p) && !yield(p) {
+				return
+			}
+		}
+	}
+}
+
 // neighbourLoads sums what living neighbours have told. The lock is held.
 func (b *Beater) neighbourLoads(now clock.Millis) map[uint32]endpointLoad {
 	sums := make(map[uint32]endpointLoad, len(b.table.loads))
-	for p := range b.peers.ordered() {
-		if !p.loaded || !b.isAlive(now, p) {
-			continue
-		}
+	for p := range b.loaded(now) {
 		age := now - p.heard
 		for _, l := range p.loads {
 			key := uint32(l.Endpoint)
@@ -108,31 +118,27 @@
 		key := uint32(l.Endpoint)
 		loads[key] = loads[key].plus(float64(l.Work), l.Running, float64(l.Delay), 0)
 	}
-	s := &Summary{Instances: 1, Rates: own.Rates}
+	s := &Summary{Instances: 1}
 	for key, l := range loads {
 		if work := l.left(); work >= leastWork || l.delay >= leastDelay {
-			s.Loads = append(s.Loads, LoadSum{
+			s.Loads = append(s.Loads, loadSum{
 				Endpoint: key, Work: uint32(work), Running: uint32(l.running), Delay: uint32(l.delay),
 			})
 		}
 	}
-	slices.SortFunc(s.Loads, func(x, y LoadSum) int { return cmp.Compare(y.Work+y.Delay, x.Work+x.Delay) })
+	slices.SortFunc(s.Loads, func(x, y loadSum) int { return cmp.Compare(y.Work+y.Delay, x.Work+x.Delay) })
 	s.Loads = s.Loads[:min(len(s.Loads), maxLoads)]
 	rates := make(map[uint64]Rate)
 	for _, r := range own.Rates {
 		rates[r.Service] = r
 	}
-	for p := range b.peers.ordered() {
-		if !p.loaded || !b.isAlive(now, p) {
-			continue
-		}
+	for p := range b.loaded(now) {
 		s.Instances++
 		s.Age = max(s.Age, int64(now-p.heard))
 		for _, r := range p.rates {
 			rates[r.Service] = rates[r.Service].plus(r)
 		}
 	}
-	s.Rates = nil
 	for service, r := range rates {
 		r.Service = service
 		s.Rates = append(s.Rates, r)
@@ -181,10 +187,7 @@
 			}
 		}
 	}
-	for p := range b.peers.ordered() {
-		if !p.loaded || !b.isAlive(now, p) {
-			continue
-		}
+	for p := range b.loaded(now) {
 		instances++
 		age = max(age, now-p.heard)
 		add(p.rates)
--- a/surger/surger.go
+++ b/surger/surger.go
@@ -21,7 +21,7 @@
 
 // Default returns the settings of the platform deployment. An instance sees some
 // five requests a second of ten or more workspaces; a workspace with a quarter of
-// them has eight in Short.
+// them has seven or eight in Short.
 func Default() Options {
 	return Options{Short: 6 * clock.Second, Long: clock.Minute, Growth: 1.8, Share: 0.25}
 }
