--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -1,8 +1,8 @@
 package cataloger
 
 import (
-	"maps"
 	"slices"
+	"strings"
 	"sync"
 
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -43,43 +43,51 @@
 	Gone      clock.Millis // instant at which a vanished entry ends; 0: listed
 }
 
-// Snapshot is an immutable view. Endpoints are ordered by service and id.
+// Snapshot is an immutable view.
 type Snapshot struct {
-	byService map[string][]*State
-	byID      map[string]*State
+	byService map[string][]*State // in the order of their ids
+	all       []*State            // in the order of their ids
 }
 
 // Service returns the listed endpoints of a service that are not leaving.
 func (s *Snapshot) Service(name string) []*State { return s.byService[name] }
 
 // Endpoint returns an endpoint that is not leaving, nil if there is none.
-func (s *Snapshot) Endpoint(id string) *State { return s.byID[id] }
+func (s *Snapshot) Endpoint(id string) *State {
+	at, ok := slices.BinarySearchFunc(s.all, id, func(e *State, id string) int { return strings.Compare(e.ID, id) })
+	if !ok {
+		return nil
+	}
+	return s.all[at]
+}
 
 // Len returns the number of endpoints that may take work.
-func (s *Snapshot) Len() int { return len(s.byID) }
+func (s *Snapshot) Len() int { return len(s.all) }
 
 // Cataloger is safe for concurrent use.
 type Cataloger struct {
 	mu       sync.Mutex
 	entries  map[string]*State
+	ids      []string                           // of the entries, in order
 	versions map[string]map[string]clock.Millis // first sight, by service and version
 	loaded   bool
 	away     bool         // the store does not answer
 	back     clock.Millis // instant of the store's return
-	view     *Snapshot
+	view     *Snapshot    // nil: an entry has changed since
 }
 
 // New returns an empty catalogue.
 func New() *Cataloger {
-	c := &Cataloger{entries: make(map[string]*State), versions: make(map[string]map[string]clock.Millis)}
-	c.rebuild()
-	return c
+	return &Cataloger{entries: make(map[string]*State), versions: make(map[string]map[string]clock.Millis)}
 }
 
 // Snapshot returns the present view.
 func (c *Cataloger) Snapshot() *Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.view == nil {
+		c.view = c.build()
+	}
 	return c.view
 }
 
@@ -122,7 +130,7 @@
 		}
 	}
 	c.loaded = true
-	c.rebuild()
+	c.view = nil
 }
 
 // Put takes one changed entry.
@@ -130,7 +138,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.put(now, e)
-	c.rebuild()
+	c.view = nil
 }
 
 // Remove takes the end of an entry.
@@ -139,7 +147,7 @@
 	defer c.mu.Unlock()
 	if s := c.entries[id]; s != nil {
 		c.remove(now, s)
-		c.rebuild()
+		c.view = nil
 	}
 }
 
@@ -154,6 +162,10 @@
 		s.ColdUntil = max(s.ColdUntil, old.ColdUntil)
 	}
 	c.entries[e.ID] = s
+	if old == nil {
+		at, _ := slices.BinarySearch(c.ids, e.ID)
+		c.ids = slices.Insert(c.ids, at, e.ID)
+	}
 	if c.versions[e.Service] == nil {
 		c.versions[e.Service] = make(map[string]clock.Millis)
 	}
@@ -174,7 +186,7 @@
 // the store was away. A draining endpoint has said itself that it leaves.
 func (c *Cataloger) remove(now clock.Millis, s *State) {
 	if s.Draining || !c.away && now >= c.back+lapseGrace {
-		delete(c.entries, s.ID)
+		c.drop(s.ID)
 		return
 	}
 	if s.Gone != 0 {
@@ -195,12 +207,12 @@
 	ended := false
 	for id, s := range c.entries {
 		if s.Gone != 0 && now >= c.back+lapseGrace {
-			delete(c.entries, id)
+			c.drop(id)
 			ended = true
 		}
 	}
 	if ended {
-		c.rebuild()
+		c.view = nil
 	}
 	return ended
 }
@@ -220,7 +232,7 @@
 		}
 	}
 	if count > 0 {
-		c.rebuild()
+		c.view = nil
 	}
 	return count
 }
@@ -234,22 +246,33 @@
 	return ok && now >= first+versionHold
 }
 
-func (c *Cataloger) rebuild() {
-	v := &Snapshot{byService: make(map[string][]*State), byID: make(map[string]*State)}
-	for _, id := range slices.Sorted(maps.Keys(c.entries)) {
+// build returns the view of the present entries. It is called when a view is
+// asked for and not with each change: while a large fleet starts, thousands of
+// entries change before the first request.
+func (c *Cataloger) build() *Snapshot {
+	v := &Snapshot{byService: make(map[string][]*State), all: make([]*State, 0, len(c.ids))}
+	for _, id := range c.ids {
 		s := c.entries[id]
 		if s.Draining {
 			continue
 		}
-		v.byID[id] = s
+		v.all = append(v.all, s)
 		v.byService[s.Service] = append(v.byService[s.Service], s)
 	}
-	c.view = v
+	return v
+}
+
+// drop forgets an entry.
+func (c *Cataloger) drop(id string) {
+	delete(c.entries, id)
+	if at, ok := slices.BinarySearch(c.ids, id); ok {
+		c.ids = slices.Delete(c.ids, at, at+1)
+	}
 }
 
 // Each calls f with each endpoint that may take work.
 func (s *Snapshot) Each(f func(*State)) {
-	for _, e := range s.byID {
+	for _, e := range s.all {
 		f(e)
 	}
 }
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"fmt"
 	"testing"
 
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -116,3 +117,32 @@
 		}
 	}
 }
+
+// Guards against a view that is built with each change: while a fleet of 300
+// instances started, 3,000 entries changed before the first request and the
+// views took most of the processor.
+func TestViewIsBuiltWhenAsked(t *testing.T) {
+	c := New()
+	for i := range 50 {
+		c.Put(0, Endpoint{ID: fmt.Sprintf("e%02d", 49-i), Service: "s", Address: "a"})
+		if c.view != nil {
+			t.Fatal("a view was built that nobody asked for")
+		}
+	}
+	v := c.Snapshot()
+	if v != c.Snapshot() {
+		t.Error("a second view was built without a change")
+	}
+	for i, e := range v.Service("s") {
+		if want := fmt.Sprintf("e%02d", i); e.ID != want || v.Endpoint(want) != e {
+			t.Errorf("endpoint %d: got %s, want %s, also by its id", i, e.ID, want)
+		}
+	}
+	c.Remove(10000, "e07")
+	if c.Snapshot().Endpoint("e07") != nil || c.Snapshot().Len() != 49 {
+		t.Errorf("after a removal: got %d endpoints, want 49 without e07", c.Snapshot().Len())
+	}
+	if v.Endpoint("e07") == nil {
+		t.Error("an older view has changed")
+	}
+}
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -40,6 +40,7 @@
 	work     float64 // ms that the send adds
 	ahead    float64 // ms of work before it
 	cold     bool
+	due      clock.Millis // instant at which the first event is expected
 }
 
 // search is what a send needs.
@@ -56,6 +57,9 @@
 	usable  int // endpoints that may take the request, set by choose
 }
 
+// engine reports whether the service's endpoints are model engines.
+func (q *search) engine() bool { return q.settled != nil && q.settled.CacheTokens > 0 }
+
 // choose reserves the endpoint for a send; nil tells that none may take it
 // now.
 func (d *Dispatcher) choose(now clock.Millis, q *search) *choice {
@@ -75,6 +79,10 @@
 			l := d.load(e.ID)
 			l.work += c.work
 			l.running++
+			if q.engine() {
+				c.due = now + clock.Millis(c.ahead+c.work) + startOverhead
+				l.pending = append(l.pending, c)
+			}
 			d.markSent(now, e.ID, q)
 			if q.below > 0 {
 				d.limit(q.service).Base(now, c.work)
@@ -143,7 +151,7 @@
 }
 
 func (d *Dispatcher) pick(now clock.Millis, q *search, list []*cataloger.State) (int, *choice) {
-	engine := q.settled != nil && q.settled.CacheTokens > 0
+	engine := q.engine()
 	query := balancer.Query{Distance: plainDistance, Prompt: plainWork}
 	perToken := 0.0
 	if engine {
@@ -225,6 +233,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.load(c.endpoint.ID)
+	l.noLongerPending(c)
 	l.delay, l.delayed = max(0, float64(took)-c.work-startOverhead), now
 	l.work = max(0, l.work-c.work)
 	if c.ahead == 0 && took > 0 && c.work > 0 {
@@ -239,6 +248,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.load(c.endpoint.ID)
+	l.noLongerPending(c)
 	l.work = max(0, l.work-c.work)
 	l.running = max(0, l.running-1)
 	d.breakers.Report(now, c.ticket, succeeded)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -113,14 +114,25 @@
 	heard   clock.Millis // last bytes from the endpoint
 	delay   float64      // ms that the last first event came later than its own work explains
 	delayed clock.Millis // instant of that event
+	pending []*choice    // sends whose first event has not arrived
 }
 
 // delayHalf is the time in ms after which half of an observed delay counts.
 const delayHalf = 500
 
-// waiting returns the delay that is still to be expected.
+// waiting returns the delay that is still to be expected: what was seen last, or
+// what a send has waited beyond the time at which its first event was due. An
+// endpoint that hangs shows only the latter.
 func (l *load) waiting(now clock.Millis) float64 {
-	return l.delay * math.Exp2(-float64(now-l.delayed)/delayHalf)
+	delay := l.delay * math.Exp2(-float64(now-l.delayed)/delayHalf)
+	for _, c := range l.pending {
+		delay = max(delay, float64(now-c.due))
+	}
+	return delay
+}
+
+func (l *load) noLongerPending(c *choice) {
+	l.pending = slices.DeleteFunc(l.pending, func(p *choice) bool { return p == c })
 }
 
 // New returns a dispatcher.
--- /dev/null
+++ b/dispatcher/load_test.go
@@ -0,0 +1,36 @@
+package dispatcher
+
+import (
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// Guards against an endpoint that hangs or is very slow and looks idle, since
+// delays were learnt from first events only: streams waited there past their
+// deadline while others had room (kseal-router-grown, trouble-1).
+func TestHangingEndpointIsNotIdle(t *testing.T) {
+	l := &load{}
+	hung := &choice{work: 20, due: 1050}
+	l.pending = append(l.pending, hung, &choice{work: 20, due: 1400})
+	tests := map[string]struct {
+		now  clock.Millis
+		want float64
+	}{
+		"not due":        {1000, 0},
+		"one is due":     {1350, 300},
+		"both are due":   {2050, 1000},
+		"long after all": {5050, 4000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := l.waiting(tt.now); got != tt.want {
+				t.Errorf("delay at %d: got %v, want %v", tt.now, got, tt.want)
+			}
+		})
+	}
+	l.noLongerPending(hung)
+	if got, want := l.waiting(2050), 650.0; got != want {
+		t.Errorf("delay after the first send ended: got %v, want %v", got, want)
+	}
+}
--- a/relayer/follow.go
+++ b/relayer/follow.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	m, err := decode(data)
+	m, changes, err := decode(data)
 	if err != nil {
 		return err
 	}
@@ -140,7 +140,7 @@
 	for _, kind := range m.Full {
 		full[kind] = nil
 	}
-	for _, x := range m.Changes {
+	for _, x := range changes {
 		if list, ok := full[x.Kind]; ok {
 			full[x.Kind] = append(list, x.object())
 			continue
--- a/relayer/hub.go
+++ b/relayer/hub.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
@@ -15,8 +16,10 @@
 )
 
 const (
-	// logLength is the number of changes that a slow neighbour may be behind
-	// before it gets the full state again.
+	// logLength is the least number of changes that a slow neighbour may be
+	// behind before it gets the full state again. With more objects it may be
+	// behind as many changes: while a large fleet starts, most objects change
+	// within a second.
 	logLength = 512
 	// sendTimeout bounds one message to a neighbour.
 	sendTimeout = 2 * clock.Second
@@ -32,7 +35,9 @@
 	open      bool // this instance reads the store
 	objects   map[string]map[string]watcher.Object
 	log       []Change
-	base      int // number of changes before log
+	base      int                     // number of changes before log
+	count     int                     // of all objects
+	batches   map[int]cbor.RawMessage // encoded changes up to now, by the position after which they come
 	changed   chan struct{}
 	confirmed clock.Millis
 	returned  clock.Millis // 0: the store was never away
@@ -62,6 +67,7 @@
 			h.append(change(kind, o))
 		}
 	}
+	h.count += len(next) - len(old)
 	h.objects[kind] = next
 	h.notify()
 }
@@ -73,11 +79,13 @@
 	if h.objects[kind] == nil {
 		return
 	}
+	h.count -= len(h.objects[kind])
 	if o.Deleted {
 		delete(h.objects[kind], o.Name)
 	} else {
 		h.objects[kind][o.Name] = o
 	}
+	h.count += len(h.objects[kind])
 	h.append(change(kind, o))
 	h.notify()
 }
@@ -104,7 +112,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.open && !open {
-		h.objects = make(map[string]map[string]watcher.Object)
+		h.objects, h.count = make(map[string]map[string]watcher.Object), 0
 	}
 	h.open = open
 	h.notify()
@@ -125,8 +133,11 @@
 }
 
 func (h *Hub) append(c Change) {
+	h.batches = nil
 	h.log = append(h.log, c)
-	if drop := len(h.log) - logLength; drop > 0 {
+	keep := max(logLength, h.count)
+	if len(h.log) >= 2*keep { // the log is moved once for many changes
+		drop := len(h.log) - keep
 		h.log = slices.Clone(h.log[drop:])
 		h.base += drop
 	}
@@ -137,14 +148,17 @@
 	h.changed = make(chan struct{})
 }
 
+// errNoFeed tells that this instance does not read the store.
+var errNoFeed = errors.New("the store is not read here")
+
 // next returns the message after position at, -1 for the full state, with the
-// new position and a channel that is closed at the next change. It reports
-// false if there is no feed.
-func (h *Hub) next(at int) (*Message, int, chan struct{}, bool) {
+// new position and a channel that is closed at the next change. It returns
+// errNoFeed if there is none.
+func (h *Hub) next(at int) (*Message, int, chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.open || len(h.objects) < len(h.kinds) {
-		return nil, 0, nil, false
+		return nil, 0, nil, errNoFeed
 	}
 	now := h.clock.Now()
 	m := &Message{Confirmed: h.confirmed, Now: now, Returned: -1}
@@ -152,17 +166,56 @@
 		m.Returned = now - h.returned
 	}
 	end := h.base + len(h.log)
-	if at >= h.base && at <= end {
-		m.Changes = slices.Clone(h.log[at-h.base:])
-		return m, end, h.changed, true
+	if at < h.base || at > end {
+		at, m.Full = -1, h.kinds
 	}
-	m.Full = h.kinds
+	batch, ok := h.batches[at]
+	if !ok {
+		list := h.full
+		if at >= 0 {
+			list = func() []Change { return newest(h.log[at-h.base:]) }
+		}
+		var err error
+		if batch, err = encodeChanges(list()); err != nil {
+			return nil, 0, nil, err
+		}
+		if h.batches == nil {
+			h.batches = make(map[int]cbor.RawMessage)
+		}
+		h.batches[at] = batch
+	}
+	m.Changes = batch
+	return m, end, h.changed, nil
+}
+
+// full returns all objects. The lock is held.
+func (h *Hub) full() []Change {
+	list := make([]Change, 0, h.count)
 	for _, kind := range h.kinds {
 		for _, name := range slices.Sorted(maps.Keys(h.objects[kind])) {
-			m.Changes = append(m.Changes, change(kind, h.objects[kind][name]))
+			list = append(list, change(kind, h.objects[kind][name]))
 		}
 	}
-	return m, end, h.changed, true
+	return list
+}
+
+// newest returns the last change of each object, in the order in which they
+// came.
+func newest(log []Change) []Change {
+	if len(log) < 2 {
+		return log
+	}
+	type object struct{ kind, name string }
+	seen := make(map[object]bool, len(log))
+	var list []Change
+	for _, c := range slices.Backward(log) {
+		if o := (object{c.Kind, c.Name}); !seen[o] {
+			seen[o] = true
+			list = append(list, c)
+		}
+	}
+	slices.Reverse(list)
+	return list
 }
 
 // ServeHTTP feeds one neighbour until it leaves or this instance no longer
@@ -185,9 +238,13 @@
 		h.readPings(ctx, conn, e)
 	}()
 	for at := -1; ; {
-		m, end, changed, ok := h.next(at)
-		if !ok {
-			_ = conn.Close(websocket.StatusGoingAway, "the store is not read here")
+		m, end, changed, err := h.next(at)
+		if err != nil {
+			status := websocket.StatusGoingAway
+			if !errors.Is(err, errNoFeed) {
+				status = websocket.StatusInternalError // the neighbour logs it
+			}
+			_ = conn.Close(status, err.Error())
 			return
 		}
 		m.Echo, m.Seen = e.get()
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -21,8 +22,10 @@
 type Message struct {
 	// Full lists the kinds whose objects are all among the changes; empty in
 	// later messages.
-	Full    []string `cbor:"1,keyasint,omitempty"`
-	Changes []Change `cbor:"2,keyasint,omitempty"`
+	Full []string `cbor:"1,keyasint,omitempty"`
+	// Changes is the encoded list of changes. It is the same for all neighbours
+	// that are equally far, and is encoded once.
+	Changes cbor.RawMessage `cbor:"2,keyasint,omitempty"`
 	// Confirmed is the reader's last confirmation and Now the instant of the
 	// message, both by the reader's clock.
 	Confirmed clock.Millis `cbor:"3,keyasint"`
@@ -54,7 +57,24 @@
 
 func encode(m *Message) ([]byte, error) { return cbor.Marshal(m) }
 
-func decode(b []byte) (*Message, error) {
+func encodeChanges(list []Change) (cbor.RawMessage, error) {
+	if len(list) == 0 {
+		return nil, nil
+	}
+	data, err := cbor.Marshal(list)
+	return data, errors.Wrap(err, "encode changes")
+}
+
+func decode(b []byte) (*Message, []Change, error) {
 	m := new(Message)
-	return m, cbor.Unmarshal(b, m)
+	if err := cbor.Unmarshal(b, m); err != nil {
+		return nil, nil, errors.Wrap(err, "decode message")
+	}
+	var list []Change
+	if len(m.Changes) > 0 {
+		if err := cbor.Unmarshal(m.Changes, &list); err != nil {
+			return nil, nil, errors.Wrap(err, "decode changes")
+		}
+	}
+	return m, list, nil
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/watcher"
@@ -212,3 +213,57 @@
 		})
 	}
 }
+
+// Guards against a fleet that starts and sends its whole state over and over:
+// with 3,000 endpoints, of which most change in a second, each neighbour was
+// behind the log all the time (fleetbench sweep, 300 instances). Also against
+// old changes of an object that are sent with the newest one, and against
+// changes that are encoded for each neighbour.
+func TestManyChangesAreNotTheFullState(t *testing.T) {
+	h := NewHub(clock.Boot(), []string{"a"})
+	h.SetOpen(true)
+	const objects = 2000
+	var list []watcher.Object
+	for i := range objects {
+		list = append(list, object(fmt.Sprint("e", i), 1))
+	}
+	h.Replace("a", list)
+	_, at, _, err := h.next(-1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for round := range 3 {
+		for i := range objects / 3 {
+			h.Change("a", object(fmt.Sprint("e", i), int64(round+2)))
+		}
+	}
+	m, end, _, err := h.next(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(m.Full) != 0 {
+		t.Error("got the full state, want the changes")
+	}
+	var changes []Change
+	if err := cbor.Unmarshal(m.Changes, &changes); err != nil {
+		t.Fatal(err)
+	}
+	if len(changes) != objects/3 {
+		t.Errorf("changes: got %d, want %d, one for each changed object", len(changes), objects/3)
+	}
+	for _, c := range changes {
+		if c.Revision != 4 {
+			t.Fatalf("%s: got revision %d, want 4, the newest", c.Name, c.Revision)
+		}
+	}
+	again, _, _, err := h.next(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if &again.Changes[0] != &m.Changes[0] {
+		t.Error("the same changes were encoded twice")
+	}
+	if m, _, _, err = h.next(end); err != nil || len(m.Changes) != 0 {
+		t.Errorf("without changes: got %d bytes, %v, want none", len(m.Changes), err)
+	}
+}
