--- a/beater/beater_test.go
+++ b/beater/beater_test.go
@@ -315,6 +315,30 @@
 	}
 }
 
+// Guards against summaries that grow with the endpoints: with 3,000 of them the
+// bytes between data centres were the largest price of fleetbench sweep.
+func TestSummaryIsBounded(t *testing.T) {
+	now := clock.Minute
+	b := quiet(t, &now, "a0", "a")
+	own := &Message{}
+	for i := range 3000 {
+		own.Loads = append(own.Loads, Load{Endpoint: uint64(i), Work: float32(i % 500), Running: 3})
+	}
+	s := b.summarize(now, own)
+	data, err := (&Message{From: b.options.Self, Summary: s}).encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(data) > 1500 {
+		t.Errorf("bytes of a summary of 3,000 endpoints: got %d, want at most 1,500", len(data))
+	}
+	for _, l := range s.Loads {
+		if l.Work < 400 {
+			t.Fatalf("an endpoint with %d ms of work is named, fuller ones are not", l.Work)
+		}
+	}
+}
+
 // Guards against work of several neighbours that shrinks by the age of each of
 // their messages, as if the endpoint did it several times over: full endpoints
 // looked empty.
--- a/beater/loads.go
+++ b/beater/loads.go
@@ -1,7 +1,9 @@
 package beater
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"rosemaryarch.example/rosemaryarch/clock"
 )
@@ -15,6 +17,13 @@
 	// summaryKept is the age from which a summary of fewer instances replaces
 	// another one: two that are due have not come by then.
 	summaryKept = 2*farInterval + 200
+	// leastWork and leastDelay are what an endpoint must have, in ms, to be named
+	// in a summary, and maxLoads is the number of endpoints that one names: those
+	// with most work. What is left out changes no choice by more than the
+	// distance between data centres.
+	leastWork  = 20
+	leastDelay = 30
+	maxLoads   = 96
 )
 
 // Summary is what the instances of a data centre together have told, for
@@ -101,10 +110,14 @@
 	}
 	s := &Summary{Instances: 1, Rates: own.Rates}
 	for key, l := range loads {
-		s.Loads = append(s.Loads, LoadSum{
-			Endpoint: key, Work: uint32(l.left()), Running: uint32(l.running), Delay: uint32(l.delay),
-		})
+		if work := l.left(); work >= leastWork || l.delay >= leastDelay {
+			s.Loads = append(s.Loads, LoadSum{
+				Endpoint: key, Work: uint32(work), Running: uint32(l.running), Delay: uint32(l.delay),
+			})
+		}
 	}
+	slices.SortFunc(s.Loads, func(x, y LoadSum) int { return cmp.Compare(y.Work+y.Delay, x.Work+x.Delay) })
+	s.Loads = s.Loads[:min(len(s.Loads), maxLoads)]
 	rates := make(map[uint64]Rate)
 	for _, r := range own.Rates {
 		rates[r.Service] = r
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -301,16 +301,16 @@
 	return t
 }
 
-// larger notes that a larger model is asked for, which has a work in ms, and
-// returns the part of such requests for which there is room.
-func (d *Dispatcher) larger(now clock.Millis, q *search, work float64) float64 {
+// larger notes that a request of a rank asks for a larger model, which has a
+// work in ms, and returns the part of such requests for which there is room.
+func (d *Dispatcher) larger(now clock.Millis, q *search, rank int, work float64) float64 {
 	instances := d.options.Ready()
 	others := d.options.PeerRates(q.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.limit(q.service)
-	t.Demand(now, work)
-	return t.Factor(now, others, q.usable, instances)
+	t.Demand(now, rank, work)
+	return t.Factor(now, rank, others, q.usable, instances)
 }
 
 // Rates returns the work of this instance by service, in ms per ms, for the
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/recorder"
 	"rosemaryarch.example/rosemaryarch/stager"
+	"rosemaryarch.example/rosemaryarch/surger"
 	"rosemaryarch.example/rosemaryarch/throttler"
 	"rosemaryarch.example/rosemaryarch/warmer"
 )
@@ -100,6 +101,7 @@
 	sent     map[subjectKey]clock.Millis
 	paces    map[string]*pace
 	limits   map[string]*throttler.Throttler // by service
+	surges   *surger.Surger
 	breakers *breaker.Breaker
 }
 
@@ -141,10 +143,22 @@
 		options: o,
 		loads:   make(map[string]*load), sent: make(map[subjectKey]clock.Millis), paces: make(map[string]*pace),
 		limits:   make(map[string]*throttler.Throttler),
+		surges:   surger.New(surger.Default()),
 		breakers: breaker.New(o.Breaker, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
 
+// surge notes the work of a request, in tokens, and reports whether its workspace
+// asks for far more than usual.
+func (d *Dispatcher) surge(now clock.Millis, workspace string, tokens float64) bool {
+	if workspace == "" {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.surges.Add(now, workspace, tokens)
+}
+
 // Active returns the number of requests in progress.
 func (d *Dispatcher) Active() int { return int(d.active.Load()) }
 
@@ -202,6 +216,7 @@
 			delete(d.sent, k)
 		}
 	}
+	d.surges.Sweep(now)
 	d.mu.Unlock()
 	addresses := make(map[string]bool, s.Len())
 	s.Each(func(e *cataloger.State) { addresses[e.Address] = true })
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -37,6 +37,7 @@
 	deadline  clock.Millis // instant at which the client gives up
 	until     clock.Millis // instant of the final answer
 	prompt    prompt
+	surge     bool // the workspace asks for far more than usual
 
 	counted  bool // by the retry budget
 	sends    int  // endpoints that may have got the request
@@ -104,6 +105,9 @@
 	x.body = body
 	x.deadlines()
 	x.prompt = readPrompt(r.Header, n)
+	if x.route.Kind == matcher.Stream {
+		x.surge = d.surge(x.now(), x.workspace.Name, x.prompt.tokens)
+	}
 	if d.leaving.Load() && x.route.Kind == matcher.Stream {
 		return refuser.ErrShuttingDown.WithRetryAfter(shortRetry)
 	}
@@ -272,7 +276,7 @@
 	o.Recorder.Line("request",
 		recorder.Text("id", x.id), recorder.Text("session", x.request.Header.Get(o.Names.Session)),
 		recorder.Text("route", route), recorder.Text("workspace", x.workspace.Name),
-		recorder.Number("status", x.status), recorder.Text("reason", x.reason), recorder.Number("sends", x.sends),
+		recorder.Number("rank", x.rank()), recorder.Number("status", x.status), recorder.Text("reason", x.reason), recorder.Number("sends", x.sends),
 		recorder.Text("endpoint", x.endpoint), recorder.Number("model", x.model), recorder.Number("confidence", x.conf),
 		recorder.Number("threshold", x.threshold), recorder.Number("room", x.weighed.Room),
 		recorder.Number("pressure", x.weighed.Pressure),
@@ -339,11 +343,28 @@
 	}
 }
 
+// surgeRanks is how far the requests of a workspace that surges go behind those
+// of others: at least one kind of request further.
+const surgeRanks = 2
+
+// rank returns the priority for the log; a request without a route has none.
+func (x *exchange) rank() int {
+	if x.route == nil {
+		return -1
+	}
+	return x.priority()
+}
+
+// priority returns the rank of the request, 0 being the highest.
 func (x *exchange) priority() int {
+	rank := x.route.Priority
 	if x.workspace.HasPriority {
-		return x.workspace.Priority
+		rank = x.workspace.Priority
+	}
+	if x.surge {
+		rank += surgeRanks
 	}
-	return x.route.Priority
+	return rank
 }
 
 func wait(ctx context.Context, d clock.Millis) {
--- a/dispatcher/load_test.go
+++ b/dispatcher/load_test.go
@@ -1,9 +1,14 @@
 package dispatcher
 
 import (
+	"net"
+	"net/http"
 	"testing"
+	"time"
 
 	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/matcher"
+	"rosemaryarch.example/rosemaryarch/surger"
 )
 
 // Guards against an endpoint that hangs or is very slow and looks idle, since
@@ -34,3 +39,20 @@
 		t.Errorf("delay after the first send ended: got %v, want %v", got, want)
 	}
 }
+
+// Guards against the excess of one workspace that is served like the requests of
+// all others (pattern: hot tenant).
+func TestSurgingWorkspaceYields(t *testing.T) {
+	f := newFleet(t, route(matcher.Stream, func(r *matcher.Route) { r.Public, r.Priority = false, 1 }),
+		func(c net.Conn, r *http.Request, _ string) bool { return events(c, r, 1, 2, true) })
+	// Every request after the first counts as a surge.
+	f.dispatcher.surges = surger.New(surger.Options{Short: 1, Long: 2})
+	for _, want := range []string{"1", "3"} {
+		f.do("POST", "/a/x", "prompt", names.Key, "good", names.Tokens, "100,10")
+		r, _ := f.endpoints[0].last()
+		if got := r.Header.Get(names.Priority); got != want {
+			t.Errorf("priority at the endpoint: got %q, want %q", got, want)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -32,7 +32,7 @@
 	d.mu.Unlock()
 	room := 1.0
 	if x.conf >= 0 && x.conf < d.options.Cascader.Keep {
-		room = d.larger(x.now(), s.search, large)
+		room = d.larger(x.now(), s.search, x.priority(), large)
 	}
 	ahead := d.pressure(x.now(), s.search)
 	target := float64(max(1, x.route.Target))
--- a/relayer/hub.go
+++ b/relayer/hub.go
@@ -23,6 +23,11 @@
 	logLength = 512
 	// sendTimeout bounds one message to a neighbour.
 	sendTimeout = 2 * clock.Second
+	// largeMessage is the size in bytes from which at most largeSends messages
+	// are written at a time: each is copied for its connection, and when a large
+	// fleet starts all neighbours ask for the full state.
+	largeMessage = 128 << 10
+	largeSends   = 6
 )
 
 // Hub holds what this instance reads and feeds its neighbours. It is safe for
@@ -30,6 +35,7 @@
 type Hub struct {
 	clock clock.Clock
 	kinds []string
+	large chan struct{} // holds a place for each large message that is written
 
 	mu        sync.Mutex
 	open      bool // this instance reads the store
@@ -45,7 +51,9 @@
 
 // NewHub returns a hub for kinds, of which nothing is known.
 func NewHub(c clock.Clock, kinds []string) *Hub {
-	return &Hub{clock: c, kinds: kinds, objects: make(map[string]map[string]watcher.Object), changed: make(chan struct{})}
+	return &Hub{
+		clock: c, kinds: kinds, large: make(chan struct{}, largeSends), objects: make(map[string]map[string]watcher.Object), changed: make(chan struct{}),
+	}
 }
 
 // Replace takes a full list of a kind. The changes against the former list are
@@ -248,7 +256,7 @@
 			return
 		}
 		m.Echo, m.Seen = e.get()
-		if err := send(ctx, conn, m); err != nil {
+		if err := h.send(ctx, conn, m); err != nil {
 			return
 		}
 		at = end
@@ -289,7 +297,15 @@
 	}
 }
 
-func send(ctx context.Context, conn *websocket.Conn, m *Message) error {
+func (h *Hub) send(ctx context.Context, conn *websocket.Conn, m *Message) error {
+	if len(m.Changes) > largeMessage {
+		select {
+		case h.large <- struct{}{}:
+			defer func() { <-h.large }()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	data, err := encode(m)
 	if err != nil {
 		return err
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -267,3 +267,18 @@
 		t.Errorf("without changes: got %d bytes, %v, want none", len(m.Changes), err)
 	}
 }
+
+// Guards against copies of the full state for all neighbours at a time: a reader
+// of 75 of them took 170 MB when a fleet of 300 instances started.
+func TestLargeMessagesTakeTurns(t *testing.T) {
+	h := NewHub(clock.Boot(), []string{"a"})
+	for range largeSends {
+		h.large <- struct{}{}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	m := &Message{Changes: make(cbor.RawMessage, largeMessage+1)}
+	if err := h.send(ctx, nil, m); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("with all places taken: got %v, want to wait until the context ends", err)
+	}
+}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -20,8 +20,18 @@
 	options Options
 	base    rate // first models
 	demand  rate // larger models, if none were held back
+	// ranks is the demand by rank, over mixSpan times the span: one instance sees
+	// too few requests for a shorter one.
+	ranks map[int]*rate
 }
 
+// mixSpan is the number of spans over which the mix of ranks is averaged.
+const mixSpan = 6
+
+// rankShare is the part of the room that goes to higher ranks first; the rest is
+// the same for all, so that no kind of request is left without larger models.
+const rankShare = 0.6
+
 // rate is an exponential average of ms of work per ms.
 type rate struct {
 	sum float64
@@ -43,14 +53,21 @@
 	if o.Span <= 0 || o.Share <= 0 {
 		panic("throttler: options must be positive")
 	}
-	return &Throttler{options: o}
+	return &Throttler{options: o, ranks: make(map[int]*rate)}
 }
 
 // Base notes work in ms of a first model.
 func (t *Throttler) Base(now clock.Millis, work float64) { t.base.add(now, work, t.options.Span) }
 
-// Demand notes work in ms that a larger model would have.
-func (t *Throttler) Demand(now clock.Millis, work float64) { t.demand.add(now, work, t.options.Span) }
+// Demand notes work in ms that a larger model would have for a request of a
+// rank, 0 being the highest.
+func (t *Throttler) Demand(now clock.Millis, rank int, work float64) {
+	t.demand.add(now, work, t.options.Span)
+	if t.ranks[rank] == nil {
+		t.ranks[rank] = &rate{at: now}
+	}
+	t.ranks[rank].add(now, work, mixSpan*t.options.Span)
+}
 
 // Rates returns the averages, in ms of work per ms.
 func (t *Throttler) Rates(now clock.Millis) (base, demand float64) {
@@ -65,9 +82,9 @@
 	Instances int
 }
 
-// Factor returns the part of the larger models' work, 0 to 1, that fits where
-// endpoints endpoints serve instances instances.
-func (t *Throttler) Factor(now clock.Millis, o Others, endpoints, instances int) float64 {
+// Factor returns the part of the larger models' work, 0 to 1, that fits for
+// requests of a rank where endpoints endpoints serve instances instances.
+func (t *Throttler) Factor(now clock.Millis, rank int, o Others, endpoints, instances int) float64 {
 	base, demand := t.Rates(now)
 	seen := float64(o.Instances + 1)
 	base, demand = (base+o.Base)/seen, (demand+o.Demand)/seen
@@ -75,5 +92,26 @@
 		return 1
 	}
 	room := t.options.Share*float64(endpoints)/float64(max(1, instances)) - base
-	return min(1, max(0, room/demand))
+	all := min(1, max(0, room/demand))
+	return (1-rankShare)*all + rankShare*t.first(now, rank, all)
+}
+
+// first returns the part of a rank's work that fits if higher ranks are served
+// first and all of them together get the part all.
+func (t *Throttler) first(now clock.Millis, rank int, all float64) float64 {
+	var higher, own, total float64
+	for r, demand := range t.ranks {
+		v := demand.value(now, mixSpan*t.options.Span)
+		total += v
+		switch {
+		case r < rank:
+			higher += v
+		case r == rank:
+			own += v
+		}
+	}
+	if own <= 0 {
+		return all
+	}
+	return min(1, max(0, (all*total-higher)/own))
 }
