dispatcher: dropped responses are counted and logged

Cause: a response with another id, without one, unsigned, encoded or incomplete was dropped without a counter of its own, and the send line did not say whether its connection was new. Reports of wrong and of incomplete answers could not be told apart. Change: dropped_responses_total{reason}; the send line has connection and dropped, and is also written for a send that succeeds after a response was skipped.

--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -304,21 +305,27 @@
 	result, err := s.run(ctx)
 	d.release(x.now(), c, !s.failed)
 	end(s.counted, s.versionFailed, s.latency)
-	if result != resultDone || err != nil {
+	if result != resultDone || err != nil || len(s.dropped) > 0 {
 		x.logSend(c, s, err)
 	}
 	return result, err
 }
 
-// logSend writes the log record of a send that did not complete the request.
+// logSend writes the log record of a send that did not complete the request, or on
+// which a response was dropped.
 func (x *exchange) logSend(c *choice, s *send, err error) {
 	text := ""
 	if err != nil {
 		text = err.Error()
 	}
+	connection := "new"
+	if s.trace.Reused {
+		connection = "reused"
+	}
 	x.dispatcher.options.Logger.Log("send",
-		logger.Text("id", x.id), logger.Text("endpoint", c.endpoint.ID), logger.Text("version", c.endpoint.Version),
-		logger.Number("send", x.sends), logger.Text("outcome", s.outcome), logger.Text("error", text),
+		logger.Text("id", x.id), logger.Text("endpoint", c.endpoint.ID), logger.Text("connection", connection),
+		logger.Text("version", c.endpoint.Version), logger.Number("send", x.sends),
+		logger.Text("outcome", s.outcome), logger.Text("dropped", strings.Join(s.dropped, ",")), logger.Text("error", text),
 		logger.Number("ms", x.now()-s.begin), logger.Number("confidence", x.confidence),
 		logger.Number("ahead_ms", c.ahead))
 }
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -24,6 +24,8 @@
 	begin    clock.Millis
 	response *forwarder.Response
 
+	trace         forwarder.Trace
+	dropped       []string     // reasons of responses that were dropped, for the log
 	outcome       string       // for the log
 	failed        bool         // the endpoint failed, for its circuit breaker
 	counted       bool         // the result is evidence about the version, for its roll-out
@@ -41,10 +43,14 @@
 		// leaves the outcome unknown.
 		NewConnection: !x.route.Retryable(),
 		Alive:         func() bool { return x.now()-d.lastReceived(e.ID) < livenessWindow || !s.mayAbandon() },
+		Trace:         &s.trace,
 	}
 	x.tried[e.ID] = true
 	x.sends++
 	response, err := d.options.Forwarder.Send(ctx, call)
+	for range s.trace.OtherID {
+		s.drop(refuser.DropOtherID)
+	}
 	switch {
 	case errors.Is(err, forwarder.ErrNotSent):
 		x.sends--
@@ -146,12 +152,15 @@
 	}
 	x.mayHaveExecuted = true
 	if response.Status >= 200 && response.Status < 300 {
-		if response.Header.Get(n.Signature) == "" || response.Header.Get("Content-Encoding") != "" {
-			return s.invalidResponse("the response is unsigned or encoded")
+		if response.Header.Get(n.Signature) == "" {
+			return s.invalidResponse(refuser.DropUnsigned, "the response is unsigned")
+		}
+		if response.Header.Get("Content-Encoding") != "" {
+			return s.invalidResponse(refuser.DropEncoded, "the response is encoded")
 		}
 		// One without an id may be a late copy of the response to an earlier request.
 		if response.Header.Get(n.ID) != x.id {
-			return s.invalidResponse("the response does not carry the id of the request")
+			return s.invalidResponse(refuser.DropWithoutID, "the response does not carry the id of the request")
 		}
 		if x.route.Kind == matcher.Stream {
 			return s.serveStream(ctx)
@@ -159,7 +168,7 @@
 	}
 	if x.headerSent {
 		// The client has received the header of an earlier response.
-		return s.invalidResponse("the endpoint did not resume the stream")
+		return s.invalidResponse(refuser.DropNotResumed, "the endpoint did not resume the stream")
 	}
 	return s.servePlain(ctx)
 }
@@ -176,8 +185,15 @@
 	return resultRetry, refuser.ErrNoEndpoint.WithMessage("the endpoint refused the request").WithRetryAfter(busyRetry)
 }
 
+// drop records that a response was dropped, in the metrics and for the log.
+func (s *send) drop(reason refuser.DropReason) {
+	s.dropped = append(s.dropped, string(reason))
+	s.exchange.dispatcher.options.Meter.CountDrop(reason)
+}
+
 // invalidResponse handles a response that cannot be forwarded.
-func (s *send) invalidResponse(message string) (sendResult, error) {
+func (s *send) invalidResponse(reason refuser.DropReason, message string) (sendResult, error) {
+	s.drop(reason)
 	s.outcome, s.failed, s.counted, s.versionFailed = "spoiled", true, true, true
 	s.exchange.dispatcher.options.Meter.CountRetry(refuser.RetryMismatchedResponse)
 	return resultRetry, refuser.ErrBackEndFailed.WithMessage("%s", message)
@@ -193,7 +209,7 @@
 			s.outcome = "out_of_time"
 			return resultRetry, refuser.ErrDeadline.WithExecution(refuser.ExecutionUnknown)
 		}
-		return s.invalidResponse("the response body is incomplete")
+		return s.invalidResponse(refuser.DropIncomplete, "the response body is incomplete")
 	}
 	if len(body) > maxBufferedBody {
 		return s.forwardLong(body)
@@ -202,10 +218,14 @@
 	s.latency = x.now() - s.begin
 	s.counted, s.versionFailed = true, response.Status >= http.StatusInternalServerError
 	s.failed = s.versionFailed
+	if impliesNotExecuted(response.Status) {
+		s.drop(refuser.DropFalseRefusal)
+	}
 	if s.versionFailed && x.route.Retryable() && x.sends < x.route.Attempts && x.remaining() > x.route.Target/2 {
 		s.outcome = "failed"
 		return s.retryElsewhere(body)
 	}
+	s.outcome = "complete"
 	x.forwardResponse(response, body)
 	return resultDone, nil
 }
@@ -215,7 +235,7 @@
 func (s *send) forwardLong(begin []byte) (sendResult, error) {
 	x, response := s.exchange, s.response
 	if impliesNotExecuted(response.Status) {
-		return s.invalidResponse("the endpoint failed with a status that it may not use")
+		return s.invalidResponse(refuser.DropFalseRefusal, "the endpoint failed with a status that it may not use")
 	}
 	limit := int64(maxUndeclaredBody)
 	x.copyHeader(response)
@@ -234,6 +254,8 @@
 		s.outcome, s.failed, s.counted, s.versionFailed = "body_broke", true, true, true
 		if clientLeft(x.request.Context()) {
 			s.outcome, s.failed, s.counted = reasonClientLeft, false, false
+		} else {
+			s.drop(refuser.DropIncomplete)
 		}
 		return resultDone, nil // the response stays incomplete
 	}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -154,6 +154,7 @@
 		return resultRetry, refuser.ErrDeadline.WithExecution(refuser.Executed)
 	}
 	s.failed, s.counted, s.versionFailed = true, true, true
+	s.drop(refuser.DropIncomplete)
 	x.markSuspect(s.choice, s.criteria)
 	x.dispatcher.options.Meter.CountRetry(refuser.RetryStreamCut)
 	return resultRetry, refuser.ErrStreamBroken.WithMessage("%v", err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -68,6 +68,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnOpen is called for each new connection, if set.
 	OnOpen func(address string)
+	// OnStray is called, if set, for each connection that is not reused because
+	// bytes have arrived that belong to no request.
+	OnStray func(address string)
 }
 
 // Forwarder sends requests and pools idle connections by the endpoint's address.
@@ -86,6 +89,7 @@
 	limited   bool         // a response header is being read
 	headLeft  int          // bytes that may still be read while limited
 	expiresAt clock.Millis // instant after which an idle connection is not reused
+	reused    bool         // the connection has served an earlier request
 }
 
 // New returns a forwarder with an empty connection pool.
@@ -123,17 +127,29 @@
 	// a read that times out is continued with the same timeout.
 	Alive   func() bool
 	Request Request
+	Trace   *Trace // filled by Send; may be nil
+}
+
+// Trace tells how an exchange went, also if it failed.
+type Trace struct {
+	Reused  bool // the connection has served an earlier request
+	OtherID int  // responses that were skipped because they carry another id
 }
 
 // Send sends the request and reads the response header. On success the caller
 // must end the response with Close or Release. Cancelling ctx ends the exchange.
 // The error is ErrNotSent or ErrOutcomeUnknown.
 func (f *Forwarder) Send(ctx context.Context, call Call) (*Response, error) {
+	trace := call.Trace
+	if trace == nil {
+		trace = &Trace{}
+	}
 	c, err := f.connect(ctx, call)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", call.Address), ErrNotSent)
 	}
-	response := &Response{forwarder: f, conn: c, address: call.Address, alive: call.Alive}
+	trace.Reused = c.reused
+	response := &Response{forwarder: f, conn: c, address: call.Address, alive: call.Alive, trace: trace}
 	c.response = response
 	response.stop = context.AfterFunc(ctx, func() {
 		response.cancelled.Store(true)
@@ -201,32 +217,45 @@
 		c := list[len(list)-1]
 		f.idle[address] = list[:len(list)-1]
 		f.mu.Unlock()
-		if f.options.Clock.Now() < c.expiresAt && clean(c.Conn) {
-			return c
+		if f.options.Clock.Now() < c.expiresAt {
+			usable, stray := probe(c.Conn)
+			if usable {
+				return c
+			}
+			if stray {
+				f.reportStray(address)
+			}
 		}
 		_ = c.Close()
 	}
 }
 
-// clean reports whether an idle connection is open and has no unread bytes, which
-// would belong to no request.
-func clean(n net.Conn) bool {
+// reportStray calls Options.OnStray.
+func (f *Forwarder) reportStray(address string) {
+	if f.options.OnStray != nil {
+		f.options.OnStray(address)
+	}
+}
+
+// probe reports whether an idle connection is open and has no unread bytes, and
+// whether it has unread bytes, which would belong to no request.
+func probe(n net.Conn) (usable, stray bool) {
 	s, ok := n.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	open := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		unread, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		usable = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		stray = err == nil && unread > 0
 		return true
 	})
-	return err == nil && open
+	return usable && err == nil, stray
 }
 
 // putIdle adds a connection to the pool and drops expired ones, and the oldest
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -34,6 +34,7 @@
 	cancelled   atomic.Bool   // the context has ended
 	inner       *http.Response
 	closed      bool
+	trace       *Trace
 }
 
 const (
@@ -68,6 +69,7 @@
 			continue
 		}
 		if got := resp.Header.Get(idHeader); got != "" && want != "" && got != want {
+			r.trace.OtherID++
 			if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes)); err != nil || n == maxStaleBytes {
 				return errors.New("stale response on the connection is incomplete or too long")
 			}
@@ -169,6 +171,9 @@
 		default:
 		}
 	}
+	if r.conn.reader.Buffered() > 0 {
+		r.forwarder.reportStray(r.address)
+	}
 	reusable := written && r.Delimited() && !r.inner.Close && r.conn.reader.Buffered() == 0 && r.stop()
 	if !reusable {
 		r.Close()
@@ -185,6 +190,7 @@
 	}
 	_ = r.conn.SetDeadline(time.Time{})
 	r.conn.response = nil
+	r.conn.reused = true
 	r.conn.expiresAt = r.forwarder.options.Clock.Now() + idle
 	r.forwarder.putIdle(r.address, r.conn)
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -29,6 +29,7 @@
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/platform"
+	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/relayer"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/stager"
@@ -176,7 +177,8 @@
 		Budget: l.budget, SlowStarter: slowstarter.New(),
 		Forwarder: forwarder.New(forwarder.Options{
 			Clock: l.clock, DialTimeout: dialTimeout, IDHeader: platform.HeaderNames().ID,
-			OnOpen: func(string) { l.meter.CountEvent("endpoint_connection_opened") },
+			OnOpen:  func(string) { l.meter.CountEvent("endpoint_connection_opened") },
+			OnStray: func(string) { l.meter.CountDrop(refuser.DropStrayBytes) },
 		}),
 		Balancer: balancer.Default(), Cascader: cascader.Default(),
 		Breaker: breaker.Options{
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -16,6 +16,7 @@
 	registry   *prometheus.Registry
 	refusals   *prometheus.CounterVec
 	retries    *prometheus.CounterVec
+	drops      *prometheus.CounterVec
 	requests   *prometheus.CounterVec
 	tokens     *prometheus.CounterVec
 	firstToken *prometheus.HistogramVec
@@ -33,14 +34,15 @@
 // call to a plain service to the longest stream.
 var latencyBuckets = []float64{0.02, 0.05, 0.1, 0.15, 0.3, 0.6, 1.5, 3, 6, 12, 25}
 
-// New returns a meter with its own registry. The counters of all refusal and
-// retry reasons exist from the start, so that a scrape also shows reasons that
+// New returns a meter with its own registry. The counters of all refusal, retry
+// and drop reasons exist from the start, so that a scrape also shows reasons that
 // never occurred.
 func New() *Meter {
 	m := &Meter{
 		registry: prometheus.NewRegistry(),
 		refusals: counter("refusals_total", "Refused requests by reason.", "reason"),
 		retries:  counter("retries_total", "Retries by reason.", "reason"),
+		drops:    counter("dropped_responses_total", "Responses that did not reach a client by reason.", "reason"),
 		requests: counter("requests_total", "Answered requests by service and workspace.", "service", "workspace"),
 		tokens:   counter("tokens_total", "Tokens by direction and version.", "direction", "version"),
 		firstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -59,13 +61,16 @@
 		events: counter("events_total", "Events that operators may want to see, by name.", "name"),
 	}
 	m.registry.MustRegister(
-		m.refusals, m.retries, m.requests, m.tokens, m.firstToken, m.latency, m.storeCalls, m.gauges, m.events)
+		m.refusals, m.retries, m.drops, m.requests, m.tokens, m.firstToken, m.latency, m.storeCalls, m.gauges, m.events)
 	for _, r := range refuser.Refusals() {
 		m.refusals.WithLabelValues(string(r.Reason))
 	}
 	for _, r := range refuser.RetryReasons() {
 		m.retries.WithLabelValues(string(r))
 	}
+	for _, r := range refuser.DropReasons() {
+		m.drops.WithLabelValues(string(r))
+	}
 	return m
 }
 
@@ -79,6 +84,10 @@
 // CountRetry counts a retry that the router made by itself.
 func (m *Meter) CountRetry(r refuser.RetryReason) { m.retries.WithLabelValues(string(r)).Inc() }
 
+// CountDrop counts a response of an endpoint, or bytes from it, that did not reach a
+// client.
+func (m *Meter) CountDrop(r refuser.DropReason) { m.drops.WithLabelValues(string(r)).Inc() }
+
 // CountRequest counts a request that was answered.
 func (m *Meter) CountRequest(service, workspace string) {
 	m.requests.WithLabelValues(service, workspace).Inc()
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -34,6 +34,11 @@
 			fmt.Sprintf("rosemaryarch_retries_total{reason=%q} 0\n", r), fmt.Sprintf("\n| `%s` | ", r),
 		}
 	}
+	for _, r := range refuser.DropReasons() {
+		reasons["drop "+string(r)] = wanted{
+			fmt.Sprintf("rosemaryarch_dropped_responses_total{reason=%q} 0\n", r), fmt.Sprintf("\n| `%s` | ", r),
+		}
+	}
 	for name, want := range reasons {
 		t.Run(name, func(t *testing.T) {
 			if got := strings.Count(w.Body.String(), want.counter); got != 1 {
--- /dev/null
+++ b/refuser/drop.go
@@ -0,0 +1,25 @@
+package refuser
+
+// DropReason is the reason why a response of an endpoint, or bytes from it, did
+// not reach a client. It is also the label of its counter.
+type DropReason string
+
+// The drop reasons.
+const (
+	DropOtherID      DropReason = "other_id"
+	DropWithoutID    DropReason = "without_id"
+	DropUnsigned     DropReason = "unsigned"
+	DropEncoded      DropReason = "encoded"
+	DropIncomplete   DropReason = "incomplete"
+	DropNotResumed   DropReason = "not_resumed"
+	DropFalseRefusal DropReason = "false_refusal"
+	DropStrayBytes   DropReason = "stray_bytes"
+)
+
+// DropReasons returns every drop reason.
+func DropReasons() []DropReason {
+	return []DropReason{
+		DropOtherID, DropWithoutID, DropUnsigned, DropEncoded, DropIncomplete, DropNotResumed, DropFalseRefusal,
+		DropStrayBytes,
+	}
+}
