forwarder: a response without an id is not accepted on a reused connection

Callers saw, if an endpoint answered twice and the second copy carried no id: the failure of another request, or status 503 (not executed) for a request that the endpoint was executing; a request that may be retried was sent again. Cause: demanded the id of successes only. Failures, redirects, 421 and the not-executed header were accepted without it. Evidence: TestFailureWithoutIDOnReusedConnection, all 5 cases failed before. Change: ErrNoID, outcome unknown, and the connection is closed. On a new connection a response without an id cannot be the copy of an earlier one, unless a response with another id came before it. TestReuse: the endpoint of one case returned no id; it does now, the check is the same. Measured: go test ./dispatcher ./forwarder.

--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -55,6 +55,9 @@
 	case errors.Is(err, forwarder.ErrNotSent):
 		x.sends--
 		return s.notSent(ctx, err)
+	case errors.Is(err, forwarder.ErrNoID):
+		x.mayHaveExecuted = true
+		return s.invalidResponse(refuser.DropWithoutID, "the response does not carry the id of the request")
 	case err != nil:
 		return s.responseLost(ctx, err)
 	}
--- a/dispatcher/untrusted_test.go
+++ b/dispatcher/untrusted_test.go
@@ -68,3 +68,32 @@
 		t.Errorf("own answers: got %d of 8, want at least every other one", own)
 	}
 }
+
+// Guards against a failure or a refusal without an id on a reused connection, which
+// may be the late copy of the response to an earlier request: the client got the
+// failure of another request, or status 503, which means "not executed", for a
+// request that the endpoint was executing.
+func TestFailureWithoutIDOnReusedConnection(t *testing.T) {
+	tests := map[string]string{
+		"failure":      "HTTP/1.1 500 X\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\nstray",
+		"not found":    "HTTP/1.1 404 X\r\nContent-Length: 5\r\n\r\nstray",
+		"redirect":     "HTTP/1.1 302 X\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n",
+		"not executed": "HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"misdirected":  "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n",
+	}
+	for name, stray := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(matcher.Safe, func(r *matcher.Route) { r.Attempts = 1 }), onReuse(stray))
+			if got := f.do("GET", "/a/x", "", names.ID, "id-1"); got.status != 200 {
+				t.Fatalf("first request: got %d, want 200", got.status)
+			}
+			got := f.do("GET", "/a/x", "", names.ID, "id-2")
+			if got.status != http.StatusBadGateway || strings.Contains(got.body, "stray") {
+				t.Errorf("second request: got %d %q, want 502 of the router", got.status, got.body)
+			}
+			if !strings.Contains(got.body, `"run":"unknown"`) {
+				t.Errorf("second request: got %q, want an unknown execution state", got.body)
+			}
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -138,7 +138,7 @@
 
 // Send sends the request and reads the response header. On success the caller
 // must end the response with Close or Release. Cancelling ctx ends the exchange.
-// The error is ErrNotSent or ErrOutcomeUnknown.
+// The error is ErrNotSent or ErrOutcomeUnknown; ErrNoID is marked with the latter.
 func (f *Forwarder) Send(ctx context.Context, call Call) (*Response, error) {
 	trace := call.Trace
 	if trace == nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -140,10 +140,12 @@
 		}, false, false, 3},
 		"zero idle timeout ignored": {func(_ int, c net.Conn, br *bufio.Reader) {
 			for {
-				if _, err := http.ReadRequest(br); err != nil {
+				r, err := http.ReadRequest(br)
+				if err != nil {
 					return
 				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok")
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok",
+					r.Header.Get("X-Id"))
 			}
 		}, false, false, 1},
 	}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -51,9 +51,15 @@
 // end of a response header.
 var ErrHeadTooLarge = errors.New("forwarder: response header is too large")
 
+// ErrNoID means that a response carries no id on a connection that is reused or has
+// brought a response with another id. It may be a late copy of the response to an
+// earlier request.
+var ErrNoID = errors.New("forwarder: response on a reused connection carries no id")
+
 // readHeader reads response headers until one carries the id of the request.
 // Responses with another id belong to earlier requests on the connection and
-// are skipped, as are informational (1xx) ones.
+// are skipped, as are informational (1xx) ones. The first response on a new
+// connection may be without an id.
 func (r *Response) readHeader(request *Request, idHeader string) error {
 	want := request.Header.Get(idHeader)
 	r.conn.headLeft = maxHeadBytes
@@ -68,7 +74,11 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if got := resp.Header.Get(idHeader); got != "" && want != "" && got != want {
+		got := resp.Header.Get(idHeader)
+		if got == "" && (r.trace.Reused || r.trace.OtherID > 0) {
+			return ErrNoID
+		}
+		if got != "" && want != "" && got != want {
 			r.trace.OtherID++
 			if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes)); err != nil || n == maxStaleBytes {
 				return errors.New("stale response on the connection is incomplete or too long")
