forwarder: a connection is reused only after the end of the response's body

Callers could see bytes of another request's response as their own: the rest of a body. Cause: Release trusted its caller. The dispatcher releases after reading 64 KB of a refusal's body, or as much as came before an error; if nothing more had arrived at that moment, the connection was kept, and the rest was read as the next response. Evidence: TestUnreadBodyIsNotReused failed before (the next request got the rest). Change: Release keeps a connection only if Read has returned io.EOF.

--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -33,6 +33,7 @@
 	alive       func() bool   // see Call.Alive
 	cancelled   atomic.Bool   // the context has ended
 	inner       *http.Response
+	ended       bool // the body was read to its end
 	closed      bool
 	trace       *Trace
 }
@@ -93,7 +94,11 @@
 
 // Read reads the body. It returns io.EOF only if the body is complete; the body
 // of a response that is not Delimited ends with its connection.
-func (r *Response) Read(b []byte) (int, error) { return r.inner.Body.Read(b) }
+func (r *Response) Read(b []byte) (int, error) {
+	n, err := r.inner.Body.Read(b)
+	r.ended = r.ended || err == io.EOF
+	return n, err
+}
 
 // Read reads from the connection and extends the read timeout while the endpoint
 // is alive. This is done here, below the readers of header and body, because
@@ -166,9 +171,9 @@
 	}
 }
 
-// Release ends an exchange whose body was read to its end, and keeps the
-// connection for reuse if the request is written completely and the endpoint
-// neither closes the connection nor has sent further bytes.
+// Release ends an exchange, and keeps the connection for reuse if the request is
+// written completely, the body was read to its end, and the endpoint neither closes
+// the connection nor has sent further bytes.
 func (r *Response) Release() {
 	if r.closed {
 		return
@@ -181,10 +186,10 @@
 		default:
 		}
 	}
-	if r.conn.reader.Buffered() > 0 {
+	if r.ended && r.conn.reader.Buffered() > 0 {
 		r.forwarder.reportStray(r.address)
 	}
-	reusable := written && r.Delimited() && !r.inner.Close && r.conn.reader.Buffered() == 0 && r.stop()
+	reusable := written && r.ended && r.Delimited() && !r.inner.Close && r.conn.reader.Buffered() == 0 && r.stop()
 	if !reusable {
 		r.Close()
 		return
--- a/forwarder/stray_test.go
+++ b/forwarder/stray_test.go
@@ -108,3 +108,37 @@
 	response.Release()
 	return string(body), true
 }
+
+// Guards against the reuse of a connection whose response was not read to its end:
+// the rest of the body was taken for the start of the next response.
+func TestUnreadBodyIsNotReused(t *testing.T) {
+	rest := "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 5\r\n\r\nstray"
+	address, _ := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for i := range 2 {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if n == 1 && i == 0 {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nX-Id: 1\r\nContent-Length: %d\r\n\r\nbegin", 5+len(rest))
+				continue
+			}
+			if n == 1 {
+				_, _ = io.WriteString(c, rest)
+			}
+			respond(c, r, "mine")
+		}
+	})
+	f := newForwarder()
+	response, err := f.Send(context.Background(), newCall(address, "1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(response, make([]byte, 5)); err != nil {
+		t.Fatal(err)
+	}
+	response.Release()
+	if body, ok := exchange(t, f, address, "GET", "2", false); !ok || body != "mine" {
+		t.Errorf("next request: got %q, want its own response", body)
+	}
+}
