forwarder: a request without an id is sent on a new connection

Callers that send no id saw the answer of another request: the check of the id was left out if there was none to compare with. Evidence: TestRequestWithoutID, both cases failed before (status 500 and status 200 with the body of another request). Change: such a request never reuses a connection, on which a copy could arrive.

--- a/dispatcher/untrusted_test.go
+++ b/dispatcher/untrusted_test.go
@@ -97,3 +97,23 @@
 		})
 	}
 }
+
+// Guards against the answer of another request for a client that sends no id: on a
+// reused connection nothing tells a late copy of an earlier response from its own.
+func TestRequestWithoutID(t *testing.T) {
+	tests := map[string]string{
+		"failure with an id":  "HTTP/1.1 500 X\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nstray",
+		"success without one": "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\nstray",
+	}
+	for name, stray := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(matcher.Safe, func(r *matcher.Route) { r.Attempts = 1 }), onReuse(stray))
+			if got := f.do("GET", "/a/x", "", names.ID, "id-1"); got.status != 200 {
+				t.Fatalf("first request: got %d, want 200", got.status)
+			}
+			if got := f.do("GET", "/a/x", "", names.ID, ""); got.status != 200 || got.body != "mine " {
+				t.Errorf("request without an id: got %d %q, want its own answer", got.status, got.body)
+			}
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -182,10 +182,11 @@
 	return response, nil
 }
 
-// connect returns an idle connection, or opens one if there is none or
-// call.NewConnection is set.
+// connect returns an idle connection, or opens one if there is none,
+// call.NewConnection is set, or the request has no id: its response could not be
+// told from a late copy of the response to an earlier request.
 func (f *Forwarder) connect(ctx context.Context, call Call) (*conn, error) {
-	if !call.NewConnection {
+	if !call.NewConnection && call.Request.Header.Get(f.options.IDHeader) != "" {
 		if c := f.takeIdle(call.Address); c != nil {
 			return c, nil
 		}
