forwarder: an id is sent only once on a connection

A caller that repeats a request under the id of an earlier one could get the late copy of the earlier response, for example a refusal for a request that now runs. Within one request the dispatcher never sends twice to an endpoint, so that this needs a caller that uses an id twice. Cause: the id proves nothing if two requests on the connection had it. Evidence: TestSameIDUsesAnotherConnection, both cases failed before. Change: a connection keeps the latest 16 ids and is not reused for one of them. Measured: go test ./forwarder ./dispatcher.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -37,6 +38,9 @@
 	// maxStaleResponses limits the responses that are read for one request:
 	// informational ones and those to earlier requests are skipped.
 	maxStaleResponses = 4
+	// maxRememberedIDs limits the ids that are kept for each connection. A copy comes
+	// where the next response is expected, so that a few would do.
+	maxRememberedIDs = 16
 	// maxInlineBody is the body size up to which a request is written before its
 	// response is read. Larger ones are written concurrently, because an endpoint
 	// may respond before it has read them.
@@ -90,6 +94,7 @@
 	headLeft  int          // bytes that may still be read while limited
 	expiresAt clock.Millis // instant after which an idle connection is not reused
 	reused    bool         // the connection has served an earlier request
+	ids       []string     // of the latest requests, at most maxRememberedIDs
 }
 
 // New returns a forwarder with an empty connection pool.
@@ -149,6 +154,7 @@
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", call.Address), ErrNotSent)
 	}
 	trace.Reused = c.reused
+	c.rememberID(call.Request.Header.Get(f.options.IDHeader))
 	response := &Response{forwarder: f, conn: c, address: call.Address, alive: call.Alive, trace: trace}
 	c.response = response
 	response.stop = context.AfterFunc(ctx, func() {
@@ -182,12 +188,21 @@
 	return response, nil
 }
 
+// rememberID adds the id of a request to those that the connection has served.
+func (c *conn) rememberID(id string) {
+	if len(c.ids) == maxRememberedIDs {
+		c.ids = slices.Delete(c.ids, 0, 1)
+	}
+	c.ids = append(c.ids, id)
+}
+
 // connect returns an idle connection, or opens one if there is none,
 // call.NewConnection is set, or the request has no id: its response could not be
 // told from a late copy of the response to an earlier request.
 func (f *Forwarder) connect(ctx context.Context, call Call) (*conn, error) {
-	if !call.NewConnection && call.Request.Header.Get(f.options.IDHeader) != "" {
-		if c := f.takeIdle(call.Address); c != nil {
+	id := call.Request.Header.Get(f.options.IDHeader)
+	if !call.NewConnection && id != "" {
+		if c := f.takeIdle(call.Address, id); c != nil {
 			return c, nil
 		}
 	}
@@ -205,19 +220,14 @@
 	return opened, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if
-// none is usable.
-func (f *Forwarder) takeIdle(address string) *conn {
+// takeIdle removes and returns the most recently used idle connection that has not
+// served a request with the given id, or nil if none is usable.
+func (f *Forwarder) takeIdle(address, id string) *conn {
 	for {
-		f.mu.Lock()
-		list := f.idle[address]
-		if len(list) == 0 {
-			f.mu.Unlock()
+		c := f.removeIdle(address, id)
+		if c == nil {
 			return nil
 		}
-		c := list[len(list)-1]
-		f.idle[address] = list[:len(list)-1]
-		f.mu.Unlock()
 		if f.options.Clock.Now() < c.expiresAt {
 			usable, stray := probe(c.Conn)
 			if usable {
@@ -231,6 +241,21 @@
 	}
 }
 
+// removeIdle removes and returns the most recently used idle connection that has
+// not served a request with the given id, or nil if there is none.
+func (f *Forwarder) removeIdle(address, id string) *conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := f.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !slices.Contains(c.ids, id) {
+			f.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // reportStray calls Options.OnStray.
 func (f *Forwarder) reportStray(address string) {
 	if f.options.OnStray != nil {
--- a/forwarder/stray_test.go
+++ b/forwarder/stray_test.go
@@ -109,6 +109,28 @@
 	return string(body), true
 }
 
+// Guards against the reuse of a connection for a request with the id of an earlier
+// one on it: a late copy of the first response was taken for the answer to the second
+// request.
+func TestSameIDUsesAnotherConnection(t *testing.T) {
+	tests := map[string]struct{ response, want string }{
+		"success": {"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 5\r\n\r\nfirst", "mine same"},
+		"refusal": {"HTTP/1.1 503 X\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", "mine same"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startServer(t, strayFirst(tt.response, -1, true))
+			f := newForwarder()
+			exchange(t, f, address, "GET", "same", true)
+			exchange(t, f, address, "GET", "other", false) // the copy arrives here
+			exchange(t, f, address, "GET", "same", true)
+			if body, ok := exchange(t, f, address, "GET", "same", false); !ok || body != tt.want {
+				t.Errorf("second request with the id: got %q, want %q", body, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against the reuse of a connection whose response was not read to its end:
 // the rest of the body was taken for the start of the next response.
 func TestUnreadBodyIsNotReused(t *testing.T) {
