dispatcher: a close before the first event is no empty stream

Callers saw a signed empty success for a stream whose endpoint sent a header without length or chunks and closed its connection. Cause: the clean end of a connection was taken for the end of the stream, also where nothing had come that it could end. Evidence: TestStreamEndsBeforeFirstEvent, 4 of 7 cases failed before. Change: such a response is dropped as incomplete: resumed elsewhere if the route allows it, else 502, or a stream that breaks off. A declared empty body is still a success. Measured: go test ./dispatcher.

--- /dev/null
+++ b/dispatcher/attribution_test.go
@@ -0,0 +1,75 @@
+package dispatcher
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/matcher"
+)
+
+// untilClose sends a stream that only the end of its connection delimits, with the
+// events 1 to last and then the given bytes.
+func untilClose(last int, text string) handler {
+	return func(c net.Conn, r *http.Request, _ string) bool {
+		_, _ = io.WriteString(c, strings.ReplaceAll(streamHead, "ID", r.Header.Get("X-Id")))
+		for i := 1; i <= last; i++ {
+			_, _ = fmt.Fprintf(c, "id: %d\ndata: p%d\n\n", i, i)
+		}
+		_, _ = io.WriteString(c, text)
+		return false
+	}
+}
+
+// eventsAfter sends the events up to 4 that follow the one that the request names.
+func eventsAfter(c net.Conn, r *http.Request, _ string) bool {
+	from := 0
+	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &from); err != nil {
+		from = 0
+	}
+	return writeEvents(c, r, from+1, 4, true)
+}
+
+// Guards against an empty success: a connection that closes before the first event of
+// a stream whose end only the close can tell may be that of a failing endpoint.
+func TestStreamEndsBeforeFirstEvent(t *testing.T) {
+	declared := func(framing string) handler {
+		return func(c net.Conn, r *http.Request, _ string) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Signature: s\r\n"+framing)
+			return true
+		}
+	}
+	cut := func(c net.Conn, r *http.Request, _ string) bool { return writeEvents(c, r, 1, 4, false) }
+	tests := map[string]struct {
+		first, second handler
+		resume        bool
+		status        int
+		body          string
+		complete      bool
+	}{
+		"not resumable":       {untilClose(0, ""), eventsAfter, false, 502, "", true},
+		"comment only":        {untilClose(0, ": hello\n\n"), eventsAfter, false, 502, "", true},
+		"resumable":           {untilClose(0, ""), eventsAfter, true, 200, completeStream, true},
+		"after the resume":    {cut, untilClose(0, ""), true, 200, completeStream, false},
+		"declared length":     {declared("Content-Length: 0\r\n\r\n"), eventsAfter, true, 200, "", true},
+		"chunks":              {declared("Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), eventsAfter, true, 200, "", true},
+		"resumed, all events": {cut, declared("Content-Length: 0\r\n\r\n"), true, 200, completeStream, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(matcher.Stream, func(r *matcher.Route) {
+				r.Resumable, r.Attempts = tt.resume, 2
+			}), firstThen(tt.first, tt.second)...)
+			got := f.do("POST", "/a/x", "prompt")
+			if got.status != tt.status || (got.err == nil) != tt.complete {
+				t.Errorf("got %d %v, want %d, complete: %v", got.status, got.err, tt.status, tt.complete)
+			}
+			if tt.status == 200 && got.body != tt.body {
+				t.Errorf("body: got %q, want %q", got.body, tt.body)
+			}
+		})
+	}
+}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -67,6 +67,10 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
+			// Without a declared end, a close before the first event proves nothing.
+			if first && !response.Delimited() && x.request.Method != http.MethodHead {
+				return s.invalidResponse(refuser.DropIncomplete, "the stream closed before its first event")
+			}
 			return s.streamEnded(first)
 		default:
 			return s.streamBroke(ctx, err)
