dispatcher: a second response does not reach the client as part of a stream

Callers saw the header and the events of another response in their stream, which ended as a complete success. Cause: a stream without length or chunks ends with its connection; all bytes before that were forwarded in blocks that an empty line ends, whatever they were. Change: the splitter ends with ErrStatusLine at a line that is the status line of a response; no field of an event is named so. The stream goes on at another endpoint after its last whole event if the route allows it, and breaks off otherwise. Measured: go test ./splitter ./dispatcher ./refuser ./meter.

--- a/dispatcher/attribution_test.go
+++ b/dispatcher/attribution_test.go
@@ -73,3 +73,38 @@
 		})
 	}
 }
+
+// Guards against a second response in a stream that only the end of its connection
+// delimits: its header and body reached the client as events.
+func TestSecondResponseInStream(t *testing.T) {
+	second := "HTTP/1.1 200 OK\r\nX-Id: id-0\r\nX-Signature: s\r\n\r\nid: 9\ndata: other\n\n"
+	tests := map[string]struct {
+		first  handler
+		resume bool
+		body   string // if complete
+	}{
+		"after two events":          {untilClose(2, second), false, ""},
+		"before the first event":    {untilClose(0, second), false, ""},
+		"after part of an event":    {untilClose(2, "id: 3\ndata: par\n"+second), false, ""},
+		"resumable":                 {untilClose(2, second), true, completeStream},
+		"resumable, no event":       {untilClose(0, second), true, completeStream},
+		"resumable, HTTP/1.0":       {untilClose(2, strings.Replace(second, "1.1", "1.0", 1)), true, completeStream},
+		"data that quotes a status": {untilClose(0, "id: 1\ndata: HTTP/1.1 200 OK\n\n"), false, "id: 1\ndata: HTTP/1.1 200 OK\n\n"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(matcher.Stream, func(r *matcher.Route) { r.Resumable = tt.resume }),
+				firstThen(tt.first, eventsAfter)...)
+			got := f.do("POST", "/a/x", "prompt")
+			if strings.Contains(got.body, "data: other") || strings.Contains(got.body, "id-0") {
+				t.Errorf("the client got bytes of another response: %q", got.body)
+			}
+			if complete := got.status == 200 && got.err == nil; complete != (tt.body != "") {
+				t.Errorf("got %d %v, want a complete success: %v", got.status, got.err, tt.body != "")
+			}
+			if tt.body != "" && got.body != tt.body {
+				t.Errorf("body: got %q, want %q", got.body, tt.body)
+			}
+		})
+	}
+}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -72,6 +72,8 @@
 				return s.invalidResponse(refuser.DropIncomplete, "the stream closed before its first event")
 			}
 			return s.streamEnded(first)
+		case errors.Is(err, splitter.ErrStatusLine):
+			return s.invalidResponse(refuser.DropSecondResponse, "another response follows in the stream")
 		default:
 			return s.streamBroke(ctx, err)
 		}
--- a/refuser/drop.go
+++ b/refuser/drop.go
@@ -6,20 +6,21 @@
 
 // The drop reasons.
 const (
-	DropOtherID      DropReason = "other_id"
-	DropWithoutID    DropReason = "without_id"
-	DropUnsigned     DropReason = "unsigned"
-	DropEncoded      DropReason = "encoded"
-	DropIncomplete   DropReason = "incomplete"
-	DropNotResumed   DropReason = "not_resumed"
-	DropFalseRefusal DropReason = "false_refusal"
-	DropStrayBytes   DropReason = "stray_bytes"
+	DropOtherID        DropReason = "other_id"
+	DropWithoutID      DropReason = "without_id"
+	DropUnsigned       DropReason = "unsigned"
+	DropEncoded        DropReason = "encoded"
+	DropIncomplete     DropReason = "incomplete"
+	DropNotResumed     DropReason = "not_resumed"
+	DropFalseRefusal   DropReason = "false_refusal"
+	DropStrayBytes     DropReason = "stray_bytes"
+	DropSecondResponse DropReason = "second_response"
 )
 
 // DropReasons returns every drop reason.
 func DropReasons() []DropReason {
 	return []DropReason{
 		DropOtherID, DropWithoutID, DropUnsigned, DropEncoded, DropIncomplete, DropNotResumed, DropFalseRefusal,
-		DropStrayBytes,
+		DropStrayBytes, DropSecondResponse,
 	}
 }
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -22,14 +22,20 @@
 	ErrPartial = errors.New("splitter: stream ended inside an event")
 	// ErrTooLarge means that one event exceeds maxEventBytes.
 	ErrTooLarge = errors.New("splitter: event too large")
+	// ErrStatusLine means that a line is the status line of an HTTP response, which is
+	// no line of an event: another response follows the stream.
+	ErrStatusLine = errors.New("splitter: status line of a response in the stream")
 )
 
+// statusLinePrefix is the start of the status line of a response.
+const statusLinePrefix = "HTTP/1."
+
 // Splitter reads the events of one stream. It is not safe for concurrent use.
 type Splitter struct {
 	r    io.Reader
 	data []byte // buffered bytes
 	from int    // offset in data of the first event that Next has not returned
-	err  error  // first error: of the reader, or ErrTooLarge
+	err  error  // first error: of the reader, ErrTooLarge or ErrStatusLine
 }
 
 // New returns a splitter that reads r.
@@ -39,15 +45,19 @@
 // the bytes of all complete ones so far, the last numeric id among them (-1 if
 // there is none), and the number of events, which is 0 if there are only comments.
 // The bytes are valid until the next call. The error is io.EOF if the stream ends
-// after a complete event, ErrPartial if it ends inside one, ErrTooLarge, or the
-// reader's error.
+// after a complete event, ErrPartial if it ends inside one, ErrTooLarge,
+// ErrStatusLine, or the reader's error.
 func (s *Splitter) Next() (events []byte, id int64, count int, err error) {
 	for {
-		if end, n := completeEvents(s.data[s.from:]); end > 0 {
+		end, n, invalid := completeEvents(s.data[s.from:])
+		if end > 0 {
 			events = s.data[s.from : s.from+end]
 			s.from += end
 			return events, lastID(events), n, nil
 		}
+		if invalid != nil {
+			s.err = invalid
+		}
 		if s.err != nil {
 			if s.err == io.EOF && s.from < len(s.data) {
 				return nil, -1, 0, ErrPartial
@@ -79,8 +89,9 @@
 // completeEvents returns the length in bytes of the complete events and comments
 // at the start of b and the number of events. An event is one or more lines and
 // ends with an empty line; further empty lines before it belong to it. Lines that
-// start with a colon are comments; a block of nothing else is no event.
-func completeEvents(b []byte) (end, count int) {
+// start with a colon are comments; a block of nothing else is no event. The error
+// is ErrStatusLine if such a line follows them.
+func completeEvents(b []byte) (end, count int, err error) {
 	line := 0
 	empty, comments := true, true
 	for i := 0; i < len(b); i++ {
@@ -88,6 +99,8 @@
 			continue
 		}
 		switch {
+		case bytes.HasPrefix(b[line:i], []byte(statusLinePrefix)):
+			return end, count, ErrStatusLine
 		case !blank(b[line:i]):
 			empty = false
 			comments = comments && b[line] == ':'
@@ -100,7 +113,7 @@
 		}
 		line = i + 1
 	}
-	return end, count
+	return end, count, nil
 }
 
 // blank reports whether a line, without its LF, is empty.
--- a/splitter/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -26,6 +26,10 @@
 		"field before the id":        {"v: 7\nid: 5\ndata: id: 9\n\n", "v: 7\nid: 5\ndata: id: 9\n\n", 5, io.EOF},
 		"leading empty lines":        {"\n\nid: 1\ndata: a\n\n", "\n\nid: 1\ndata: a\n\n", 1, io.EOF},
 		"no id":                      {"data: a\n\n", "data: a\n\n", -1, io.EOF},
+		"response after an event":    {two + "HTTP/1.1 200 OK\r\nA: b\r\n\r\n" + two, two, 2, ErrStatusLine},
+		"response inside an event":   {two + "id: 3\nHTTP/1.0 200 OK\r\n\r\n", two, 2, ErrStatusLine},
+		"response at once":           {"HTTP/1.1 200 OK\r\n\r\n" + two, "", -1, ErrStatusLine},
+		"status line in data":        {"data: HTTP/1.1 200\n\n", "data: HTTP/1.1 200\n\n", -1, io.EOF},
 		"comments":                   {": b\n\n" + two + ":\n\n", ": b\n\n" + two + ":\n\n", 2, io.EOF},
 	}
 	for name, tt := range tests {
