dispatcher: events that come twice do not reach the client

Callers saw events twice, or parts of two runs as one stream, if the endpoint at which a stream resumed ignored the position and started again, or an endpoint repeated events. Cause: whatever the next endpoint sent was taken for the rest of the stream. Change: numeric ids must increase, from the last event that the client has (or names, if the route allows to resume). Otherwise the response is dropped and the stream resumes at another endpoint, or breaks off. Not covered: an endpoint that skips events; ids increase, but need not be consecutive.

--- a/dispatcher/attribution_test.go
+++ b/dispatcher/attribution_test.go
@@ -77,6 +77,7 @@
 // Guards against a second response in a stream that only the end of its connection
 // delimits: its header and body reached the client as events.
 func TestSecondResponseInStream(t *testing.T) {
+	const quoted = "id: 1\ndata: HTTP/1.1 200 OK\n\n"
 	second := "HTTP/1.1 200 OK\r\nX-Id: id-0\r\nX-Signature: s\r\n\r\nid: 9\ndata: other\n\n"
 	tests := map[string]struct {
 		first  handler
@@ -89,7 +90,7 @@
 		"resumable":                 {untilClose(2, second), true, completeStream},
 		"resumable, no event":       {untilClose(0, second), true, completeStream},
 		"resumable, HTTP/1.0":       {untilClose(2, strings.Replace(second, "1.1", "1.0", 1)), true, completeStream},
-		"data that quotes a status": {untilClose(0, "id: 1\ndata: HTTP/1.1 200 OK\n\n"), false, "id: 1\ndata: HTTP/1.1 200 OK\n\n"},
+		"data that quotes a status": {untilClose(0, quoted), false, quoted},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -108,3 +109,63 @@
 		})
 	}
 }
+
+// Guards against an endpoint that ignores the position from which a stream resumes and
+// starts again: the client got events twice, or parts of two runs as one stream.
+func TestResumePositionIgnored(t *testing.T) {
+	cut := func(c net.Conn, r *http.Request, _ string) bool { return writeEvents(c, r, 1, 2, false) }
+	again := func(c net.Conn, r *http.Request, _ string) bool { return writeEvents(c, r, 1, 4, true) }
+	once := func(c net.Conn, r *http.Request, body string) bool {
+		if r.Header.Get("Last-Event-Id") == "" {
+			return cut(c, r, body)
+		}
+		return again(c, r, body)
+	}
+	repeats := func(c net.Conn, r *http.Request, _ string) bool {
+		return untilClose(2, "id: 2\ndata: p2\n\nid: 3\ndata: p3\n\n")(c, r, "")
+	}
+	begin := "id: 1\ndata: p1\n\nid: 2\ndata: p2\n\n"
+	tests := map[string]struct {
+		handlers []handler
+		after    string // Last-Event-Id of the client
+		body     string
+		complete bool
+	}{
+		"every endpoint starts again": {[]handler{once, once, once}, "", begin, false},
+		"one endpoint starts again":   {inTurn(cut, again, eventsAfter), "", completeStream, true},
+		"event repeated in one run":   {inTurn(repeats, eventsAfter), "", completeStream, true},
+		"client resumes":              {inTurn(again, eventsAfter), "2", strings.TrimPrefix(completeStream, begin), true},
+		"client resumes after all":    {inTurn(eventsAfter), "4", "", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(matcher.Stream, resumable), tt.handlers...)
+			var headers []string
+			if tt.after != "" {
+				headers = []string{names.LastEvent, tt.after}
+			}
+			got := f.do("POST", "/a/x", "prompt", headers...)
+			if got.body != tt.body || (got.err == nil) != tt.complete {
+				t.Errorf("got %d %q %v, want %q, complete: %v", got.status, got.body, got.err, tt.body, tt.complete)
+			}
+		})
+	}
+}
+
+// inTurn returns three handlers of which the given ones serve the requests of the
+// test in turn, and the last one all further requests, whichever endpoint they reach.
+func inTurn(list ...handler) []handler {
+	turns := make(chan handler, len(list))
+	for _, h := range list {
+		turns <- h
+	}
+	handle := func(c net.Conn, r *http.Request, body string) bool {
+		select {
+		case h := <-turns:
+			return h(c, r, body)
+		default:
+			return list[len(list)-1](c, r, body)
+		}
+	}
+	return []handler{handle, handle, handle}
+}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -55,7 +55,7 @@
 		s.outcome, s.counted = "less_confident", true
 		return resultEscalate, nil
 	}
-	events := splitter.New(response)
+	events := splitter.NewAfter(response, x.resumePosition())
 	first := true
 	waited := clock.Millis(0) // for the endpoint, since its last event
 	for {
@@ -64,18 +64,8 @@
 		event, id, count, err := events.Next()
 		now := x.now()
 		waited += now - begin
-		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF):
-			// Without a declared end, a close before the first event proves nothing.
-			if first && !response.Delimited() && x.request.Method != http.MethodHead {
-				return s.invalidResponse(refuser.DropIncomplete, "the stream closed before its first event")
-			}
-			return s.streamEnded(first)
-		case errors.Is(err, splitter.ErrStatusLine):
-			return s.invalidResponse(refuser.DropSecondResponse, "another response follows in the stream")
-		default:
-			return s.streamBroke(ctx, err)
+		if err != nil {
+			return s.streamStopped(ctx, err, first)
 		}
 		if count == 0 {
 			// A comment is forwarded, but is no sign that the answer advances.
@@ -106,6 +96,19 @@
 	}
 }
 
+// resumePosition returns the id of the last event that the client has, or -1 if it has
+// none: of this response, or of one that broke off, if the route allows to resume it.
+func (x *exchange) resumePosition() int64 {
+	if x.lastEventID >= 0 || !x.route.Resumable {
+		return x.lastEventID
+	}
+	id, err := strconv.ParseInt(x.request.Header.Get(x.dispatcher.options.Names.LastEvent), 10, 64)
+	if err != nil {
+		return -1
+	}
+	return id
+}
+
 // eventTimeout returns the longest wait for the next event; 0 means until the
 // deadline.
 func (s *send) eventTimeout(first bool) clock.Millis {
@@ -135,6 +138,25 @@
 	return http.NewResponseController(x.writer).Flush() == nil
 }
 
+// streamStopped handles the end of a stream with the error of its splitter. empty
+// means that no event has arrived.
+func (s *send) streamStopped(ctx context.Context, err error, empty bool) (sendResult, error) {
+	switch {
+	case errors.Is(err, io.EOF):
+		// Without a declared end, a close before the first event proves nothing.
+		if empty && !s.response.Delimited() && s.exchange.request.Method != http.MethodHead {
+			return s.invalidResponse(refuser.DropIncomplete, "the stream closed before its first event")
+		}
+		return s.streamEnded(empty)
+	case errors.Is(err, splitter.ErrStatusLine):
+		return s.invalidResponse(refuser.DropSecondResponse, "another response follows in the stream")
+	case errors.Is(err, splitter.ErrOrder):
+		return s.invalidResponse(refuser.DropOutOfOrder, "events of the stream come twice or out of order")
+	default:
+		return s.streamBroke(ctx, err)
+	}
+}
+
 // streamEnded handles the regular end of a stream.
 func (s *send) streamEnded(empty bool) (sendResult, error) {
 	x := s.exchange
--- a/refuser/drop.go
+++ b/refuser/drop.go
@@ -15,12 +15,13 @@
 	DropFalseRefusal   DropReason = "false_refusal"
 	DropStrayBytes     DropReason = "stray_bytes"
 	DropSecondResponse DropReason = "second_response"
+	DropOutOfOrder     DropReason = "out_of_order"
 )
 
 // DropReasons returns every drop reason.
 func DropReasons() []DropReason {
 	return []DropReason{
 		DropOtherID, DropWithoutID, DropUnsigned, DropEncoded, DropIncomplete, DropNotResumed, DropFalseRefusal,
-		DropStrayBytes, DropSecondResponse,
+		DropStrayBytes, DropSecondResponse, DropOutOfOrder,
 	}
 }
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -27,6 +27,10 @@
 	ErrStatusLine = errors.New("splitter: status line of a response in the stream")
 )
 
+// ErrOrder means that the id of an event is not above that of the event before it,
+// or of the position from which the stream resumes.
+var ErrOrder = errors.New("splitter: ids of events do not increase")
+
 // statusLinePrefix is the start of the status line of a response.
 const statusLinePrefix = "HTTP/1."
 
@@ -35,25 +39,34 @@
 	r    io.Reader
 	data []byte // buffered bytes
 	from int    // offset in data of the first event that Next has not returned
-	err  error  // first error: of the reader, ErrTooLarge or ErrStatusLine
+	err  error  // first error: of the reader, ErrTooLarge, ErrStatusLine or ErrOrder
+
+	increasing bool  // ids must increase
+	last       int64 // id that the next one must exceed, if increasing
 }
 
 // New returns a splitter that reads r.
 func New(r io.Reader) *Splitter { return &Splitter{r: r} }
 
+// NewAfter returns a splitter that reads r, a stream whose numeric ids increase and
+// are all above id. Events without a numeric id may stand anywhere.
+func NewAfter(r io.Reader, id int64) *Splitter { return &Splitter{r: r, increasing: true, last: id} }
+
 // Next blocks until at least one complete event or comment has arrived. It returns
 // the bytes of all complete ones so far, the last numeric id among them (-1 if
 // there is none), and the number of events, which is 0 if there are only comments.
 // The bytes are valid until the next call. The error is io.EOF if the stream ends
 // after a complete event, ErrPartial if it ends inside one, ErrTooLarge,
-// ErrStatusLine, or the reader's error.
+// ErrStatusLine, ErrOrder, or the reader's error.
 func (s *Splitter) Next() (events []byte, id int64, count int, err error) {
 	for {
-		end, n, invalid := completeEvents(s.data[s.from:])
+		end, n, invalid := s.completeEvents(s.data[s.from:])
 		if end > 0 {
 			events = s.data[s.from : s.from+end]
 			s.from += end
-			return events, lastID(events), n, nil
+			id = lastID(events)
+			s.last = max(s.last, id)
+			return events, id, n, nil
 		}
 		if invalid != nil {
 			s.err = invalid
@@ -90,9 +103,9 @@
 // at the start of b and the number of events. An event is one or more lines and
 // ends with an empty line; further empty lines before it belong to it. Lines that
 // start with a colon are comments; a block of nothing else is no event. The error
-// is ErrStatusLine if such a line follows them.
-func completeEvents(b []byte) (end, count int, err error) {
-	line := 0
+// is ErrStatusLine or ErrOrder if such a line or event follows them.
+func (s *Splitter) completeEvents(b []byte) (end, count int, err error) {
+	line, last := 0, s.last
 	empty, comments := true, true
 	for i := 0; i < len(b); i++ {
 		if b[i] != '\n' {
@@ -105,6 +118,12 @@
 			empty = false
 			comments = comments && b[line] == ':'
 		case !empty:
+			if id := lastID(b[end:i]); s.increasing && id >= 0 {
+				if id <= last {
+					return end, count, ErrOrder
+				}
+				last = id
+			}
 			end = i + 1
 			if !comments {
 				count++
--- a/splitter/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -118,3 +118,41 @@
 		}
 	}
 }
+
+// Guards against events that come twice, or from another position than the one from
+// which a stream resumes, whatever the sizes of the reads.
+func TestIDsIncrease(t *testing.T) {
+	tests := map[string]struct {
+		in    string
+		after int64
+		out   string
+		err   error
+	}{
+		"increasing":           {"id: 1\n\nid: 5\n\n", -1, "id: 1\n\nid: 5\n\n", io.EOF},
+		"first is 0":           {"id: 0\n\n", -1, "id: 0\n\n", io.EOF},
+		"repeated":             {"id: 1\n\nid: 2\n\nid: 2\n\nid: 3\n\n", -1, "id: 1\n\nid: 2\n\n", ErrOrder},
+		"back":                 {"id: 4\n\nid: 3\n\n", -1, "id: 4\n\n", ErrOrder},
+		"resumed":              {"id: 3\n\nid: 4\n\n", 2, "id: 3\n\nid: 4\n\n", io.EOF},
+		"starts again":         {"id: 1\n\nid: 2\n\nid: 3\n\n", 2, "", ErrOrder},
+		"repeats the last":     {"id: 2\n\nid: 3\n\n", 2, "", ErrOrder},
+		"without an id":        {"data: a\n\nid: 3\n\ndata: b\n\n", 2, "data: a\n\nid: 3\n\ndata: b\n\n", io.EOF},
+		"id that is no number": {"id: x\n\nid: 3\n\nid: x\n\n", 2, "id: x\n\nid: 3\n\nid: x\n\n", io.EOF},
+	}
+	for name, tt := range tests {
+		for size, r := range map[string]io.Reader{
+			"at once": strings.NewReader(tt.in), "byte by byte": iotest.OneByteReader(strings.NewReader(tt.in)),
+		} {
+			t.Run(name+" "+size, func(t *testing.T) {
+				s := NewAfter(r, tt.after)
+				var got strings.Builder
+				data, _, _, err := s.Next()
+				for ; err == nil; data, _, _, err = s.Next() {
+					got.Write(data)
+				}
+				if got.String() != tt.out || !errors.Is(err, tt.err) {
+					t.Errorf("got %q %v, want %q %v", got.String(), err, tt.out, tt.err)
+				}
+			})
+		}
+	}
+}
