assembler: calls of plain services do not share connections

A caller of the own interface could get the answer to another call, also of another workspace, or status 502 with run "no" for a call that the service executes, if a plain service answered twice. Cause: the transport of net/http takes the first response on a kept connection for the answer to its latest request; answers of plain services carry no id. Change: calls and look-ups use a client that opens a connection for each request. The cost is one connection set-up a call.

--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -119,11 +119,12 @@
 	router             *router.Router
 	instanceList       listclient.Client
 
-	plainClient  *http.Client // for plain services and the platform; it has no timeout of its own
-	engineClient *http.Client // for model engines
-	config       configState
-	fleet        fleetState
-	drain        drainState
+	plainClient   *http.Client // for the platform; it has no timeout of its own
+	serviceClient *http.Client // for plain services; each request has its own connection
+	engineClient  *http.Client // for model engines
+	config        configState
+	fleet         fleetState
+	drain         drainState
 
 	callerServer *http.Server
 	peerServer   *http.Server
@@ -141,6 +142,7 @@
 		meter: meter.New(), reportedDeaths: map[string]bool{}, newestIncarnations: map[string]uint64{},
 	}
 	i.plainClient = newHTTPClient(i.options.Dial)
+	i.serviceClient = newServiceClient(i.options.Dial)
 	engines := &connector.Connector{
 		DialContext: i.options.Dial, ProcessEnded: i.forgetEngineProcess, Now: i.options.Clock.Now,
 	}
@@ -200,6 +202,13 @@
 	}}
 }
 
+// newServiceClient returns a client that reuses no connection. Answers of plain
+// services carry no id, so that a late copy of an answer could not be told from the
+// answer to the next call on its connection.
+func newServiceClient(dial func(context.Context, string, string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+}
+
 // newRandom returns a random generator for one purpose, identified by stream. With
 // Options.Seed its sequence depends on the seed, the instance id and the stream
 // only; without, it differs in each run.
--- a/assembler/state.go
+++ b/assembler/state.go
@@ -200,7 +200,7 @@
 		if r.Service != call.Service {
 			continue
 		}
-		client := serviceclient.NewHTTP(r.Address, i.plainClient)
+		client := serviceclient.NewHTTP(r.Address, i.serviceClient)
 		a, err := client.LookUp(ctx, "/"+call.Service, serviceKey(call.Workspace, call.Key))
 		switch {
 		case err == nil:
@@ -335,7 +335,7 @@
 // a status below 500 is passed on as the answer of the service, unless it states
 // that the request was not executed.
 func (i *Instance) exchange(req *http.Request) (router.Reply, error) {
-	resp, err := exchanger.Send(i.plainClient, req)
+	resp, err := exchanger.Send(i.serviceClient, req)
 	var status *exchanger.StatusError
 	if errors.As(err, &status) && status.Status < http.StatusInternalServerError &&
 		status.Execution != refuser.NotExecuted {
