--- a/engineclient/client_test.go
+++ b/engineclient/client_test.go
@@ -1,8 +1,10 @@
 package engineclient
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -94,3 +96,47 @@
 		t.Errorf("got %v, want ErrEventTimeout and ErrOutcomeUnknown", err)
 	}
 }
+
+// TestLateCopyOfARefusal guards against a late second copy of a refusal that is taken
+// for the response to the next attempt on the connection: the attempt would count as
+// not executed while the engine executes it.
+func TestLateCopyOfARefusal(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nContent-Length: 28\r\n\r\n" + `{"reason":"full","run":"no"}`
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if n > 0 || r.URL.Path != "/v1/generate" {
+						_, _ = io.WriteString(c, refusal) // on a reused connection, the late copy
+						continue
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	client := NewHTTP("http://"+listener.Addr().String(), "", &http.Client{Transport: &http.Transport{}})
+	if err := client.Cancel(t.Context(), "r", "a"); !errors.Is(err, ErrRefused) {
+		t.Fatalf("cancel: got %v, want ErrRefused", err)
+	}
+	_, err = client.Generate(t.Context(), streamer.Request{RequestID: "r", AttemptID: "b"})
+	if errors.Is(err, ErrRefused) {
+		t.Errorf("got %v for an attempt that the engine executes, want ErrOutcomeUnknown", err)
+	}
+}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -189,6 +189,10 @@
 		"chunks, truncated": {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false},
 		"inside a chunk":    {"Transfer-Encoding: chunked\r\n\r\n9\r\nbody", false},
 		"until close":       {"\r\nbody", true},
+		"response as trailer": {
+			"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", false,
+		},
+		"length, end within": {"Content-Length: 5\r\n\r\nbody", false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/forwarder/stray_test.go
+++ b/forwarder/stray_test.go
@@ -164,3 +164,22 @@
 		t.Errorf("next request: got %q, want its own response", body)
 	}
 }
+
+// Guards against a body that only the end of its connection delimits and that a reset
+// cuts: it must not read as complete.
+func TestResetIsNoEnd(t *testing.T) {
+	address, _ := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		_, _ = http.ReadRequest(br)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nbody")
+		time.Sleep(50 * time.Millisecond) // the body must arrive before the reset discards it
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	response, err := newForwarder().Send(context.Background(), newCall(address, "1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	if body, err := io.ReadAll(response); err == nil {
+		t.Errorf("got %q as a complete body, want an error", body)
+	}
+}
