dispatcher: a second response is found inside a line of a body without length

Callers saw the header and body of another response at the end of a plain success, or inside an event. Cause: a body without length or chunks ends with its connection; a second response that begins inside a line is not at the start of one, where the splitter looks. Change: such a body, or event, that holds a status line and below it the header with the id is dropped. A body that declares its length may hold both. Not covered: a copy without the id header; bodies above 128 KB, which are forwarded as they arrive; a body that ends too early with a clean close. Measured: go test ./forwarder ./dispatcher.

--- a/dispatcher/attribution_test.go
+++ b/dispatcher/attribution_test.go
@@ -169,3 +169,46 @@
 	}
 	return []handler{handle, handle, handle}
 }
+
+// Guards against a second response that begins inside a line of a body that only the
+// end of its connection delimits: its header and body reached the client as a part of
+// the success.
+func TestSecondResponseInsideALine(t *testing.T) {
+	const second = "HTTP/1.1 200 OK\r\nX-Id: id-0\r\nX-Signature: s\r\n\r\nid: 9\ndata: other\n\n"
+	plain := func(body string) handler {
+		return func(c net.Conn, r *http.Request, _ string) bool {
+			_, _ = io.WriteString(c, strings.ReplaceAll(plainHead, "ID", r.Header.Get("X-Id"))+body)
+			return false
+		}
+	}
+	chunked := "{\"log\": \"" + second + "\"}"
+	tests := map[string]struct {
+		kind  matcher.Kind
+		first handler
+		body  string // if complete
+	}{
+		"stream, in the first event": {matcher.Stream, untilClose(0, "id: 1\ndata: par"+second), ""},
+		"stream, in the next event":  {matcher.Stream, untilClose(2, "id: 3\ndata: par"+second), ""},
+		"plain":                      {matcher.Unsafe, plain("fine" + second), ""},
+		"plain, retryable":           {matcher.Safe, plain("fine" + second), "fine"},
+		"plain that quotes a status": {matcher.Unsafe, plain("HTTP/1.1 200 OK\r\n\r\n"), "HTTP/1.1 200 OK\r\n\r\n"},
+		"declared length": {matcher.Unsafe, func(c net.Conn, r *http.Request, _ string) bool {
+			return writeResponse(c, r, 200, chunked)
+		}, chunked},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(tt.kind, nil), firstThen(tt.first, succeed)...)
+			got := f.do("POST", "/a/x", "body")
+			if tt.body == "" && strings.Contains(got.body, "id-0") {
+				t.Errorf("the client got bytes of another response: %q", got.body)
+			}
+			if complete := got.status == 200 && got.err == nil; complete != (tt.body != "") {
+				t.Errorf("got %d %v, want a complete success: %v", got.status, got.err, tt.body != "")
+			}
+			if tt.body != "" && got.body != tt.body {
+				t.Errorf("body: got %q, want %q", got.body, tt.body)
+			}
+		})
+	}
+}
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -217,6 +217,9 @@
 	if len(body) > maxBufferedBody {
 		return s.forwardLong(body)
 	}
+	if response.HoldsResponse(body) {
+		return s.invalidResponse(refuser.DropSecondResponse, "the body holds another response")
+	}
 	response.Release()
 	s.latency = x.now() - s.begin
 	s.counted, s.versionFailed = true, response.Status >= http.StatusInternalServerError
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -64,6 +64,9 @@
 		event, id, count, err := events.Next()
 		now := x.now()
 		waited += now - begin
+		if err == nil && response.HoldsResponse(event) {
+			err = splitter.ErrStatusLine
+		}
 		if err != nil {
 			return s.streamStopped(ctx, err, first)
 		}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -139,6 +140,17 @@
 	return r.Length >= 0 || len(r.inner.TransferEncoding) > 0
 }
 
+// HoldsResponse reports whether a part of the body holds a second response: a status
+// line and, below it, the header with the id. A Delimited body ends before a second
+// response; without a length, the second one is read as a part of the body.
+func (r *Response) HoldsResponse(body []byte) bool {
+	if r.Delimited() {
+		return false
+	}
+	_, header, found := bytes.Cut(body, []byte("HTTP/1."))
+	return found && bytes.Contains(bytes.ToLower(header), []byte("\n"+strings.ToLower(r.forwarder.options.IDHeader)+":"))
+}
+
 // SetReadTimeout sets the timeout for the next read, from now; 0 removes it.
 func (r *Response) SetReadTimeout(d clock.Millis) { r.SetReadTimeoutSince(d, 0) }
 
