--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -37,6 +38,9 @@
 	// maxStaleResponses limits the responses that are read for one request:
 	// informational ones and those to earlier requests are skipped.
 	maxStaleResponses = 4
+	// maxRememberedIDs limits the ids that are kept for each connection. A copy comes
+	// where the next response is expected, so that a few would do.
+	maxRememberedIDs = 16
 	// maxInlineBody is the body size up to which a request is written before its
 	// response is read. Larger ones are written concurrently, because an endpoint
 	// may respond before it has read them.
@@ -68,6 +72,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnOpen is called for each new connection, if set.
 	OnOpen func(address string)
+	// OnStray is called, if set, for each connection that is not reused because
+	// bytes have arrived that belong to no request.
+	OnStray func(address string)
 }
 
 // Forwarder sends requests and pools idle connections by the endpoint's address.
@@ -86,6 +93,8 @@
 	limited   bool         // a response header is being read
 	headLeft  int          // bytes that may still be read while limited
 	expiresAt clock.Millis // instant after which an idle connection is not reused
+	reused    bool         // the connection has served an earlier request
+	ids       []string     // of the latest requests, at most maxRememberedIDs
 }
 
 // New returns a forwarder with an empty connection pool.
@@ -123,17 +132,30 @@
 	// a read that times out is continued with the same timeout.
 	Alive   func() bool
 	Request Request
+	Trace   *Trace // filled by Send; may be nil
+}
+
+// Trace tells how an exchange went, also if it failed.
+type Trace struct {
+	Reused  bool // the connection has served an earlier request
+	OtherID int  // responses that were skipped because they carry another id
 }
 
 // Send sends the request and reads the response header. On success the caller
 // must end the response with Close or Release. Cancelling ctx ends the exchange.
-// The error is ErrNotSent or ErrOutcomeUnknown.
+// The error is ErrNotSent or ErrOutcomeUnknown; ErrNoID is marked with the latter.
 func (f *Forwarder) Send(ctx context.Context, call Call) (*Response, error) {
+	trace := call.Trace
+	if trace == nil {
+		trace = &Trace{}
+	}
 	c, err := f.connect(ctx, call)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", call.Address), ErrNotSent)
 	}
-	response := &Response{forwarder: f, conn: c, address: call.Address, alive: call.Alive}
+	trace.Reused = c.reused
+	c.rememberID(call.Request.Header.Get(f.options.IDHeader))
+	response := &Response{forwarder: f, conn: c, address: call.Address, alive: call.Alive, trace: trace}
 	c.response = response
 	response.stop = context.AfterFunc(ctx, func() {
 		response.cancelled.Store(true)
@@ -166,11 +188,21 @@
 	return response, nil
 }
 
-// connect returns an idle connection, or opens one if there is none or
-// call.NewConnection is set.
+// rememberID adds the id of a request to those that the connection has served.
+func (c *conn) rememberID(id string) {
+	if len(c.ids) == maxRememberedIDs {
+		c.ids = slices.Delete(c.ids, 0, 1)
+	}
+	c.ids = append(c.ids, id)
+}
+
+// connect returns an idle connection, or opens one if there is none,
+// call.NewConnection is set, or the request has no id: its response could not be
+// told from a late copy of the response to an earlier request.
 func (f *Forwarder) connect(ctx context.Context, call Call) (*conn, error) {
-	if !call.NewConnection {
-		if c := f.takeIdle(call.Address); c != nil {
+	id := call.Request.Header.Get(f.options.IDHeader)
+	if !call.NewConnection && id != "" {
+		if c := f.takeIdle(call.Address, id); c != nil {
 			return c, nil
 		}
 	}
@@ -188,45 +220,68 @@
 	return opened, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if
-// none is usable.
-func (f *Forwarder) takeIdle(address string) *conn {
+// takeIdle removes and returns the most recently used idle connection that has not
+// served a request with the given id, or nil if none is usable.
+func (f *Forwarder) takeIdle(address, id string) *conn {
 	for {
-		f.mu.Lock()
-		list := f.idle[address]
-		if len(list) == 0 {
-			f.mu.Unlock()
+		c := f.removeIdle(address, id)
+		if c == nil {
 			return nil
 		}
-		c := list[len(list)-1]
-		f.idle[address] = list[:len(list)-1]
-		f.mu.Unlock()
-		if f.options.Clock.Now() < c.expiresAt && clean(c.Conn) {
-			return c
+		if f.options.Clock.Now() < c.expiresAt {
+			usable, stray := probe(c.Conn)
+			if usable {
+				return c
+			}
+			if stray {
+				f.reportStray(address)
+			}
 		}
 		_ = c.Close()
 	}
 }
 
-// clean reports whether an idle connection is open and has no unread bytes, which
-// would belong to no request.
-func clean(n net.Conn) bool {
+// removeIdle removes and returns the most recently used idle connection that has
+// not served a request with the given id, or nil if there is none.
+func (f *Forwarder) removeIdle(address, id string) *conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := f.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !slices.Contains(c.ids, id) {
+			f.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// reportStray calls Options.OnStray.
+func (f *Forwarder) reportStray(address string) {
+	if f.options.OnStray != nil {
+		f.options.OnStray(address)
+	}
+}
+
+// probe reports whether an idle connection is open and has no unread bytes, and
+// whether it has unread bytes, which would belong to no request.
+func probe(n net.Conn) (usable, stray bool) {
 	s, ok := n.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	open := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		unread, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		usable = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		stray = err == nil && unread > 0
 		return true
 	})
-	return err == nil && open
+	return usable && err == nil, stray
 }
 
 // putIdle adds a connection to the pool and drops expired ones, and the oldest
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -140,10 +140,12 @@
 		}, false, false, 3},
 		"zero idle timeout ignored": {func(_ int, c net.Conn, br *bufio.Reader) {
 			for {
-				if _, err := http.ReadRequest(br); err != nil {
+				r, err := http.ReadRequest(br)
+				if err != nil {
 					return
 				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok")
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok",
+					r.Header.Get("X-Id"))
 			}
 		}, false, false, 1},
 	}
@@ -187,6 +189,10 @@
 		"chunks, truncated": {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false},
 		"inside a chunk":    {"Transfer-Encoding: chunked\r\n\r\n9\r\nbody", false},
 		"until close":       {"\r\nbody", true},
+		"response as trailer": {
+			"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nHTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", false,
+		},
+		"length, end within": {"Content-Length: 5\r\n\r\nbody", false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -33,7 +34,9 @@
 	alive       func() bool   // see Call.Alive
 	cancelled   atomic.Bool   // the context has ended
 	inner       *http.Response
+	ended       bool // the body was read to its end
 	closed      bool
+	trace       *Trace
 }
 
 const (
@@ -50,9 +53,15 @@
 // end of a response header.
 var ErrHeadTooLarge = errors.New("forwarder: response header is too large")
 
+// ErrNoID means that a response carries no id on a connection that is reused or has
+// brought a response with another id. It may be a late copy of the response to an
+// earlier request.
+var ErrNoID = errors.New("forwarder: response on a reused connection carries no id")
+
 // readHeader reads response headers until one carries the id of the request.
 // Responses with another id belong to earlier requests on the connection and
-// are skipped, as are informational (1xx) ones.
+// are skipped, as are informational (1xx) ones. The first response on a new
+// connection may be without an id.
 func (r *Response) readHeader(request *Request, idHeader string) error {
 	want := request.Header.Get(idHeader)
 	r.conn.headLeft = maxHeadBytes
@@ -67,7 +76,12 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if got := resp.Header.Get(idHeader); got != "" && want != "" && got != want {
+		got := resp.Header.Get(idHeader)
+		if got == "" && (r.trace.Reused || r.trace.OtherID > 0) {
+			return ErrNoID
+		}
+		if got != "" && want != "" && got != want {
+			r.trace.OtherID++
 			if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleBytes)); err != nil || n == maxStaleBytes {
 				return errors.New("stale response on the connection is incomplete or too long")
 			}
@@ -81,7 +95,11 @@
 
 // Read reads the body. It returns io.EOF only if the body is complete; the body
 // of a response that is not Delimited ends with its connection.
-func (r *Response) Read(b []byte) (int, error) { return r.inner.Body.Read(b) }
+func (r *Response) Read(b []byte) (int, error) {
+	n, err := r.inner.Body.Read(b)
+	r.ended = r.ended || err == io.EOF
+	return n, err
+}
 
 // Read reads from the connection and extends the read timeout while the endpoint
 // is alive. This is done here, below the readers of header and body, because
@@ -122,6 +140,17 @@
 	return r.Length >= 0 || len(r.inner.TransferEncoding) > 0
 }
 
+// HoldsResponse reports whether a part of the body holds a second response: a status
+// line and, below it, the header with the id. A Delimited body ends before a second
+// response; without a length, the second one is read as a part of the body.
+func (r *Response) HoldsResponse(body []byte) bool {
+	if r.Delimited() {
+		return false
+	}
+	_, header, found := bytes.Cut(body, []byte("HTTP/1."))
+	return found && bytes.Contains(bytes.ToLower(header), []byte("\n"+strings.ToLower(r.forwarder.options.IDHeader)+":"))
+}
+
 // SetReadTimeout sets the timeout for the next read, from now; 0 removes it.
 func (r *Response) SetReadTimeout(d clock.Millis) { r.SetReadTimeoutSince(d, 0) }
 
@@ -154,9 +183,9 @@
 	}
 }
 
-// Release ends an exchange whose body was read to its end, and keeps the
-// connection for reuse if the request is written completely and the endpoint
-// neither closes the connection nor has sent further bytes.
+// Release ends an exchange, and keeps the connection for reuse if the request is
+// written completely, the body was read to its end, and the endpoint neither closes
+// the connection nor has sent further bytes.
 func (r *Response) Release() {
 	if r.closed {
 		return
@@ -169,7 +198,10 @@
 		default:
 		}
 	}
-	reusable := written && r.Delimited() && !r.inner.Close && r.conn.reader.Buffered() == 0 && r.stop()
+	if r.ended && r.conn.reader.Buffered() > 0 {
+		r.forwarder.reportStray(r.address)
+	}
+	reusable := written && r.ended && r.Delimited() && !r.inner.Close && r.conn.reader.Buffered() == 0 && r.stop()
 	if !reusable {
 		r.Close()
 		return
@@ -185,6 +217,7 @@
 	}
 	_ = r.conn.SetDeadline(time.Time{})
 	r.conn.response = nil
+	r.conn.reused = true
 	r.conn.expiresAt = r.forwarder.options.Clock.Now() + idle
 	r.forwarder.putIdle(r.address, r.conn)
 }
--- a/forwarder/stray_test.go
+++ b/forwarder/stray_test.go
@@ -108,3 +108,78 @@
 	response.Release()
 	return string(body), true
 }
+
+// Guards against the reuse of a connection for a request with the id of an earlier
+// one on it: a late copy of the first response was taken for the answer to the second
+// request.
+func TestSameIDUsesAnotherConnection(t *testing.T) {
+	tests := map[string]struct{ response, want string }{
+		"success": {"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 5\r\n\r\nfirst", "mine same"},
+		"refusal": {"HTTP/1.1 503 X\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", "mine same"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startServer(t, strayFirst(tt.response, -1, true))
+			f := newForwarder()
+			exchange(t, f, address, "GET", "same", true)
+			exchange(t, f, address, "GET", "other", false) // the copy arrives here
+			exchange(t, f, address, "GET", "same", true)
+			if body, ok := exchange(t, f, address, "GET", "same", false); !ok || body != tt.want {
+				t.Errorf("second request with the id: got %q, want %q", body, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against the reuse of a connection whose response was not read to its end:
+// the rest of the body was taken for the start of the next response.
+func TestUnreadBodyIsNotReused(t *testing.T) {
+	rest := "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 5\r\n\r\nstray"
+	address, _ := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for i := range 2 {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if n == 1 && i == 0 {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 503 X\r\nX-Id: 1\r\nContent-Length: %d\r\n\r\nbegin", 5+len(rest))
+				continue
+			}
+			if n == 1 {
+				_, _ = io.WriteString(c, rest)
+			}
+			respond(c, r, "mine")
+		}
+	})
+	f := newForwarder()
+	response, err := f.Send(context.Background(), newCall(address, "1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(response, make([]byte, 5)); err != nil {
+		t.Fatal(err)
+	}
+	response.Release()
+	if body, ok := exchange(t, f, address, "GET", "2", false); !ok || body != "mine" {
+		t.Errorf("next request: got %q, want its own response", body)
+	}
+}
+
+// Guards against a body that only the end of its connection delimits and that a reset
+// cuts: it must not read as complete.
+func TestResetIsNoEnd(t *testing.T) {
+	address, _ := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		_, _ = http.ReadRequest(br)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nbody")
+		time.Sleep(50 * time.Millisecond) // the body must arrive before the reset discards it
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	response, err := newForwarder().Send(context.Background(), newCall(address, "1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Close()
+	if body, err := io.ReadAll(response); err == nil {
+		t.Errorf("got %q as a complete body, want an error", body)
+	}
+}
