quarantiner: prompts that crash endpoints are held back

Cause: the router takes the end of an endpoint for the endpoint's fault alone and sends the request to the next one, up to three times, and nothing keeps in mind what such requests have in common. One instance of nine sees too few of the crashes to tell. Evidence: in the log with the parts of each send, the part was in 109 sends and 82 failures without one first event; the part before it had 9 first events, the first one of the route 1,080. Change: a send whose connection ends before its first event, at an endpoint whose port then refuses connections, is evidence against the shared parts of its prompt; a first event clears them. Instances broadcast both (new package quarantiner, datagrams). A part with three crashes under three requests, or four under two, and no first event is held: its requests are refused at once with 503, not run. Held parts go with every heartbeat, so that a restarted instance knows them. A request that has seen two endpoints end is not sent to a third one. New: log events endpoint_ended, part_held, part_released, the field part of request, the gauge held_parts.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/meter"
+	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/stager"
 	"rosemaryarch.example/rosemaryarch/surgedetector"
@@ -63,6 +64,7 @@
 	Forwarder   *forwarder.Forwarder
 	Balancer    balancer.Balancer
 	Cascader    cascader.Cascader
+	Quarantine  *quarantiner.Quarantiner
 	Breaker     breaker.Options
 	Meter       *meter.Meter
 	Logger      *logger.Logger
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -45,6 +45,8 @@
 	sends           int             // sends that may have reached an endpoint
 	mayHaveExecuted bool            // an endpoint may have executed the request
 	tried           map[string]bool // ids of endpoints
+	crashes         int             // endpoints that ended while the request waited for its first event
+	heldPart        string          // part of the prompt because of which the request is refused, for the log
 	headerSent      bool            // the client has received the response header
 	lastEventID     int64           // of the stream so far; -1 if there is none
 	model           int             // index into the route's models
@@ -335,6 +337,7 @@
 		logger.Text("route", route), logger.Text("workspace", x.workspace.Name),
 		logger.Number("rank", x.loggedPriority()),
 		logger.Number("status", x.status), logger.Text("reason", x.reason), logger.Number("sends", x.sends),
+		logger.Text("part", x.heldPart),
 		logger.Text("endpoint", x.endpoint), logger.Number("model", x.model), logger.Number("confidence", x.confidence),
 		logger.Number("threshold", x.threshold), logger.Number("room", x.cascadeInput.Capacity),
 		logger.Number("pressure", x.cascadeInput.Pressure), logger.Number("tokens", x.prompt.tokens),
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -23,6 +23,7 @@
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/meter"
+	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/stager"
 	"rosemaryarch.example/rosemaryarch/throttler"
@@ -135,6 +136,7 @@
 	confirmed  func() clock.Millis
 	evacuated  map[string]bool
 	forwarder  *forwarder.Forwarder
+	quarantine *quarantiner.Quarantiner
 }
 
 // route returns a public route of the given kind to service "s".
@@ -153,10 +155,11 @@
 func newFleet(t *testing.T, r matcher.Route, handlers ...handler) *fleet {
 	t.Helper()
 	f := &fleet{
-		t:         t,
-		catalog:   cataloger.New(),
-		stager:    stager.New(stager.Options{SessionAge: 6000}),
-		evacuated: map[string]bool{},
+		t:          t,
+		catalog:    cataloger.New(),
+		stager:     stager.New(stager.Options{SessionAge: 6000}),
+		evacuated:  map[string]bool{},
+		quarantine: quarantiner.New(),
 	}
 	ck := clock.Boot()
 	f.confirmed = ck.Now
@@ -204,6 +207,7 @@
 		Catalog:   f.catalog, Stager: f.stager,
 		Budget:      budgeter.New(budgeter.Options{Window: 10 * clock.Second, Ratio: 0.9, Slack: 50}),
 		SlowStarter: slowstarter.New(),
+		Quarantine:  f.quarantine,
 		Forwarder:   f.forwarder,
 		Balancer:    balancer.Default(), Cascader: cascader.Default(),
 		Breaker: breaker.Options{
--- a/dispatcher/prompt.go
+++ b/dispatcher/prompt.go
@@ -4,14 +4,44 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"rosemaryarch.example/rosemaryarch/matcher"
 )
 
 // prompt holds the numbers of tokens that a model request states about itself.
 type prompt struct {
-	tokens float64 // of the whole prompt
-	shared float64 // of all parts but the last, which other requests may share
-	output float64 // expected
-	prefix string  // id of the last shared part; empty if there is none
+	tokens float64  // of the whole prompt
+	shared float64  // of all parts but the last, which other requests may share
+	output float64  // expected
+	prefix string   // id of the last shared part; empty if there is none
+	parts  []string // ids of the shared parts, in order
+	last   string   // id of the last part, which belongs to the request or its session
+}
+
+const (
+	// maxPromptParts limits the shared parts of which the ids are kept, and
+	// maxPartID the length of an id in bytes. A longer id is replaced by its hash.
+	maxPromptParts = 64
+	maxPartID      = 32
+)
+
+// readParts returns the ids of the parts of a prompt that other requests may
+// share, and the last one.
+func readParts(header string) (shared []string, last string) {
+	if header == "" {
+		return nil, ""
+	}
+	for part := range strings.SplitSeq(header, ",") {
+		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		if len(id) > maxPartID {
+			id = strconv.FormatUint(matcher.Hash("part", id), 16)
+		}
+		if last != "" && len(shared) < maxPromptParts {
+			shared = append(shared, last)
+		}
+		last = id
+	}
+	return shared, last
 }
 
 // readPrompt reads the sizes of a model request. It ignores the prompt's parts
@@ -19,6 +49,7 @@
 // the sizes only affect the choice of the endpoint.
 func readPrompt(h http.Header, n HeaderNames) prompt {
 	var p prompt
+	p.parts, p.last = readParts(h.Get(n.Prefix))
 	parts := strings.Split(h.Get(n.Prefix), ",")
 	for i, part := range parts {
 		id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -144,6 +144,8 @@
 		return refuser.ErrBackEndFailed
 	case x.mayHaveExecuted && !x.route.Retryable():
 		return refuser.ErrBackEndFailed
+	case x.crashes >= maxCrashes:
+		return refuser.ErrBackEndFailed.WithMessage("%d endpoints ended while the request waited", x.crashes)
 	}
 	return nil
 }
@@ -228,6 +230,9 @@
 		if err := x.reauthorise(); err != nil {
 			return nil, nil, err
 		}
+		if err := x.checkQuarantine(); err != nil {
+			return nil, nil, err
+		}
 		if r := x.validEscalation(); r != nil {
 			return r.choice, r.criteria, nil
 		}
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -119,6 +119,7 @@
 		return resultRetry, refuser.ErrDeadline.WithExecution(refuser.ExecutionUnknown)
 	}
 	s.failed, s.counted, s.versionFailed = true, true, true
+	s.recordBreak(ctx, err)
 	x.markSuspect(s.choice, s.criteria)
 	x.dispatcher.options.Meter.CountRetry(refuser.RetryFirstTokenLate)
 	return resultRetry, refuser.ErrBackEndFailed.WithMessage("%v", err)
@@ -193,6 +194,7 @@
 			s.outcome = "out_of_time"
 			return resultRetry, refuser.ErrDeadline.WithExecution(refuser.ExecutionUnknown)
 		}
+		s.recordBreak(ctx, err)
 		return s.invalidResponse("the response body is incomplete")
 	}
 	if len(body) > maxBufferedBody {
@@ -202,6 +204,9 @@
 	s.latency = x.now() - s.begin
 	s.counted, s.versionFailed = true, response.Status >= http.StatusInternalServerError
 	s.failed = s.versionFailed
+	if !s.versionFailed {
+		x.dispatcher.options.Quarantine.RecordFirstEvent(x.now(), x.prompt.parts)
+	}
 	if s.versionFailed && x.route.Retryable() && x.sends < x.route.Attempts && x.remaining() > x.route.Target/2 {
 		s.outcome = "failed"
 		return s.retryElsewhere(body)
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -83,7 +83,8 @@
 		x.dispatcher.recordReceived(now, x.endpoint)
 		if first {
 			first = false
-			s.latency = now - s.begin
+			s.latency = max(1, now-s.begin)
+			x.dispatcher.options.Quarantine.RecordFirstEvent(now, x.prompt.parts)
 			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, s.latency)
 			if !x.headerSent {
 				x.firstEventMs = now - x.start
@@ -154,6 +155,7 @@
 		return resultRetry, refuser.ErrDeadline.WithExecution(refuser.Executed)
 	}
 	s.failed, s.counted, s.versionFailed = true, true, true
+	s.recordBreak(ctx, err)
 	x.markSuspect(s.choice, s.criteria)
 	x.dispatcher.options.Meter.CountRetry(refuser.RetryStreamCut)
 	return resultRetry, refuser.ErrStreamBroken.WithMessage("%v", err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -188,6 +188,22 @@
 	return opened, nil
 }
 
+// Reachable reports whether an endpoint accepts a new connection within the
+// timeout. It closes the connection.
+func (f *Forwarder) Reachable(ctx context.Context, address string, timeout clock.Millis) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	c, err := f.options.Dial(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	if f.options.OnOpen != nil {
+		f.options.OnOpen(address)
+	}
+	_ = c.Close()
+	return true
+}
+
 // takeIdle removes and returns the most recently used idle connection, or nil if
 // none is usable.
 func (f *Forwarder) takeIdle(address string) *conn {
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -66,7 +66,8 @@
 type Options struct {
 	Clock clock.Clock
 	Self  Member
-	// Fill adds the current loads, rates and roll-out reports to a message.
+	// Fill adds the current loads, rates, roll-out reports and held parts of prompts
+	// to a message.
 	Fill func(m *Message)
 	// OnMessage is called with each received message.
 	OnMessage func(m *Message)
@@ -294,7 +295,9 @@
 	}
 	var remoteMessage Message
 	if len(direct)+len(relays) > 0 {
-		remoteMessage = Message{From: m.From, Rollouts: m.Rollouts, Summary: h.buildSummary(now, &m)}
+		remoteMessage = Message{
+			From: m.From, Rollouts: m.Rollouts, Quarantine: m.Quarantine, Summary: h.buildSummary(now, &m),
+		}
 		remoteMessage.Neighbours, remoteMessage.States = h.neighbourUpdates(now)
 	}
 	h.mu.Unlock()
--- a/heartbeater/message.go
+++ b/heartbeater/message.go
@@ -5,6 +5,7 @@
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
+	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/stager"
 )
 
@@ -89,6 +90,9 @@
 	States        []MemberState       `cbor:"8,keyasint,omitempty"` // of all live neighbours of the sender
 	Summary       *Summary            `cbor:"9,keyasint,omitempty"` // of the sender's data centre, in messages to others
 	Hop           hop                 `cbor:"10,keyasint,omitempty"`
+	// Quarantine holds observations of the sender about prompts that crash
+	// endpoints, or nil.
+	Quarantine *quarantiner.Report `cbor:"11,keyasint,omitempty"`
 }
 
 // hop says how a message reached its receiver.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -29,6 +29,7 @@
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/platform"
+	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/relayer"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/stager"
@@ -103,6 +104,7 @@
 	catalog         *cataloger.Cataloger
 	budget          *budgeter.Budgeter
 	stager          *stager.Stager
+	quarantine      *quarantiner.Quarantiner
 	heartbeater     *heartbeater.Heartbeater
 	watcher         *watcher.Watcher
 	hub             *relayer.Hub
@@ -139,10 +141,11 @@
 		budget: budgeter.New(budgeter.Options{
 			Window: s.Bounds.RetryWindow(), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 		}),
-		rollouts:  make(map[string]storedRollout),
-		dueAt:     make(map[string]clock.Millis),
-		avoidedAt: make(map[string]clock.Millis),
-		done:      make(chan struct{}),
+		quarantine: quarantiner.New(),
+		rollouts:   make(map[string]storedRollout),
+		dueAt:      make(map[string]clock.Millis),
+		avoidedAt:  make(map[string]clock.Millis),
+		done:       make(chan struct{}),
 	}
 	l.startedAt = l.clock.Now()
 	l.bounds.Store(&s.Bounds)
@@ -173,7 +176,7 @@
 		Table: l.table.Load, Confirmed: l.watcher.Confirmed,
 		Evacuated: func(dataCentre string) bool { return (*l.evacuated.Load())[dataCentre] },
 		Catalog:   l.catalog, Stager: l.stager,
-		Budget: l.budget, SlowStarter: slowstarter.New(),
+		Budget: l.budget, SlowStarter: slowstarter.New(), Quarantine: l.quarantine,
 		Forwarder: forwarder.New(forwarder.Options{
 			Clock: l.clock, DialTimeout: dialTimeout, IDHeader: platform.HeaderNames().ID,
 			OnOpen: func(string) { l.meter.CountEvent("endpoint_connection_opened") },
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -111,6 +111,7 @@
 		if uses := l.stager.SessionUses(now); len(uses) > 0 {
 			l.heartbeater.Broadcast(heartbeater.Message{SessionUses: uses})
 		}
+		l.updateQuarantine(now)
 		l.decideRollouts(ctx, now)
 		if now-sweptAt >= sweepInterval {
 			sweptAt = now
@@ -332,6 +333,7 @@
 func (l *Launcher) fillMessage(m *heartbeater.Message) {
 	m.Rollouts = l.stager.Reports(l.clock.Now())
 	m.Rates = l.serviceRates()
+	m.Quarantine = l.heldParts(l.clock.Now())
 	l.dispatcher.Loads(func(endpoint string, work float64, running int, delay float64) {
 		m.Loads = append(m.Loads, heartbeater.Load{
 			Endpoint: matcher.Hash("endpoint", endpoint), Work: float32(work), Running: running,
@@ -379,6 +381,9 @@
 	if len(m.SessionUses) > 0 {
 		l.stager.MergeSessionUses(l.clock.Now(), m.SessionUses)
 	}
+	if m.Quarantine != nil {
+		l.quarantine.Merge(l.clock.Now(), *m.Quarantine)
+	}
 	if len(m.Rollouts) > 0 {
 		key := m.From.Name + "/" + time.UnixMilli(m.From.Incarnation).UTC().Format(time.RFC3339Nano)
 		l.stager.Merge(l.clock.Now(), key, m.Rollouts)
--- /dev/null
+++ b/quarantiner/doc.go
@@ -0,0 +1,16 @@
+// Package quarantiner finds the parts of prompts that crash endpoints, and tells
+// which requests must not be sent because they hold such a part.
+//
+// An endpoint that ends while requests wait there for their first event is
+// evidence against every part of their prompts that other requests share. The
+// parts of all these requests but one are innocent, and a first event clears the
+// parts of its request. A part is held back once several endpoints have ended
+// under several different requests with it and no request with it has had a first
+// event since. Of several such parts the most likely one is held, which then
+// explains the evidence against the others.
+//
+// One instance sees only a few of the crashes. Instances exchange their
+// observations, and those of first events of parts that others suspect.
+//
+// A Quarantiner does no I/O and reads no clock. It is safe for concurrent use.
+package quarantiner
--- /dev/null
+++ b/quarantiner/quarantiner_test.go
@@ -0,0 +1,280 @@
+package quarantiner
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+// network connects the quarantiners of a fleet. A report reaches the others with
+// the next tick, unless lost says otherwise.
+type network struct {
+	now       clock.Millis
+	instances []*Quarantiner
+	lost      func(from, to int) bool
+}
+
+func newNetwork(size int) *network {
+	n := &network{now: 1_000_000, lost: func(int, int) bool { return false }}
+	for range size {
+		n.instances = append(n.instances, New())
+	}
+	return n
+}
+
+// tick lets all instances exchange their reports and decide, every 200 ms.
+func (n *network) tick(d clock.Millis) {
+	for end := n.now + d; n.now < end; n.now += 200 {
+		for i, q := range n.instances {
+			report := q.Outgoing(n.now)
+			report.Holds = q.Held(n.now)
+			for j, other := range n.instances {
+				if i != j && !n.lost(i, j) {
+					other.Merge(n.now+1, report)
+				}
+			}
+		}
+		for _, q := range n.instances {
+			q.Decide(n.now + 2)
+		}
+	}
+}
+
+// crash records that an endpoint has ended under a request, as seen by an
+// instance, and lets d pass.
+func (n *network) crash(instance, endpoint, request int, d clock.Millis, parts ...string) {
+	n.instances[instance].RecordCrash(n.now, Crash{Endpoint: uint64(endpoint), Request: uint64(request), Parts: parts})
+	n.tick(d)
+}
+
+func (n *network) sound(instance int, parts ...string) {
+	n.instances[instance].RecordFirstEvent(n.now, parts)
+}
+
+// held returns the parts that each instance holds, and fails the test if they
+// differ.
+func (n *network) held(t *testing.T) []string {
+	t.Helper()
+	var first []string
+	for i, q := range n.instances {
+		var names []string
+		for _, h := range q.Held(n.now) {
+			names = append(names, h.Part)
+		}
+		slices.Sort(names)
+		if i == 0 {
+			first = names
+		} else if !slices.Equal(first, names) {
+			t.Errorf("instance %d holds %v, instance 0 holds %v", i, names, first)
+		}
+	}
+	return first
+}
+
+// Guards against requests that crash one endpoint after the other because no
+// instance sees enough of the crashes, and against holding parts that sound
+// requests share with them.
+func TestHoldsThePartThatCrashesEndpoints(t *testing.T) {
+	tests := map[string]struct {
+		crash func(n *network)
+		want  []string
+	}{
+		"each crash seen by another instance": {func(n *network) {
+			for i := range 4 {
+				n.sound(i, "system", "subject")
+				n.crash(i, i, i, 300, "system", "subject", "deadly")
+			}
+		}, []string{"deadly"}},
+		"two requests, each sent twice": {func(n *network) {
+			for i := range 4 {
+				n.crash(i/2, i, i/2, 300, "system", "deadly")
+				n.sound(8, "system")
+			}
+		}, []string{"deadly"}},
+		"the subject was sound before": {func(n *network) {
+			n.sound(5, "system", "subject")
+			n.tick(400)
+			for i := range 4 {
+				n.crash(i, i, i, 300, "system", "deadly", "subject")
+			}
+		}, []string{"deadly"}},
+		"nothing was sound before": {func(n *network) {
+			for i := range 4 {
+				n.crash(i, i, i, 300, "system", "subject", "deadly")
+			}
+		}, []string{"deadly"}},
+		"the first part of a route": {func(n *network) {
+			n.sound(0, "system")
+			for i := range 6 {
+				n.crash(i, i, i, 300, "system", fmt.Sprint("subject-", i))
+			}
+		}, []string{"system"}},
+		"the same endpoint, which starts again": {func(n *network) {
+			for i := range 4 {
+				n.crash(i, 1, i, 3400, "system", "deadly")
+				n.sound(8, "system")
+			}
+		}, []string{"deadly"}},
+		"two deadly parts": {func(n *network) {
+			for i := range 8 {
+				n.crash(i, i, i, 300, "system", fmt.Sprint("deadly-", i%2))
+				n.sound(8, "system")
+			}
+		}, []string{"deadly-0", "deadly-1"}},
+		"one request alone": {func(n *network) {
+			for i := range 6 {
+				n.crash(i, i, 1, 300, "system", "subject")
+				n.sound(8, "system")
+			}
+		}, nil},
+		"many requests at one endpoint": {func(n *network) {
+			for i := range 20 {
+				n.crash(i%9, 1, i, 0, "system", "subject")
+			}
+		}, nil},
+		"sound requests between the crashes": {func(n *network) {
+			for i := range 8 {
+				n.crash(i, i, i, 300, "system", "subject")
+				n.sound((i+3)%9, "system", "subject")
+			}
+		}, nil},
+		"a first event just after the third crash, elsewhere": {func(n *network) {
+			for i := range 3 {
+				n.crash(i, i, i, 200, "system", "subject")
+			}
+			n.sound(7, "system", "subject")
+		}, nil},
+		"only the last part is shared by nobody": {func(n *network) {
+			for i := range 6 {
+				n.crash(i, i, i, 300, "system")
+				n.sound(8, "system")
+			}
+		}, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(9)
+			tt.crash(n)
+			n.tick(1400)
+			if got := n.held(t); !slices.Equal(got, tt.want) {
+				t.Errorf("held: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a decision that comes later than contactMs, 3 s, after the fifth
+// crash, with lost datagrams too.
+func TestHoldsInTime(t *testing.T) {
+	tests := map[string]func(from, to int) bool{
+		"no loss":                        func(int, int) bool { return false },
+		"half of the receivers miss all": func(from, to int) bool { return (from+to)%2 == 1 && to != 0 && from != 0 },
+	}
+	for name, lost := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(9)
+			n.lost = lost
+			for i := range 5 {
+				n.sound(8, "system")
+				n.crash(i, i, i, 1000, "system", "deadly")
+			}
+			n.tick(2000)
+			for i, q := range n.instances {
+				if part, _ := q.Check(n.now, []string{"system", "deadly", "other"}); part != "deadly" {
+					t.Errorf("instance %d: got %q, want the part that crashes endpoints", i, part)
+				}
+			}
+		})
+	}
+}
+
+// deadlyFleet returns a fleet that holds the part "deadly".
+func deadlyFleet(t *testing.T) *network {
+	t.Helper()
+	n := newNetwork(3)
+	for i := range 4 {
+		n.sound(0, "system")
+		n.crash(i%3, i, i, 300, "system", "deadly")
+	}
+	n.tick(1000)
+	if got := n.held(t); !slices.Equal(got, []string{"deadly"}) {
+		t.Fatalf("held: got %v, want deadly", got)
+	}
+	return n
+}
+
+// Guards against an instance that forgets with a restart what is held, and against
+// a part that is held for ever, or never again.
+func TestHoldsEnd(t *testing.T) {
+	tests := map[string]struct {
+		change func(n *network)
+		want   []string
+	}{
+		"restart of an instance": {func(n *network) {
+			n.instances[1] = New()
+			n.tick(400)
+		}, []string{"deadly"}},
+		"requests go on": {func(n *network) {
+			for range 30 {
+				n.instances[0].Check(n.now, []string{"deadly"})
+				n.tick(10 * clock.Second)
+			}
+		}, []string{"deadly"}},
+		"no more requests": {func(n *network) { n.tick(quietTime + clock.Second) }, nil},
+		"held for too long": {func(n *network) {
+			for range 63 {
+				n.instances[0].Check(n.now, []string{"deadly"})
+				n.tick(10 * clock.Second)
+			}
+		}, nil},
+		"crashes again after its release": {func(n *network) {
+			n.tick(quietTime + clock.Second)
+			n.crash(2, 9, 9, 1000, "system", "deadly")
+		}, []string{"deadly"}},
+		"a first event after all": {func(n *network) {
+			n.tick(clock.Second)
+			n.sound(1, "deadly")
+			n.tick(clock.Second)
+		}, nil},
+		"a first event after all, then one crash": {func(n *network) {
+			n.tick(clock.Second)
+			n.sound(1, "deadly")
+			n.tick(clock.Second)
+			n.crash(0, 9, 9, 1000, "system", "deadly")
+		}, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := deadlyFleet(t)
+			tt.change(n)
+			if got := n.held(t); !slices.Equal(got, tt.want) {
+				t.Errorf("held: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against state that grows with the number of requests or of crashes.
+func TestStateIsBounded(t *testing.T) {
+	q := New()
+	now := clock.Millis(1_000_000)
+	for i := range 2 * maxParts {
+		now += 10
+		q.RecordFirstEvent(now, []string{"system", fmt.Sprint("subject-", i)})
+		q.RecordCrash(now, Crash{Endpoint: uint64(i), Request: uint64(i), Parts: []string{fmt.Sprint("part-", i/8)}})
+		q.Decide(now)
+		if n := len(q.Outgoing(now).Crashes); n > maxReportCrashes {
+			t.Fatalf("a report of %d crashes", n)
+		}
+	}
+	if len(q.parts) > maxParts || len(q.crashes) > maxCrashes || len(q.held) > maxHeld || len(q.released) > maxHeld {
+		t.Errorf("parts %d, crashes %d, held %d, released %d", len(q.parts), len(q.crashes), len(q.held), len(q.released))
+	}
+	q.Decide(now + crashMemory + soundMemory)
+	if len(q.parts)+len(q.crashes)+len(q.suspects)+len(q.held) > 0 {
+		t.Errorf("left after %v ms: parts %d, crashes %d, suspects %d, held %d",
+			crashMemory+soundMemory, len(q.parts), len(q.crashes), len(q.suspects), len(q.held))
+	}
+}
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -150,6 +150,8 @@
 		"the retry budget is used up")
 	ErrBackEndFailed = sentinel("back_end_failed", ExecutionUnknown, http.StatusBadGateway,
 		"the back end failed")
+	ErrQuarantined = sentinel("quarantined_prompt", NotExecuted, http.StatusServiceUnavailable,
+		"a part of the prompt has crashed several endpoints")
 	ErrStreamBroken = sentinel("stream_broken", Executed, http.StatusBadGateway,
 		"the stream could not be finished")
 	ErrClientLeft = sentinel("client_left", NotExecuted, http.StatusServiceUnavailable,
@@ -197,6 +199,7 @@
 		ErrShuttingDown,
 		ErrRetryBudget,
 		ErrBackEndFailed,
+		ErrQuarantined,
 		ErrStreamBroken,
 		ErrClientLeft,
 		ErrDataCentreOut,
