launcher: held parts outlive a restart of all instances

Cause: the held parts were known to running instances only; those that restart together have nobody to learn them from, and need four more crashes. Change: the first two instances by name write the held parts to one object among those of the instances, which every instance reads when it starts anyway; it costs no further read. Entries older than the longest hold count no more. Test: TestHeldPartsSurviveRestartOfAllInstances (without the read: nothing held after the restart).

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -105,6 +105,7 @@
 	budget          *budgeter.Budgeter
 	stager          *stager.Stager
 	quarantine      *quarantiner.Quarantiner
+	storedHolds     string // held parts that this instance last wrote to the store; used by the periodic tasks only
 	heartbeater     *heartbeater.Heartbeater
 	watcher         *watcher.Watcher
 	hub             *relayer.Hub
--- a/launcher/quarantine.go
+++ b/launcher/quarantine.go
@@ -1,15 +1,48 @@
 package launcher
 
 import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/heartbeater"
 	"rosemaryarch.example/rosemaryarch/logger"
+	"rosemaryarch.example/rosemaryarch/platform"
 	"rosemaryarch.example/rosemaryarch/quarantiner"
+	"rosemaryarch.example/rosemaryarch/watcher"
+)
+
+const (
+	// heldPartsName is the name of the object in the store that holds the held
+	// parts, among those of the instances, which each instance reads when it starts.
+	heldPartsName = "held-parts"
+	// heldPartsWriters is the number of instances that write it, the first ones by
+	// name, in case one of them is cut off from the store.
+	heldPartsWriters = 2
+	// heldPartsReadFor is the time after its start in which an instance uses the
+	// object. Later it knows more from the others.
+	heldPartsReadFor = 10 * clock.Second
 )
 
+// storedHold is a held part in the store.
+type storedHold struct {
+	Part        string `json:"part"`
+	SinceUnixMS int64  `json:"since_unix_ms"`
+}
+
+// heldPartsSpec is the spec of the object with the held parts.
+type heldPartsSpec struct {
+	HeldParts []storedHold `json:"held_parts"`
+}
+
 // updateQuarantine tells the other instances of new observations about prompts
 // that crash endpoints and decides which parts are held.
-func (l *Launcher) updateQuarantine(now clock.Millis) {
+func (l *Launcher) updateQuarantine(ctx context.Context, now clock.Millis) {
 	if report := l.quarantine.Outgoing(now); !report.Empty() {
 		l.heartbeater.Broadcast(heartbeater.Message{Quarantine: &report})
 	}
@@ -21,7 +54,11 @@
 		l.logger.LogUnlimited("part_held", logger.Text("part", v.Part), logger.Number("crashes", v.Crashes),
 			logger.Number("requests", v.Requests))
 	}
-	l.meter.SetGauge("held_parts", float64(len(l.quarantine.Held(now))))
+	holds := l.quarantine.Held(now)
+	l.meter.SetGauge("held_parts", float64(len(holds)))
+	if l.watcher.StoreUp() {
+		l.storeHeldParts(ctx, now, holds)
+	}
 }
 
 // heldParts returns the parts of prompts that are held, or nil if there are none.
@@ -32,3 +69,74 @@
 	}
 	return &quarantiner.Report{Holds: holds}
 }
+
+// storeHeldParts writes the held parts to the store if it is this instance's turn
+// and they have changed since it last wrote them: if all instances restart at the
+// same time, none of them remembers.
+func (l *Launcher) storeHeldParts(ctx context.Context, now clock.Millis, holds []quarantiner.Hold) {
+	if len(holds) == 0 || l.memberPosition() >= heldPartsWriters {
+		return
+	}
+	slices.SortFunc(holds, func(x, y quarantiner.Hold) int { return strings.Compare(x.Part, y.Part) })
+	var spec heldPartsSpec
+	var names []string
+	for _, h := range holds {
+		spec.HeldParts = append(spec.HeldParts, storedHold{
+			Part: h.Part, SinceUnixMS: time.Now().UnixMilli() - int64(h.Age),
+		})
+		names = append(names, h.Part)
+	}
+	key := strings.Join(names, ",")
+	if key == l.storedHolds {
+		return
+	}
+	l.mu.Lock()
+	due := l.takeTurn(now, heldPartsName+"/"+key)
+	l.mu.Unlock()
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout.Duration())
+	defer cancel()
+	if err := l.writeHeldParts(ctx, spec); err != nil {
+		l.logger.LogUnlimited("held_parts_not_stored", logger.Text("error", err.Error()))
+		return
+	}
+	l.storedHolds = key
+}
+
+func (l *Launcher) writeHeldParts(ctx context.Context, spec heldPartsSpec) error {
+	err := l.store.Create(ctx, platform.InstanceKind, heldPartsName, spec)
+	if errors.Is(err, watcher.ErrConflict) {
+		err = l.store.Replace(ctx, platform.InstanceKind, heldPartsName, spec)
+	}
+	return err
+}
+
+// adoptStoredHolds holds the parts that the store lists, if this instance has just
+// started.
+func (l *Launcher) adoptStoredHolds(o watcher.Object) {
+	now := l.clock.Now()
+	if o.Deleted || now-l.startedAt > heldPartsReadFor {
+		return
+	}
+	var spec heldPartsSpec
+	if err := json.Unmarshal(o.Spec, &spec); err != nil {
+		l.logger.LogUnlimited("held_parts_unreadable", logger.Text("error", err.Error()))
+		return
+	}
+	var report quarantiner.Report
+	for _, h := range spec.HeldParts {
+		age := clock.Millis(time.Now().UnixMilli() - h.SinceUnixMS)
+		report.Holds = append(report.Holds, quarantiner.Hold{Part: h.Part, Age: max(0, age)})
+	}
+	l.quarantine.Merge(now, report)
+	l.logger.LogUnlimited("held_parts_read", logger.Number("count", len(report.Holds)))
+}
+
+// memberPosition returns the position of this instance by name among the live ones.
+func (l *Launcher) memberPosition() int {
+	return slices.IndexFunc(l.heartbeater.Members(), func(m heartbeater.Member) bool {
+		return m.Name == l.settings.Instance
+	})
+}
--- /dev/null
+++ b/launcher/quarantine_test.go
@@ -0,0 +1,73 @@
+package launcher
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/platform"
+	"rosemaryarch.example/rosemaryarch/quarantiner"
+)
+
+// closeSocket closes the socket for heartbeats of an instance that does not run.
+func closeSocket(t *testing.T, l *Launcher) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	l.heartbeater.Run(ctx)
+}
+
+// Guards against instances that all restart at the same time and forget which
+// prompts crash endpoints: each would have to end several more before the part is
+// held again.
+func TestHeldPartsSurviveRestartOfAllInstances(t *testing.T) {
+	tests := map[string]struct {
+		stored any // object in the store before the restart; nil: what the instance wrote
+		old    bool
+		want   string
+	}{
+		"restart":           {nil, false, "dead"},
+		"long after":        {nil, true, ""},
+		"unreadable object": {"text", false, ""},
+		"held for too long": {heldPartsSpec{HeldParts: []storedHold{{Part: "dead", SinceUnixMS: 1000}}}, false, ""},
+		"of another build":  {map[string]any{"parts": 1}, false, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			ports := freePorts(t, 4)
+			path := s.settings("edge-1", "127.0.0.1", ports)
+			first, err := New(path, io.Discard)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := first.clock.Now()
+			for i := range uint64(4) {
+				first.quarantine.RecordCrash(now, quarantiner.Crash{Endpoint: i, Request: i, Parts: []string{"system", "dead"}})
+			}
+			first.quarantine.RecordFirstEvent(now+1, []string{"system"})
+			first.quarantine.Decide(now + clock.Second)
+			if part, _ := first.quarantine.Check(now, []string{"dead"}); part != "dead" {
+				t.Fatal("the part is not held before the restart")
+			}
+			first.storeHeldParts(t.Context(), now, first.quarantine.Held(now+clock.Second))
+			if tt.stored != nil {
+				s.put(platform.InstanceKind, heldPartsName, tt.stored)
+			}
+			closeSocket(t, first)
+			second, err := New(path, io.Discard)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer closeSocket(t, second)
+			if tt.old {
+				second.startedAt -= heldPartsReadFor + clock.Second
+			}
+			second.readMembers(t.Context())
+			second.quarantine.Decide(second.clock.Now())
+			if part, _ := second.quarantine.Check(second.clock.Now(), []string{"system", "dead"}); part != tt.want {
+				t.Errorf("after the restart: got %q held, want %q", part, tt.want)
+			}
+		})
+	}
+}
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -111,7 +111,7 @@
 		if uses := l.stager.SessionUses(now); len(uses) > 0 {
 			l.heartbeater.Broadcast(heartbeater.Message{SessionUses: uses})
 		}
-		l.updateQuarantine(now)
+		l.updateQuarantine(ctx, now)
 		l.decideRollouts(ctx, now)
 		if now-sweptAt >= sweepInterval {
 			sweptAt = now
@@ -207,13 +207,7 @@
 func (l *Launcher) takeTurn(now clock.Millis, task string) bool {
 	at, ok := l.dueAt[task]
 	if !ok {
-		position := 0
-		for i, m := range l.heartbeater.Members() {
-			if m.Name == l.settings.Instance {
-				position = i
-			}
-		}
-		at = now + clock.Millis(position)*writeTurn
+		at = now + clock.Millis(l.memberPosition())*writeTurn
 		l.dueAt[task] = at
 	}
 	if now < at {
@@ -316,6 +310,10 @@
 	}
 	self := l.spec()
 	for _, o := range list {
+		if o.Name == heldPartsName {
+			l.adoptStoredHolds(o)
+			continue
+		}
 		var m instanceSpec
 		if err := json.Unmarshal(o.Spec, &m); err != nil || m.Name != o.Name || o.Deleted {
 			l.logger.Log("instance_ignored", logger.Text("name", o.Name))
