quarantiner: evidence by crash, and trials in place of releases by time

Found by a review of trace and change, with tests on: when all endpoints of a service ended together, the first part of its routes was held, and nothing could clear it; a part was held again after one ordinary crash once it had been released; holds came back from an instance that had missed the first events, or from the store; with a hundred requests waiting at each endpoint the evidence against the deadly part was evicted or queued; an id that is no UTF-8 made whole datagrams unreadable; a failed dial of this process counted as the end of the endpoint, and an endpoint whose port was still open did not. Cause: evidence was a list of requests, not of crashes, and a hold was ended by time instead of by what a request shows. Change: a crash is one event with the parts that waited; those that endpoints share at one moment under different requests count once; a crash under a held part counts against no other. One instance sends one request after 15 s, 2 minutes and each further 10 minutes; its first event ends the hold everywhere. A hold carries the time of its last crash, and a later first event refutes it. Only a refused connection is the end of an endpoint; it is asked twice, beside the retry. Ids are checked, messages and state bounded, the store is written beside the periodic tasks, a refused request counts for no surge.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -8,52 +8,114 @@
 	"github.com/cockroachdb/errors"
 
 	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
-	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/splitter"
 )
 
 const (
-	// maxCrashes is the number of endpoints that may end while one request waits
-	// for its first event. It is then not sent to another one: it may be the cause.
-	maxCrashes = 2
-	// crashCheckTimeout bounds the time for the connection that tells an endpoint
-	// that has ended from one that has only closed a connection. The port of an
-	// endpoint that has ended refuses it at once.
-	crashCheckTimeout = 150 * clock.Millis(1)
+	// maxBreaks is the number of connections that may end while one request waits for
+	// its first event, if it holds a part under which several endpoints have ended. It
+	// is then not sent to another one.
+	maxBreaks = 2
+	// endCheckDelay is the time after which an endpoint that still accepts a
+	// connection is asked once more: the port of a process that has been killed may
+	// stay open until all of its memory is freed.
+	endCheckDelay = 100 * clock.Millis(1)
+	// endCheckTimeout bounds the time for a connection that shows whether an endpoint
+	// has ended.
+	endCheckTimeout = 150 * clock.Millis(1)
 )
 
 // checkQuarantine returns an error if the prompt holds a part that crashes
-// endpoints.
+// endpoints, unless the request may be sent to learn whether it still does.
 func (x *exchange) checkQuarantine() error {
-	part, left := x.dispatcher.options.Quarantine.Check(x.now(), x.prompt.parts)
-	if part == "" {
+	d := x.dispatcher
+	if x.trial || len(x.prompt.parts) == 0 {
+		return nil
+	}
+	part, left := d.options.Quarantine.Check(x.now(), x.prompt.parts)
+	if part == "" || left == 0 && d.options.TakesTrials() {
 		return nil
 	}
 	x.heldPart = part
-	return refuser.ErrQuarantined.WithRetryAfter(left)
+	return refuser.ErrQuarantined.WithRetryAfter(max(left, shortRetry))
 }
 
-// recordBreak records that the connection of a send has ended with the given
-// error. If that was before the first event and because the endpoint has ended, it
-// is evidence against the parts of the prompt.
-func (s *send) recordBreak(ctx context.Context, err error) {
-	x, e := s.exchange, s.choice.endpoint
+// startTrial marks a request that is sent although its prompt holds a part that
+// crashes endpoints. It returns an error if another request has just been.
+func (x *exchange) startTrial() error {
 	d := x.dispatcher
-	if s.latency > 0 || len(x.prompt.parts) == 0 || !connectionEnded(err) ||
-		d.options.Forwarder.Reachable(ctx, e.Address, crashCheckTimeout) || ctx.Err() != nil {
+	if x.trial || len(x.prompt.parts) == 0 {
+		return nil
+	}
+	part, _ := d.options.Quarantine.Check(x.now(), x.prompt.parts)
+	if part == "" {
+		return nil
+	}
+	if !d.options.Quarantine.TakeTrial(x.now(), x.prompt.parts) {
+		return x.checkQuarantine()
+	}
+	x.trial = true
+	d.options.Logger.LogUnlimited("part_tried", logger.Text("id", x.id), logger.Text("part", part))
+	return nil
+}
+
+// maxSends returns the largest number of sends of the request.
+func (x *exchange) maxSends() int {
+	if x.trial {
+		return 1
+	}
+	return max(1, x.route.Attempts)
+}
+
+// mayCrashEndpoints reports whether the request must not be sent again because the
+// connections of its sends have ended before the first event.
+func (x *exchange) mayCrashEndpoints() bool {
+	return x.breaks >= maxBreaks && x.dispatcher.options.Quarantine.Suspicious(x.prompt.parts)
+}
+
+// recordBreak records that the connection of a send has ended with the given error.
+// If that was before the first event and because the endpoint has ended, it is
+// evidence against the parts of the prompt.
+func (s *send) recordBreak(err error) {
+	x := s.exchange
+	if s.latency > 0 || len(x.prompt.parts) == 0 || !connectionEnded(err) {
 		return
 	}
-	s.outcome = "endpoint_ended"
-	x.crashes++
-	d.options.Quarantine.RecordCrash(x.now(), quarantiner.Crash{
-		Endpoint: matcher.Hash("endpoint", e.ID), Request: matcher.Hash("part", x.prompt.last), Parts: x.prompt.parts,
-	})
-	d.options.Meter.CountEvent("endpoint_ended_before_first_event")
-	d.options.Logger.Log("endpoint_ended", logger.Text("id", x.id), logger.Text("endpoint", e.ID),
-		logger.Text("parts", x.request.Header.Get(d.options.Names.Prefix)))
+	x.breaks++
+	d, e, at := x.dispatcher, s.choice.endpoint, x.now()
+	id, p := x.id, x.prompt
+	header := x.request.Header.Get(d.options.Names.Prefix)
+	go func() {
+		if !d.hasEnded(e.Address) {
+			return
+		}
+		d.options.Quarantine.RecordCrash(at, matcher.Hash("endpoint", e.ID), p.hash, p.parts)
+		d.options.Meter.CountEvent("endpoint_ended_before_first_event")
+		d.options.Logger.Log("endpoint_ended", logger.Text("id", id), logger.Text("endpoint", e.ID),
+			logger.Text("parts", header))
+	}()
+}
+
+// hasEnded reports whether the port of an endpoint refuses connections, now or
+// after endCheckDelay.
+func (d *Dispatcher) hasEnded(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), (endCheckDelay + 2*endCheckTimeout).Duration())
+	defer cancel()
+	for range 2 {
+		err := d.options.Forwarder.Probe(ctx, address, endCheckTimeout)
+		if errors.Is(err, forwarder.ErrRefused) {
+			return true
+		}
+		if err != nil {
+			return false // this process, or the network, may be the cause
+		}
+		sleep(ctx, endCheckDelay)
+	}
+	return false
 }
 
 // connectionEnded reports whether an error states that the endpoint, or its host,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -65,6 +65,9 @@
 	Balancer    balancer.Balancer
 	Cascader    cascader.Cascader
 	Quarantine  *quarantiner.Quarantiner
+	// TakesTrials reports whether this instance is the one that sends requests which
+	// the quarantine lets through to learn whether a part still crashes endpoints.
+	TakesTrials func() bool
 	Breaker     breaker.Options
 	Meter       *meter.Meter
 	Logger      *logger.Logger
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -45,7 +45,8 @@
 	sends           int             // sends that may have reached an endpoint
 	mayHaveExecuted bool            // an endpoint may have executed the request
 	tried           map[string]bool // ids of endpoints
-	crashes         int             // endpoints that ended while the request waited for its first event
+	breaks          int             // sends whose connection ended before the first event
+	trial           bool            // sent although its prompt holds a part that crashes endpoints
 	heldPart        string          // part of the prompt because of which the request is refused, for the log
 	headerSent      bool            // the client has received the response header
 	lastEventID     int64           // of the stream so far; -1 if there is none
@@ -114,6 +115,9 @@
 	}
 	x.body = body
 	x.prompt = readPrompt(r.Header, n)
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
 	if x.route.Kind == matcher.Stream {
 		x.surging = d.observeSurge(x.now(), x.workspace.Name, x.prompt.tokens)
 	}
--- a/dispatcher/prompt.go
+++ b/dispatcher/prompt.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"rosemaryarch.example/rosemaryarch/matcher"
 )
@@ -15,25 +16,27 @@
 	output float64  // expected
 	prefix string   // id of the last shared part; empty if there is none
 	parts  []string // ids of the shared parts, in order
-	last   string   // id of the last part, which belongs to the request or its session
+	hash   uint64   // of all parts
 }
 
 const (
 	// maxPromptParts limits the shared parts of which the ids are kept, and
-	// maxPartID the length of an id in bytes. A longer id is replaced by its hash.
+	// maxPartID the length of an id in bytes. A longer id, or one that no message can
+	// carry as text, is replaced by its hash.
 	maxPromptParts = 64
 	maxPartID      = 32
 )
 
 // readParts returns the ids of the parts of a prompt that other requests may
-// share, and the last one.
-func readParts(header string) (shared []string, last string) {
-	if header == "" {
-		return nil, ""
-	}
+// share: all but the last one.
+func readParts(header string) (shared []string) {
+	last := ""
 	for part := range strings.SplitSeq(header, ",") {
 		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
-		if len(id) > maxPartID {
+		if id == "" {
+			continue
+		}
+		if len(id) > maxPartID || !utf8.ValidString(id) {
 			id = strconv.FormatUint(matcher.Hash("part", id), 16)
 		}
 		if last != "" && len(shared) < maxPromptParts {
@@ -41,7 +44,7 @@
 		}
 		last = id
 	}
-	return shared, last
+	return shared
 }
 
 // readPrompt reads the sizes of a model request. It ignores the prompt's parts
@@ -49,7 +52,9 @@
 // the sizes only affect the choice of the endpoint.
 func readPrompt(h http.Header, n HeaderNames) prompt {
 	var p prompt
-	p.parts, p.last = readParts(h.Get(n.Prefix))
+	header := strings.Join(h.Values(n.Prefix), ",")
+	p.parts = readParts(header)
+	p.hash = matcher.Hash("prompt", header)
 	parts := strings.Split(h.Get(n.Prefix), ",")
 	for i, part := range parts {
 		id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -82,6 +82,11 @@
 			x.budgetCounted = true
 			d.options.Budget.RecordRequest(x.now(), q.service)
 		}
+		if err := x.startTrial(); err != nil {
+			d.cancel(c)
+			x.refuse(finalError(x, err, sendErr))
+			return
+		}
 		sendsBefore := x.sends
 		result, err := x.send(ctx, c, q)
 		if err != nil {
@@ -140,12 +145,12 @@
 	switch {
 	case ctx.Err() != nil || x.now() >= x.deadline:
 		return refuser.ErrDeadline
-	case x.sends >= max(1, x.route.Attempts):
+	case x.sends >= x.maxSends():
 		return refuser.ErrBackEndFailed
 	case x.mayHaveExecuted && !x.route.Retryable():
 		return refuser.ErrBackEndFailed
-	case x.crashes >= maxCrashes:
-		return refuser.ErrBackEndFailed.WithMessage("%d endpoints ended while the request waited", x.crashes)
+	case x.mayCrashEndpoints():
+		return refuser.ErrBackEndFailed.WithMessage("%d connections ended before the first event", x.breaks)
 	}
 	return nil
 }
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -78,7 +78,7 @@
 // deadline.
 func (s *send) headerTimeout() clock.Millis {
 	x := s.exchange
-	if !x.route.Retryable() || x.sends+1 >= x.route.Attempts {
+	if !x.route.Retryable() || x.sends+1 >= x.maxSends() {
 		return 0
 	}
 	if x.route.Kind == matcher.Stream {
@@ -119,7 +119,7 @@
 		return resultRetry, refuser.ErrDeadline.WithExecution(refuser.ExecutionUnknown)
 	}
 	s.failed, s.counted, s.versionFailed = true, true, true
-	s.recordBreak(ctx, err)
+	s.recordBreak(err)
 	x.markSuspect(s.choice, s.criteria)
 	x.dispatcher.options.Meter.CountRetry(refuser.RetryFirstTokenLate)
 	return resultRetry, refuser.ErrBackEndFailed.WithMessage("%v", err)
@@ -194,7 +194,7 @@
 			s.outcome = "out_of_time"
 			return resultRetry, refuser.ErrDeadline.WithExecution(refuser.ExecutionUnknown)
 		}
-		s.recordBreak(ctx, err)
+		s.recordBreak(err)
 		return s.invalidResponse("the response body is incomplete")
 	}
 	if len(body) > maxBufferedBody {
@@ -204,10 +204,10 @@
 	s.latency = x.now() - s.begin
 	s.counted, s.versionFailed = true, response.Status >= http.StatusInternalServerError
 	s.failed = s.versionFailed
-	if !s.versionFailed {
+	if response.Status < http.StatusMultipleChoices && len(body) > 0 {
 		x.dispatcher.options.Quarantine.RecordFirstEvent(x.now(), x.prompt.parts)
 	}
-	if s.versionFailed && x.route.Retryable() && x.sends < x.route.Attempts && x.remaining() > x.route.Target/2 {
+	if s.versionFailed && x.route.Retryable() && x.sends < x.maxSends() && x.remaining() > x.route.Target/2 {
 		s.outcome = "failed"
 		return s.retryElsewhere(body)
 	}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -26,7 +26,7 @@
 	if c, err := strconv.ParseFloat(response.Header.Get(x.dispatcher.options.Names.Confidence), 64); err == nil {
 		x.confidence = c
 	}
-	if x.model+1 >= len(models) || x.sends >= x.route.Attempts {
+	if x.model+1 >= len(models) || x.sends >= x.maxSends() {
 		return true
 	}
 	d := x.dispatcher
@@ -105,7 +105,7 @@
 // deadline.
 func (s *send) eventTimeout(first bool) clock.Millis {
 	x := s.exchange
-	if !x.route.Retryable() || x.sends >= x.route.Attempts {
+	if !x.route.Retryable() || x.sends >= x.maxSends() {
 		return 0
 	}
 	if first {
@@ -155,7 +155,7 @@
 		return resultRetry, refuser.ErrDeadline.WithExecution(refuser.Executed)
 	}
 	s.failed, s.counted, s.versionFailed = true, true, true
-	s.recordBreak(ctx, err)
+	s.recordBreak(err)
 	x.markSuspect(s.choice, s.criteria)
 	x.dispatcher.options.Meter.CountRetry(refuser.RetryStreamCut)
 	return resultRetry, refuser.ErrStreamBroken.WithMessage("%v", err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -21,6 +21,8 @@
 var (
 	// ErrNotSent means that no byte of the request left this process.
 	ErrNotSent = errors.New("forwarder: request was not sent")
+	// ErrRefused means that no process listens on the port of an endpoint.
+	ErrRefused = errors.New("forwarder: connection refused")
 	// ErrOutcomeUnknown means that the endpoint may have executed the request.
 	ErrOutcomeUnknown = errors.New("forwarder: outcome of the request is unknown")
 )
@@ -188,20 +190,22 @@
 	return opened, nil
 }
 
-// Reachable reports whether an endpoint accepts a new connection within the
-// timeout. It closes the connection.
-func (f *Forwarder) Reachable(ctx context.Context, address string, timeout clock.Millis) bool {
+// Probe opens a connection to an endpoint within the timeout and closes it. The
+// error is ErrRefused if the endpoint's host refuses the connection.
+func (f *Forwarder) Probe(ctx context.Context, address string, timeout clock.Millis) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	c, err := f.options.Dial(ctx, "tcp", address)
+	if errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET) {
+		return errors.Mark(errors.Wrapf(err, "connect to %s", address), ErrRefused)
+	}
 	if err != nil {
-		return false
+		return errors.Wrapf(err, "connect to %s", address)
 	}
 	if f.options.OnOpen != nil {
 		f.options.OnOpen(address)
 	}
-	_ = c.Close()
-	return true
+	return errors.Wrap(c.Close(), "close connection")
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil if
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -105,7 +105,8 @@
 	budget          *budgeter.Budgeter
 	stager          *stager.Stager
 	quarantine      *quarantiner.Quarantiner
-	storedHolds     string // held parts that this instance last wrote to the store; used by the periodic tasks only
+	storedHolds     atomic.Pointer[string] // held parts that the store is known to hold
+	storingHolds    atomic.Bool            // they are being written
 	heartbeater     *heartbeater.Heartbeater
 	watcher         *watcher.Watcher
 	hub             *relayer.Hub
@@ -178,6 +179,7 @@
 		Evacuated: func(dataCentre string) bool { return (*l.evacuated.Load())[dataCentre] },
 		Catalog:   l.catalog, Stager: l.stager,
 		Budget: l.budget, SlowStarter: slowstarter.New(), Quarantine: l.quarantine,
+		TakesTrials: func() bool { return l.memberPosition() == 0 },
 		Forwarder: forwarder.New(forwarder.Options{
 			Clock: l.clock, DialTimeout: dialTimeout, IDHeader: platform.HeaderNames().ID,
 			OnOpen: func(string) { l.meter.CountEvent("endpoint_connection_opened") },
--- a/launcher/quarantine.go
+++ b/launcher/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -27,12 +28,15 @@
 	// heldPartsReadFor is the time after its start in which an instance uses the
 	// object. Later it knows more from the others.
 	heldPartsReadFor = 10 * clock.Second
+	// heldPartsMaxAge is the age from which an entry of the object is not used.
+	heldPartsMaxAge = clock.Hour
 )
 
 // storedHold is a held part in the store.
 type storedHold struct {
 	Part        string `json:"part"`
 	SinceUnixMS int64  `json:"since_unix_ms"`
+	Trials      int    `json:"trials"`
 }
 
 // heldPartsSpec is the spec of the object with the held parts.
@@ -56,8 +60,11 @@
 	}
 	holds := l.quarantine.Held(now)
 	l.meter.SetGauge("held_parts", float64(len(holds)))
-	if l.watcher.StoreUp() {
-		l.storeHeldParts(ctx, now, holds)
+	if l.watcher.StoreUp() && l.storingHolds.CompareAndSwap(false, true) {
+		go func() {
+			defer l.storingHolds.Store(false)
+			l.storeHeldParts(ctx, now, holds)
+		}()
 	}
 }
 
@@ -74,20 +81,16 @@
 // and they have changed since it last wrote them: if all instances restart at the
 // same time, none of them remembers.
 func (l *Launcher) storeHeldParts(ctx context.Context, now clock.Millis, holds []quarantiner.Hold) {
-	if len(holds) == 0 || l.memberPosition() >= heldPartsWriters {
-		return
-	}
 	slices.SortFunc(holds, func(x, y quarantiner.Hold) int { return strings.Compare(x.Part, y.Part) })
-	var spec heldPartsSpec
-	var names []string
+	spec := heldPartsSpec{HeldParts: make([]storedHold, 0, len(holds))}
 	for _, h := range holds {
 		spec.HeldParts = append(spec.HeldParts, storedHold{
-			Part: h.Part, SinceUnixMS: time.Now().UnixMilli() - int64(h.Age),
+			Part: h.Part, SinceUnixMS: time.Now().UnixMilli() - int64(h.Age), Trials: h.Trials,
 		})
-		names = append(names, h.Part)
 	}
-	key := strings.Join(names, ",")
-	if key == l.storedHolds {
+	key := spec.key()
+	if stored := l.storedHolds.Load(); stored == nil && key == "" || stored != nil && key == *stored ||
+		l.memberPosition() >= heldPartsWriters {
 		return
 	}
 	l.mu.Lock()
@@ -102,7 +105,16 @@
 		l.logger.LogUnlimited("held_parts_not_stored", logger.Text("error", err.Error()))
 		return
 	}
-	l.storedHolds = key
+	l.storedHolds.Store(&key)
+}
+
+// key returns the held parts and their trials as text.
+func (s heldPartsSpec) key() string {
+	var b strings.Builder
+	for _, h := range s.HeldParts {
+		fmt.Fprintf(&b, "%s %d,", h.Part, h.Trials)
+	}
+	return b.String()
 }
 
 func (l *Launcher) writeHeldParts(ctx context.Context, spec heldPartsSpec) error {
@@ -127,10 +139,14 @@
 	}
 	var report quarantiner.Report
 	for _, h := range spec.HeldParts {
-		age := clock.Millis(time.Now().UnixMilli() - h.SinceUnixMS)
-		report.Holds = append(report.Holds, quarantiner.Hold{Part: h.Part, Age: max(0, age)})
+		age := max(0, clock.Millis(time.Now().UnixMilli()-h.SinceUnixMS))
+		if age < heldPartsMaxAge {
+			report.Holds = append(report.Holds, quarantiner.Hold{Part: h.Part, Age: age, CrashAge: age, Trials: h.Trials})
+		}
 	}
 	l.quarantine.Merge(now, report)
+	key := spec.key()
+	l.storedHolds.Store(&key)
 	l.logger.LogUnlimited("held_parts_read", logger.Number("count", len(report.Holds)))
 }
 
