--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -45,6 +45,9 @@
 	sends           int             // sends that may have reached an endpoint
 	mayHaveExecuted bool            // an endpoint may have executed the request
 	tried           map[string]bool // ids of endpoints
+	breaks          int             // sends whose connection ended before the first event
+	trial           bool            // sent although its prompt holds a part that crashes endpoints
+	heldPart        string          // part of the prompt because of which the request is refused, for the log
 	headerSent      bool            // the client has received the response header
 	lastEventID     int64           // of the stream so far; -1 if there is none
 	model           int             // index into the route's models
@@ -112,6 +115,9 @@
 	}
 	x.body = body
 	x.prompt = readPrompt(r.Header, n)
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
 	if x.route.Kind == matcher.Stream {
 		x.surging = d.observeSurge(x.now(), x.workspace.Name, x.prompt.tokens)
 	}
@@ -335,6 +341,7 @@
 		logger.Text("route", route), logger.Text("workspace", x.workspace.Name),
 		logger.Number("rank", x.loggedPriority()),
 		logger.Number("status", x.status), logger.Text("reason", x.reason), logger.Number("sends", x.sends),
+		logger.Text("part", x.heldPart),
 		logger.Text("endpoint", x.endpoint), logger.Number("model", x.model), logger.Number("confidence", x.confidence),
 		logger.Number("threshold", x.threshold), logger.Number("room", x.cascadeInput.Capacity),
 		logger.Number("pressure", x.cascadeInput.Pressure), logger.Number("tokens", x.prompt.tokens),
--- a/dispatcher/prompt.go
+++ b/dispatcher/prompt.go
@@ -4,14 +4,47 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"unicode/utf8"
+
+	"rosemaryarch.example/rosemaryarch/matcher"
 )
 
 // prompt holds the numbers of tokens that a model request states about itself.
 type prompt struct {
-	tokens float64 // of the whole prompt
-	shared float64 // of all parts but the last, which other requests may share
-	output float64 // expected
-	prefix string  // id of the last shared part; empty if there is none
+	tokens float64  // of the whole prompt
+	shared float64  // of all parts but the last, which other requests may share
+	output float64  // expected
+	prefix string   // id of the last shared part; empty if there is none
+	parts  []string // ids of the shared parts, in order
+	hash   uint64   // of all parts
+}
+
+const (
+	// maxPromptParts limits the shared parts of which the ids are kept, and
+	// maxPartID the length of an id in bytes. A longer id, or one that no message can
+	// carry as text, is replaced by its hash.
+	maxPromptParts = 64
+	maxPartID      = 32
+)
+
+// readParts returns the ids of the parts of a prompt that other requests may
+// share: all but the last one.
+func readParts(header string) (shared []string) {
+	last := ""
+	for part := range strings.SplitSeq(header, ",") {
+		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		if id == "" {
+			continue
+		}
+		if len(id) > maxPartID || !utf8.ValidString(id) {
+			id = strconv.FormatUint(matcher.Hash("part", id), 16)
+		}
+		if last != "" && len(shared) < maxPromptParts {
+			shared = append(shared, last)
+		}
+		last = id
+	}
+	return shared
 }
 
 // readPrompt reads the sizes of a model request. It ignores the prompt's parts
@@ -19,6 +52,9 @@
 // the sizes only affect the choice of the endpoint.
 func readPrompt(h http.Header, n HeaderNames) prompt {
 	var p prompt
+	header := strings.Join(h.Values(n.Prefix), ",")
+	p.parts = readParts(header)
+	p.hash = matcher.Hash("prompt", header)
 	parts := strings.Split(h.Get(n.Prefix), ",")
 	for i, part := range parts {
 		id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -83,6 +83,11 @@
 			x.budgetCounted = true
 			d.options.Budget.RecordRequest(x.now(), q.service)
 		}
+		if err := x.startTrial(); err != nil {
+			d.cancel(c)
+			x.refuse(finalError(x, err, sendErr))
+			return
+		}
 		sendsBefore := x.sends
 		result, err := x.send(ctx, c, q)
 		if err != nil {
@@ -141,10 +146,12 @@
 	switch {
 	case ctx.Err() != nil || x.now() >= x.deadline:
 		return refuser.ErrDeadline
-	case x.sends >= max(1, x.route.Attempts):
+	case x.sends >= x.maxSends():
 		return refuser.ErrBackEndFailed
 	case x.mayHaveExecuted && !x.route.Retryable():
 		return refuser.ErrBackEndFailed
+	case x.mayCrashEndpoints():
+		return refuser.ErrBackEndFailed.WithMessage("%d connections ended before the first event", x.breaks)
 	}
 	return nil
 }
@@ -229,6 +236,9 @@
 		if err := x.reauthorise(); err != nil {
 			return nil, nil, err
 		}
+		if err := x.checkQuarantine(); err != nil {
+			return nil, nil, err
+		}
 		if r := x.validEscalation(); r != nil {
 			return r.choice, r.criteria, nil
 		}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -26,7 +26,7 @@
 	if c, err := strconv.ParseFloat(response.Header.Get(x.dispatcher.options.Names.Confidence), 64); err == nil {
 		x.confidence = c
 	}
-	if x.model+1 >= len(models) || x.sends >= x.route.Attempts {
+	if x.model+1 >= len(models) || x.sends >= x.maxSends() {
 		return true
 	}
 	d := x.dispatcher
@@ -82,7 +82,8 @@
 		x.dispatcher.recordReceived(now, x.endpoint)
 		if first {
 			first = false
-			s.latency = now - s.begin
+			s.latency = max(1, now-s.begin)
+			x.dispatcher.options.Quarantine.RecordFirstEvent(now, x.prompt.parts)
 			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, s.latency)
 			if !x.headerSent {
 				x.firstEventMs = now - x.start
@@ -116,7 +117,7 @@
 // deadline.
 func (s *send) eventTimeout(first bool) clock.Millis {
 	x := s.exchange
-	if !x.route.Retryable() || x.sends >= x.route.Attempts {
+	if !x.route.Retryable() || x.sends >= x.maxSends() {
 		return 0
 	}
 	if first {
@@ -148,6 +149,7 @@
 	case errors.Is(err, io.EOF):
 		// Without a declared end, a close before the first event proves nothing.
 		if empty && !s.response.Delimited() && s.exchange.request.Method != http.MethodHead {
+			s.recordBreak(err)
 			return s.invalidResponse(refuser.DropIncomplete, "the stream closed before its first event")
 		}
 		return s.streamEnded(empty)
@@ -186,6 +188,7 @@
 	}
 	s.failed, s.counted, s.versionFailed = true, true, true
 	s.drop(refuser.DropIncomplete)
+	s.recordBreak(err)
 	x.markSuspect(s.choice, s.criteria)
 	x.dispatcher.options.Meter.CountRetry(refuser.RetryStreamCut)
 	return resultRetry, refuser.ErrStreamBroken.WithMessage("%v", err)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -29,6 +29,7 @@
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/platform"
+	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/relayer"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
@@ -104,6 +105,9 @@
 	catalog         *cataloger.Cataloger
 	budget          *budgeter.Budgeter
 	stager          *stager.Stager
+	quarantine      *quarantiner.Quarantiner
+	storedHolds     atomic.Pointer[string] // held parts that the store is known to hold
+	storingHolds    atomic.Bool            // they are being written
 	heartbeater     *heartbeater.Heartbeater
 	watcher         *watcher.Watcher
 	hub             *relayer.Hub
@@ -140,10 +144,11 @@
 		budget: budgeter.New(budgeter.Options{
 			Window: s.Bounds.RetryWindow(), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 		}),
-		rollouts:  make(map[string]storedRollout),
-		dueAt:     make(map[string]clock.Millis),
-		avoidedAt: make(map[string]clock.Millis),
-		done:      make(chan struct{}),
+		quarantine: quarantiner.New(),
+		rollouts:   make(map[string]storedRollout),
+		dueAt:      make(map[string]clock.Millis),
+		avoidedAt:  make(map[string]clock.Millis),
+		done:       make(chan struct{}),
 	}
 	l.startedAt = l.clock.Now()
 	l.bounds.Store(&s.Bounds)
@@ -174,7 +179,8 @@
 		Table: l.table.Load, Confirmed: l.watcher.Confirmed,
 		Evacuated: func(dataCentre string) bool { return (*l.evacuated.Load())[dataCentre] },
 		Catalog:   l.catalog, Stager: l.stager,
-		Budget: l.budget, SlowStarter: slowstarter.New(),
+		Budget: l.budget, SlowStarter: slowstarter.New(), Quarantine: l.quarantine,
+		TakesTrials: func() bool { return l.memberPosition() == 0 },
 		Forwarder: forwarder.New(forwarder.Options{
 			Clock: l.clock, DialTimeout: dialTimeout, IDHeader: platform.HeaderNames().ID,
 			OnOpen:  func(string) { l.meter.CountEvent("endpoint_connection_opened") },
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -111,6 +111,7 @@
 		if uses := l.stager.SessionUses(now); len(uses) > 0 {
 			l.heartbeater.Broadcast(heartbeater.Message{SessionUses: uses})
 		}
+		l.updateQuarantine(ctx, now)
 		l.decideRollouts(ctx, now)
 		if now-sweptAt >= sweepInterval {
 			sweptAt = now
@@ -206,13 +207,7 @@
 func (l *Launcher) takeTurn(now clock.Millis, task string) bool {
 	at, ok := l.dueAt[task]
 	if !ok {
-		position := 0
-		for i, m := range l.heartbeater.Members() {
-			if m.Name == l.settings.Instance {
-				position = i
-			}
-		}
-		at = now + clock.Millis(position)*writeTurn
+		at = now + clock.Millis(l.memberPosition())*writeTurn
 		l.dueAt[task] = at
 	}
 	if now < at {
@@ -315,6 +310,10 @@
 	}
 	self := l.spec()
 	for _, o := range list {
+		if o.Name == heldPartsName {
+			l.adoptStoredHolds(o)
+			continue
+		}
 		var m instanceSpec
 		if err := json.Unmarshal(o.Spec, &m); err != nil || m.Name != o.Name || o.Deleted {
 			l.logger.Log("instance_ignored", logger.Text("name", o.Name))
@@ -332,6 +331,7 @@
 func (l *Launcher) fillMessage(m *heartbeater.Message) {
 	m.Rollouts = l.stager.Reports(l.clock.Now())
 	m.Rates = l.serviceRates()
+	m.Quarantine = l.heldParts(l.clock.Now())
 	l.dispatcher.Loads(func(endpoint string, work float64, running int, delay float64) {
 		m.Loads = append(m.Loads, heartbeater.Load{
 			Endpoint: matcher.Hash("endpoint", endpoint), Work: float32(work), Running: running,
@@ -379,6 +379,9 @@
 	if len(m.SessionUses) > 0 {
 		l.stager.MergeSessionUses(l.clock.Now(), m.SessionUses)
 	}
+	if m.Quarantine != nil {
+		l.quarantine.Merge(l.clock.Now(), *m.Quarantine)
+	}
 	if len(m.Rollouts) > 0 {
 		key := m.From.Name + "/" + time.UnixMilli(m.From.Incarnation).UTC().Format(time.RFC3339Nano)
 		l.stager.Merge(l.clock.Now(), key, m.Rollouts)
