soaker: prompts that crash endpoints, two checks, a red scenario

Operators report that requests with a certain prompt part crash every endpoint that begins to answer them, one after the other. The soak could not show it: endpoints crashed at random and no check looked at why.

A caller sends one such request a second to any instance and repeats a failed one; the stand-in crashes after some tens of ms of work, with its proxy closed so that the port refuses connections, and is back after 3 s, mostly under a new id. Sound requests share the other parts and the key; their last part is now their own. CRASH bounds the requests that reach endpoints from 3 s after the fifth crash on, SOUND compares the sound ones from 6 s after it with those before. Instances that were ended, suspended or cut off are excused, for which fault periods name the instance.

TestPromptThatCrashesEndpointsIsContained plays this fault alone on 4 instances for 19 s.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -53,7 +53,7 @@
 		if address == "" {
 			continue
 		}
-		if a := c.send(ctx, address, i); a.err != nil {
+		if a := c.send(ctx, address, c.newRequest(i)); a.err != nil {
 			c.addresses, c.resolvedAt = nil, 0
 		}
 	}
@@ -111,24 +111,30 @@
 	{"stream", matcher.Stream, http.MethodPost},
 }
 
-// send sends the i-th request of the caller to an instance and records request
-// and answer with the checker.
-func (c *caller) send(ctx context.Context, address string, i int) answer {
-	s, n, k := c.soak, platform.HeaderNames(), requestKinds[rand.IntN(len(requestKinds))]
-	wait := timeout(k.kind)
-	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
-	defer cancel()
+// newRequest returns the i-th request of the caller, of a random kind.
+func (c *caller) newRequest(i int) request {
+	k := requestKinds[rand.IntN(len(requestKinds))]
 	q := request{
-		id: fmt.Sprintf("c%d-%d", c.number, i), kind: k.kind, method: k.method, key: s.operator.pickKey(),
-		sent: s.clock.Now(),
+		id: fmt.Sprintf("c%d-%d", c.number, i), kind: k.kind, method: k.method, key: c.soak.operator.pickKey(),
 	}
 	q.target = "/" + k.route + "/" + q.id + "?n=" + strconv.Itoa(i)
 	if k.method == http.MethodPost {
 		q.body = strings.Repeat("body of "+q.id+" ", 1+i%50)
 	}
+	q.prompt = promptParts(i, q.id, "")
+	return q
+}
+
+// send sends a request to an instance and records request and answer with the
+// checker.
+func (c *caller) send(ctx context.Context, address string, q request) answer {
+	s, n, wait := c.soak, platform.HeaderNames(), timeout(q.kind)
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	q.sent, q.instance = s.clock.Now(), address
 	s.checker.recordRequest(q)
 	a := answer{id: q.id, instance: address}
-	r, err := http.NewRequestWithContext(ctx, k.method, "http://"+address+q.target, strings.NewReader(q.body))
+	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+address+q.target, strings.NewReader(q.body))
 	if err != nil {
 		a.err = err
 		return a
@@ -137,10 +143,10 @@
 	r.Header.Set(n.ID, q.id)
 	r.Header.Set(n.Key, q.key)
 	r.Header.Set(n.Deadline, strconv.FormatInt(int64(wait), 10))
-	if k.kind == matcher.Stream {
+	if q.kind == matcher.Stream {
 		r.Header.Set(n.Model, "*")
 		r.Header.Set(n.Tokens, "400,100")
-		r.Header.Set(n.Prefix, fmt.Sprintf("a1:100,b%d:200,c%d:100", i%7, i))
+		r.Header.Set(n.Prefix, q.prompt)
 	}
 	resp, err := c.client.Do(r)
 	if err == nil {
--- a/soaker/checker.go
+++ b/soaker/checker.go
@@ -31,6 +31,10 @@
 	body   string
 	key    string
 	sent   clock.Millis
+
+	instance string // address of the instance
+	prompt   string // parts of the prompt, sent with model requests
+	crashes  bool   // the prompt holds the part that crashes endpoints
 }
 
 // answer is the outcome of a request as the caller observed it.
@@ -57,6 +61,8 @@
 type faultPeriod struct {
 	from, to clock.Millis // to is 0 until the fault ends
 	planned  bool         // operation of the platform or its operators, which must not cut answers
+	prompts  bool         // prompts that crash endpoints
+	instance string       // address of the instance that is ended, suspended or cut off; empty: none
 }
 
 // checker records what callers and endpoints observe and checks the guarantees.
@@ -70,6 +76,9 @@
 	answers      []answer
 	executions   map[string][]execution
 	faultPeriods []*faultPeriod
+	crashes      []execution           // ids and instants of requests that crashed endpoints
+	arrivals     []execution           // of requests with such prompts at endpoints, executed or not
+	prompts      string                // what check has seen of such prompts
 	keyState     func(text string) key // returns the state of a key
 }
 
@@ -100,11 +109,11 @@
 
 // recordFault records the start of a fault and returns a function that records
 // its end.
-func (c *checker) recordFault(planned bool) (end func()) {
+func (c *checker) recordFault(p faultPeriod) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := &faultPeriod{from: c.clock.Now(), planned: planned}
-	c.faultPeriods = append(c.faultPeriods, p)
+	p.from = c.clock.Now()
+	c.faultPeriods = append(c.faultPeriods, &p)
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -116,20 +125,19 @@
 // and to. Planned operations count as faults only if planned is set. The mutex
 // must be held.
 func (c *checker) undisturbed(from, to clock.Millis, planned bool) bool {
-	for _, p := range c.faultPeriods {
-		if p.planned && !planned {
-			continue
-		}
-		if p.from <= to && (p.to == 0 || p.to >= from-contactTime) {
-			return false
-		}
-	}
-	return true
+	return c.calm(from, to, func(p *faultPeriod) bool { return planned || !p.planned })
+}
+
+// calm is undisturbed for the faults that counts selects.
+func (c *checker) calm(from, to clock.Millis, counts func(*faultPeriod) bool) bool {
+	return !slices.ContainsFunc(c.faultPeriods, func(p *faultPeriod) bool {
+		return counts(p) && p.from <= to && (p.to == 0 || p.to >= from-contactTime)
+	})
 }
 
 // check returns the number of requests, the number of successful ones, and the
 // violations of the guarantees. Of the requests that are sent from the instant
-// faultsOver on, at least the share minSuccessShare must succeed.
+// faultsOver on, at least the share minSuccessShare must succeed; 0 skips this check.
 func (c *checker) check(faultsOver clock.Millis) (requests, succeeded int, violations []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -147,7 +155,7 @@
 		if ok {
 			succeeded++
 		}
-		if q.sent >= faultsOver && c.keyState(q.key).revoking == 0 {
+		if faultsOver > 0 && q.sent >= faultsOver && c.keyState(q.key).revoking == 0 {
 			afterFaults++
 			statuses[a.status]++
 			if ok {
@@ -159,7 +167,8 @@
 		slices.SortFunc(executions, func(x, y execution) int { return int(x.at - y.at) })
 		c.checkExecutions(id, executions, addViolation)
 	}
-	if afterFaults == 0 || float64(succeededAfterFaults) < minSuccessShare*float64(afterFaults) {
+	c.checkPrompts(addViolation)
+	if faultsOver > 0 && (afterFaults == 0 || float64(succeededAfterFaults) < minSuccessShare*float64(afterFaults)) {
 		addViolation("SERVED: %d of %d requests succeeded after the end of all faults, by status: %v",
 			succeededAfterFaults, afterFaults, statuses)
 	}
--- a/soaker/checker_test.go
+++ b/soaker/checker_test.go
@@ -1,7 +1,9 @@
 package soaker
 
 import (
+	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 
@@ -86,6 +88,16 @@
 			a.status, a.err = 0, io.ErrUnexpectedEOF
 			c.faultPeriods = []*faultPeriod{{from: 9900}}
 		}, ""},
+		"three late arrivals":              {addPrompts(5, 3, 20, 20, faultPeriod{}), ""},
+		"four late arrivals":               {addPrompts(5, 4, 20, 20, faultPeriod{}), "CRASH"},
+		"four crashes":                     {addPrompts(4, 9, 0, 30, faultPeriod{}), ""},
+		"instance paused before":           {addPrompts(5, 4, 0, 0, faultPeriod{to: 10500, instance: "i"}), ""},
+		"instance paused long before":      {addPrompts(5, 4, 0, 0, faultPeriod{to: 10499, instance: "i"}), "CRASH"},
+		"another instance paused":          {addPrompts(5, 4, 0, 0, faultPeriod{instance: "j"}), "CRASH"},
+		"half as many served":              {addPrompts(5, 0, 10, 20, faultPeriod{to: 100}), ""},
+		"fewer served":                     {addPrompts(5, 0, 9, 20, faultPeriod{to: 100}), "SOUND"},
+		"fewer served, too few requests":   {addPrompts(5, 0, 0, 19, faultPeriod{to: 100}), ""},
+		"fewer served during other faults": {addPrompts(5, 0, 9, 20, faultPeriod{from: 16600}), ""},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -108,6 +120,35 @@
 	}
 }
 
+// addPrompts returns a function that adds the given numbers of crashes by prompts, the
+// fifth at 10,500 ms, of late arrivals of such prompts from the instance i, and of
+// sound requests after and during the crashes, and another fault.
+func addPrompts(crashes, late, served, sent int, other faultPeriod) func(
+	*request, *answer, *[]execution, *key, *checker,
+) {
+	return func(_ *request, _ *answer, _ *[]execution, _ *key, c *checker) {
+		c.faultPeriods = []*faultPeriod{{from: 10000, to: 20000, prompts: true}, &other}
+		for i := range crashes {
+			c.crashes = append(c.crashes, execution{at: clock.Millis(10100 + 100*i)})
+		}
+		c.recordRequest(request{id: "crash", kind: matcher.Stream, crashes: true, sent: 13000, instance: "i"})
+		c.arrivals = append(slices.Repeat([]execution{{id: "crash", at: 13500}}, late), execution{id: "crash", at: 13499})
+		for i := range 20 + sent {
+			q := request{id: fmt.Sprint(i), kind: matcher.Stream, sent: 5000}
+			a := answer{id: q.id, status: 200, signature: "signed " + q.id}
+			if i >= 20 {
+				q.sent = 16500
+			}
+			if i >= 20+served {
+				a.status = 503
+			}
+			a.ended = q.sent + 100
+			c.recordRequest(q)
+			c.recordAnswer(a)
+		}
+	}
+}
+
 // without returns the elements of list that do not start with prefix.
 func without(list []string, prefix string) []string {
 	var kept []string
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -35,7 +35,7 @@
 	soak    *Soaker
 	index   int
 	service string
-	proxy   *proxier.Proxier
+	proxy   atomic.Pointer[proxier.Proxier]
 	faultMu sync.Mutex   // held by a fault that ends the endpoint
 	spoil   atomic.Int64 // 1 plus the index of the spoiler in use; 0: none
 
@@ -50,12 +50,19 @@
 }
 
 func newEndpoint(s *Soaker, i int, service string) (*endpoint, error) {
-	proxy, err := proxier.New(s.address(endpointHost, proxyPort+i), s.address(endpointHost, endpointPort+i))
+	e := &endpoint{soak: s, index: i, service: service}
+	return e, e.open(false)
+}
+
+// open starts a proxy and the endpoint behind it.
+func (e *endpoint) open(sameID bool) error {
+	s := e.soak
+	p, err := proxier.New(s.address(endpointHost, proxyPort+e.index), s.address(endpointHost, endpointPort+e.index))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	e := &endpoint{soak: s, index: i, service: service, proxy: proxy}
-	return e, e.start(false)
+	e.proxy.Store(p)
+	return e.start(sameID)
 }
 
 // start starts the next generation of the endpoint, with the same id or a new one.
@@ -81,7 +88,7 @@
 	e.mu.Lock()
 	e.sequence++
 	entry := cataloger.Endpoint{
-		ID: e.id, Service: e.service, Address: e.proxy.Address(), DataCentre: dataCentre(e.index), Version: "v1",
+		ID: e.id, Service: e.service, Address: e.proxy.Load().Address(), DataCentre: dataCentre(e.index), Version: "v1",
 		Slots: slots, Draining: e.draining, Sequence: e.sequence, StartedAt: e.startedAt,
 	}
 	e.mu.Unlock()
@@ -98,7 +105,7 @@
 	server := e.server
 	e.mu.Unlock()
 	_ = server.Close() // only the error of closing the listener
-	e.proxy.Reset()
+	e.proxy.Load().Reset()
 }
 
 // remove deletes the entry from the store, as the platform does when an endpoint
@@ -128,16 +135,20 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_ = e.server.Close() // the run is over
-	e.proxy.Close()
+	e.proxy.Load().Close()
 }
 
 // ServeHTTP answers one request as an endpoint of the platform does.
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n := platform.HeaderNames()
 	e.mu.Lock()
-	id, drainedAt := e.id, e.drainedAt
+	id, drainedAt, generation := e.id, e.drainedAt, e.generation
 	e.mu.Unlock()
 	request := r.Header.Get(n.ID)
+	crashes := strings.Contains(r.Header.Get(n.Prefix), e.soak.crashPart+":")
+	if crashes {
+		e.soak.checker.recordPrompt(&e.soak.checker.arrivals, request)
+	}
 	w.Header().Set(n.ID, request)
 	switch {
 	case r.Header.Get(n.Target) != id:
@@ -157,6 +168,9 @@
 		id: request, endpoint: id, at: e.soak.clock.Now(), method: r.Method, target: r.RequestURI, body: string(body),
 		workspace: r.Header.Get(n.Workspace), key: r.Header.Get(n.Key), drainedAt: drainedAt,
 	})
+	if crashes {
+		e.crashOnPrompt(w, request, generation)
+	}
 	if i := e.spoil.Load(); i > 0 && rand.Float64() < spoiledShare && spoilAnswer(w, request, spoilers[i-1]) {
 		return
 	}
--- a/soaker/instance.go
+++ b/soaker/instance.go
@@ -20,6 +20,7 @@
 	soak     *Soaker
 	name     string
 	settings string           // path of the settings file
+	front    string           // address for callers
 	store    *proxier.Proxier // proxy of the store
 	faultMu  sync.Mutex       // held by a fault that ends or pauses the process
 
@@ -41,12 +42,12 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &instance{soak: s, name: fmt.Sprintf("edge-%d", i+1), store: store}
+	n := &instance{soak: s, name: fmt.Sprintf("edge-%d", i+1), front: s.address(host, frontPort), store: store}
 	settings := &platform.Settings{
 		Instance: n.name, DataCentre: dataCentre(i), Region: "r", IP: fmt.Sprintf("127.0.%d.%d", s.subnet, host),
 		PeerPorts: []int{peerPort, peerPort},
 	}
-	settings.Listen.Front, settings.Listen.Ready = s.address(host, frontPort), s.address(host, readyPort)
+	settings.Listen.Front, settings.Listen.Ready = n.front, s.address(host, readyPort)
 	settings.Listen.Directory = s.address(host, directoryPort)
 	settings.Limits.Cores, settings.Limits.MemoryMB = 1, 256
 	settings.Store.Address = store.Address()
--- a/soaker/schedule.go
+++ b/soaker/schedule.go
@@ -47,10 +47,10 @@
 	{"store silent", false, storeFault(objectemulator.Unresponsive)},
 	{"store loses answers", false, storeFault(objectemulator.ResponseLost)},
 	{"store forgets its history", false, func(s *Soaker, _ context.Context, _ step) { s.store.Compact() }},
-	{"store path", false, func(s *Soaker, ctx context.Context, x step) { s.disturbProxy(ctx, s.instance(x).store, x) }},
+	{"store path", false, (*Soaker).disturbStorePath},
 	{"store refuses one instance", false, (*Soaker).refuseInstance},
-	{"endpoint path", false, func(s *Soaker, ctx context.Context, x step) { s.disturbProxy(ctx, s.endpoint(x).proxy, x) }},
-	{"endpoint path", false, func(s *Soaker, ctx context.Context, x step) { s.disturbProxy(ctx, s.endpoint(x).proxy, x) }},
+	{"endpoint path", false, (*Soaker).disturbEndpointPath},
+	{"endpoint path", false, (*Soaker).disturbEndpointPath},
 	{"kill", false, (*Soaker).kill},
 	{"kill", false, (*Soaker).kill},
 	{"pause", false, (*Soaker).pause},
@@ -72,10 +72,14 @@
 
 // injectFaults draws faults from the seed for Options.FaultPhase, starts each after a
 // random gap and waits for the end of all. If a fault that ends or pauses the same
-// process or endpoint is in progress, the new one has no effect.
+// process or endpoint is in progress, the new one has no effect. Prompts that crash
+// endpoints are drawn separately and leave the other faults of a seed as they are.
 func (s *Soaker) injectFaults(ctx context.Context) {
 	var running sync.WaitGroup
-	for left := s.options.FaultPhase; left > 0 && ctx.Err() == nil; {
+	if length := drawPromptTime(s.options); length > 0 {
+		running.Go(func() { s.crashByPrompts(ctx, length) })
+	}
+	for left := s.options.FaultPhase; left > 0 && !s.options.PromptsOnly && ctx.Err() == nil; {
 		gap := minGap + clock.Millis(s.rand.Int64N(int64(maxGap-minGap)))
 		f := faults[s.rand.IntN(len(faults))]
 		x := step{
@@ -85,7 +89,7 @@
 		left -= gap
 		sleep(ctx, gap)
 		running.Go(func() {
-			end := s.checker.recordFault(f.planned)
+			end := s.checker.recordFault(faultPeriod{planned: f.planned})
 			defer end()
 			s.logFault("%s (%d), %d ms", x.name, x.index%len(s.instances), x.duration)
 			f.inject(s, ctx, x)
@@ -133,9 +137,20 @@
 	p.Reset()
 }
 
+func (s *Soaker) disturbEndpointPath(ctx context.Context, x step) {
+	s.disturbProxy(ctx, s.endpoint(x).proxy.Load(), x)
+}
+
+// disturbStorePath disturbs the connections of an instance to the store.
+func (s *Soaker) disturbStorePath(ctx context.Context, x step) {
+	defer s.instance(x).recordFault()()
+	s.disturbProxy(ctx, s.instance(x).store, x)
+}
+
 // refuseInstance makes the store refuse one instance for the duration of x while it
 // serves the others.
 func (s *Soaker) refuseInstance(ctx context.Context, x step) {
+	defer s.instance(x).recordFault()()
 	statuses := []string{"503 Service Unavailable", "429 Too Many Requests"}
 	p := s.instance(x).store
 	p.SetFault(proxier.Fault{
@@ -153,9 +168,16 @@
 		return
 	}
 	defer n.faultMu.Unlock()
+	defer n.recordFault()()
 	f()
 }
 
+// recordFault records, beside the period of the scheduled fault, that it ends,
+// suspends or cuts off this instance.
+func (n *instance) recordFault() (end func()) {
+	return n.soak.checker.recordFault(faultPeriod{planned: true, instance: n.front})
+}
+
 // kill kills an instance and restarts it after the duration of x.
 func (s *Soaker) kill(ctx context.Context, x step) {
 	n := s.instance(x)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/platform/objectemulator"
 )
 
@@ -44,6 +45,9 @@
 	Callers    int          // number of concurrent callers
 	FaultPhase clock.Millis // duration of the phase with faults
 	Out        io.Writer    // receives one line for each fault; nil: none
+	// PromptsOnly injects no faults but prompts that crash endpoints, and ends the run
+	// with them.
+	PromptsOnly bool
 }
 
 // Report is the result of a run.
@@ -52,6 +56,7 @@
 	Requests   int      // number of requests sent
 	Succeeded  int      // number of requests with a complete answer of status 200
 	FaultLog   []string // log of the injected faults
+	Prompts    string   // what the checks saw of prompts that crash endpoints; empty: there were none
 	Violations []string // violated guarantees and errors of the soak test itself
 }
 
@@ -66,6 +71,7 @@
 	instances []*instance
 	endpoints []*endpoint
 	checker   *checker
+	crashPart string // id of the prompt part that crashes endpoints
 	operator  *operator
 	done      chan struct{} // closed to stop the callers
 
@@ -83,7 +89,7 @@
 	c := clock.System()
 	return &Soaker{
 		options: o, clock: c, rand: rand.New(rand.NewPCG(o.Seed, 1)), store: objectemulator.New(), checker: newChecker(c),
-		done: make(chan struct{}),
+		crashPart: fmt.Sprintf("f%x", matcher.Hash("crashing part", fmt.Sprint(o.Seed))), done: make(chan struct{}),
 	}
 }
 
@@ -101,8 +107,11 @@
 		callers.Go(func() { s.runCaller(ctx, i) })
 	}
 	s.injectFaults(ctx)
-	faultsOver := s.clock.Now()
-	sleep(ctx, recoveryTime)
+	recovered := clock.Millis(0)
+	if !s.options.PromptsOnly {
+		recovered = s.clock.Now() + recoveryTime - recoveryCheckTime
+		sleep(ctx, recoveryTime)
+	}
 	close(s.done)
 	callers.Wait()
 	sleep(ctx, lateExecutionTime)
@@ -110,7 +119,8 @@
 		return nil, errors.Wrap(err, "soaker: run was interrupted")
 	}
 	r := &Report{Seed: s.options.Seed, FaultLog: s.faults}
-	r.Requests, r.Succeeded, r.Violations = s.checker.check(faultsOver + recoveryTime - recoveryCheckTime)
+	r.Requests, r.Succeeded, r.Violations = s.checker.check(recovered)
+	r.Prompts = s.checker.prompts
 	r.Violations = append(r.Violations, s.ownErrors...)
 	for _, i := range s.instances {
 		if err := i.firstFailure(); err != nil {
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"flag"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,10 +23,6 @@
 // faults. It runs the seeds in testdata/seeds.yaml: a short run, and each seed that
 // found a violation. Long runs are started manually with "rosemaryarch soak".
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "rosemaryarch")
-	if out, err := exec.Command("go", "build", "-o", program, "../cmd/rosemaryarch").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
 	text, err := os.ReadFile("testdata/seeds.yaml")
 	if err != nil {
 		t.Fatal(err)
@@ -37,25 +34,45 @@
 	for _, x := range seeds {
 		t.Run(x.Cause, func(t *testing.T) {
 			t.Parallel()
-			dir := t.TempDir()
-			r, err := New(Options{
-				Program: program, Dir: dir, Seed: x.Seed, Instances: 4, Endpoints: 2, Callers: 6,
-				FaultPhase: clock.Millis(x.Seconds) * clock.Second,
-			}).Run(t.Context())
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, v := range r.Violations {
-				t.Errorf("seed %d: %s", x.Seed, v)
-			}
-			if r.Succeeded == 0 {
-				t.Errorf("seed %d: none of %d requests succeeded", x.Seed, r.Requests)
-			}
-			if t.Failed() {
-				for _, f := range r.FaultLog {
-					t.Log(f)
-				}
-			}
+			run(t, Options{
+				Seed: x.Seed, Instances: 4, Endpoints: 2, Callers: 6, FaultPhase: clock.Millis(x.Seconds) * clock.Second,
+			})
 		})
 	}
 }
+
+var crashSeed = flag.Uint64("crash-seed", 1, "seed of TestPromptThatCrashesEndpointsIsContained")
+
+// TestPromptThatCrashesEndpointsIsContained guards against requests that crash one
+// endpoint after the other because their prompts share a part, and against a
+// protection that refuses sound requests with them.
+func TestPromptThatCrashesEndpointsIsContained(t *testing.T) {
+	run(t, Options{
+		Seed: *crashSeed, Instances: 4, Endpoints: 5, Callers: 10, FaultPhase: 12 * clock.Second, PromptsOnly: true,
+	})
+}
+
+// run builds the program, runs the soak test and reports violations as errors.
+func run(t *testing.T, o Options) {
+	t.Helper()
+	o.Dir, o.Program = t.TempDir(), filepath.Join(t.TempDir(), "rosemaryarch")
+	if out, err := exec.Command("go", "build", "-o", o.Program, "../cmd/rosemaryarch").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	r, err := New(o).Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Violations {
+		t.Errorf("seed %d: %s", r.Seed, v)
+	}
+	if r.Succeeded == 0 {
+		t.Errorf("seed %d: none of %d requests succeeded", r.Seed, r.Requests)
+	}
+	if t.Failed() {
+		for _, f := range r.FaultLog {
+			t.Log(f)
+		}
+	}
+	t.Logf("seed %d: %s", r.Seed, r.Prompts)
+}
