cmd: a SIGHUP during the start does not end an instance

Cause: signals are handled from Run on; until then SIGHUP has its default action. Processes signalled 15 and 30 ms after their start died in 2 and 1 of 6 tries. Change: the signal is ignored from the begin of the command until Run handles it; the settings are read after that.

--- a/cmd/rosemaryarch/edge.go
+++ b/cmd/rosemaryarch/edge.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"rosemaryarch.example/rosemaryarch/launcher"
 	"rosemaryarch.example/rosemaryarch/platform"
@@ -24,6 +26,9 @@
 		_, err := platform.LoadSettings(path)
 		return err
 	}
+	// A signal that arrives before Run handles it would end the process. The settings
+	// are read after this.
+	signal.Ignore(syscall.SIGHUP)
 	l, err := launcher.New(path, os.Stdout)
 	if err != nil {
 		return err
