stager: larger shares and completion need evidence for the target

Cause: the latency of a stream was the time to its first event only, all kinds of request were in one mean, and requests that wait or are abandoned did not count. Failures had to be 0.1 above the old rate, however significant. The shares and the completion followed the clock, and each instance completed by its own view.

Change: each instance counts latencies by kind of request in histograms: the time to the first event relative to the expected one, and the time between events. A waiting or abandoned request counts as at least as slow as its age. The target is compared with the old version kind by kind, by the mean and by the share of slow responses, beyond the margin of a cold start. A larger share and an early completion wait until no instance doubts the target; the last 1.2 s before the completion by time require less evidence for a stop, and a stop of any instance holds for all. The middle share is 0.2 instead of 0.3. Report has new keys, which earlier builds ignore.

TestVerdicts: three responses that all fail now hold the share, so that case says so, and one with fewer failures keeps the former expectation. The required phase is unchanged.

--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -46,6 +46,15 @@
 	due      clock.Millis // time at which the first event is expected
 }
 
+// expected returns the time in ms until the first event, or 0 if the service has
+// no engine to predict it for.
+func (c *choice) expected(q *criteria) clock.Millis {
+	if !q.isEngine() {
+		return 0
+	}
+	return clock.Millis(c.ahead+c.work) + firstEventOverhead
+}
+
 // criteria is what the choice of an endpoint depends on.
 type criteria struct {
 	service      string
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -9,6 +9,7 @@
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/refuser"
+	"rosemaryarch.example/rosemaryarch/stager"
 )
 
 const (
@@ -298,12 +299,14 @@
 	d, e := x.dispatcher, c.endpoint
 	begin := x.now()
 	x.endpoint = e.ID
-	end := d.options.Stager.Begin(q.service, e.Version)
+	observation := d.options.Stager.Begin(begin, stager.Sending{
+		Service: q.service, Version: e.Version, Kind: x.route.Name + "/" + q.model, Expected: c.expected(q),
+	})
 	d.options.Stager.RecordUse(begin, q.service, x.request.Header.Get(d.options.Names.Session), e.Version)
-	s := &send{exchange: x, choice: c, criteria: q, begin: begin}
+	s := &send{exchange: x, choice: c, criteria: q, begin: begin, observation: observation}
 	result, err := s.run(ctx)
 	d.release(x.now(), c, !s.failed)
-	end(s.counted, s.versionFailed, s.latency)
+	observation.End(x.now(), s.counted, s.versionFailed)
 	if result != resultDone || err != nil {
 		x.logSend(c, s, err)
 	}
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -14,6 +14,7 @@
 	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/refuser"
+	"rosemaryarch.example/rosemaryarch/stager"
 )
 
 // send is one attempt to have the request served by one endpoint.
@@ -24,11 +25,11 @@
 	begin    clock.Millis
 	response *forwarder.Response
 
-	outcome       string       // for the log
-	failed        bool         // the endpoint failed, for its circuit breaker
-	counted       bool         // the result is evidence about the version, for its roll-out
-	versionFailed bool         // if counted: the result is a failure of the version
-	latency       clock.Millis // until the first event, or the whole plain response
+	outcome       string              // for the log
+	failed        bool                // the endpoint failed, for its circuit breaker
+	counted       bool                // the result is evidence about the version, for its roll-out
+	versionFailed bool                // if counted: the result is a failure of the version
+	observation   *stager.Observation // for the roll-out; nil without one
 }
 
 // run sends the request and handles the response.
@@ -199,9 +200,11 @@
 		return s.forwardLong(body)
 	}
 	response.Release()
-	s.latency = x.now() - s.begin
 	s.counted, s.versionFailed = true, response.Status >= http.StatusInternalServerError
 	s.failed = s.versionFailed
+	if !s.versionFailed {
+		s.observation.Receive(x.now(), 1)
+	}
 	if s.versionFailed && x.route.Retryable() && x.sends < x.route.Attempts && x.remaining() > x.route.Target/2 {
 		s.outcome = "failed"
 		return s.retryElsewhere(body)
@@ -228,7 +231,6 @@
 	response.SetReadTimeout(0) // it cannot be replaced any more
 	body := io.LimitReader(io.MultiReader(bytes.NewReader(begin), response), limit+1)
 	n, err := io.Copy(x.writer, body)
-	s.latency = x.now() - s.begin
 	if err != nil || n > limit {
 		x.status = 0
 		s.outcome, s.failed, s.counted, s.versionFailed = "body_broke", true, true, true
@@ -239,6 +241,9 @@
 	}
 	s.counted, s.versionFailed = true, response.Status >= http.StatusInternalServerError
 	s.failed = s.versionFailed
+	if !s.versionFailed {
+		s.observation.Receive(x.now(), 1)
+	}
 	response.Release()
 	completer.Complete(x.writer)
 	return resultDone, nil
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -81,10 +81,10 @@
 		}
 		waited = 0
 		x.dispatcher.recordReceived(now, x.endpoint)
+		s.observation.Receive(now, count)
 		if first {
 			first = false
-			s.latency = now - s.begin
-			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, s.latency)
+			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, now-s.begin)
 			if !x.headerSent {
 				x.firstEventMs = now - x.start
 				x.writeStreamHeader(response)
--- a/stager/evidence.go
+++ b/stager/evidence.go
@@ -1,6 +1,10 @@
 package stager
 
-import "math"
+import (
+	"math"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
 
 // Evidence summarises the responses of one version.
 type Evidence struct {
@@ -20,6 +24,12 @@
 	OldInFlight int      `cbor:"5,keyasint,omitempty"` // requests in progress on the old version
 	New         Evidence `cbor:"6,keyasint"`           // of the target
 	Old         Evidence `cbor:"7,keyasint"`           // of all other versions
+
+	// Instances of earlier builds neither send nor read the following.
+	NewLatencies []Latencies `cbor:"8,keyasint,omitempty"`
+	OldLatencies []Latencies `cbor:"9,keyasint,omitempty"`
+	Doubtful     bool        `cbor:"10,keyasint,omitempty"` // the target may be bad
+	Stage        stage       `cbor:"11,keyasint,omitempty"` // share that this instance uses
 }
 
 func (e Evidence) add(o Evidence) Evidence {
@@ -39,37 +49,115 @@
 	return m, max(0.05, e.LogSquares/n-m*m) / n
 }
 
-// The bounds from which the target is worse. A bad version fails at least a third of its requests
-// of one kind, or takes several times as long. The evidence is evaluated about
-// thirty times in a roll-out, for which three and a half standard errors make a
-// false verdict unlikely.
+// sums is the evidence of all instances.
+type sums struct {
+	target, old Evidence
+	oldInFlight int
+	all, worst  [measureCount]Slowness // of all kinds of request, and of the worst one
+}
+
+// sums adds up the evidence of this instance and of all others. It overwrites
+// both tables.
+func (r *rolloutState) sums(now clock.Millis, targetLatencies, oldLatencies *latencyTable) sums {
+	t := sums{target: r.report.New, old: r.report.Old, oldInFlight: r.report.OldInFlight}
+	r.copyLatencies(now, targetLatencies, oldLatencies)
+	for _, p := range r.peers {
+		t.target, t.old = t.target.add(p.New), t.old.add(p.Old)
+		t.oldInFlight += p.OldInFlight
+		targetLatencies.merge(p.NewLatencies)
+		oldLatencies.merge(p.OldLatencies)
+	}
+	for m := range measureCount {
+		t.all[m], t.worst[m] = compare(targetLatencies, oldLatencies, m)
+	}
+	return t
+}
+
+// strictness says how much evidence against the target is required.
+type strictness struct {
+	failures   int     // of the target, below which the rate does not count
+	failErrors float64 // standard errors of the difference between the failure rates
+	compared   int     // latencies of the target
+	slow       int     // slow responses of the target, below which they do not count
+	slowErrors float64 // standard errors of a difference between latencies
+}
+
+// The evidence is evaluated about a hundred times in a roll-out, so an immediate
+// verdict requires more of it than the decisions before completion. A bad version
+// fails a third of its requests of one kind at least, or takes several times as
+// long.
+var (
+	immediate = strictness{failures: 5, failErrors: 3.5, compared: 10, slow: 5, slowErrors: 3.8}
+	final     = strictness{failures: 4, failErrors: 2.6, compared: 8, slow: 4, slowErrors: 3}
+	doubt     = strictness{failures: 3, failErrors: 2, compared: 5, slow: 3, slowErrors: 1.5}
+)
+
 const (
-	minFailures       = 5   // failures of the target, below which the rate does not count
-	minRateIncrease   = 0.1 // failure rate of the target minus that of the old version
-	minSlowdown       = 2.2 // ratio of the mean latencies
-	minTimed          = 10  // latencies of each version
-	minStandardErrors = 3.5 // of the difference between the versions
+	// minRateIncrease is the failure rate of the target minus that of the old
+	// version. A third of the requests of one kind in four is 0.08 of all; 0.1 let
+	// a version with 13 failures in 125 responses complete.
+	minRateIncrease = 0.05
+	// kindErrors are the standard errors required in addition for one kind of
+	// request, since the worst of about ten kinds is judged.
+	kindErrors = 0.7
+
+	minSlowdown = 2.2 // ratio of the mean latencies, for instances of earlier builds
+	minTimed    = 10  // latencies of each version for that ratio
 )
 
-// isWorse reports whether the target is significantly worse than the old
-// version, by its failure rate or by its latency. If the old version has served
-// nothing, a failure rate above a third is enough.
-func isWorse(target, old Evidence) bool {
-	if target.Failures >= minFailures {
-		p := old.add(target).failureRate()
-		n, m := float64(target.Served), float64(max(1, old.Served))
-		standardError := math.Sqrt(p * (1 - p) * (1/n + 1/m))
-		increase := target.failureRate() - old.failureRate()
-		if increase > minRateIncrease && increase > minStandardErrors*standardError ||
-			old.Served == 0 && target.failureRate() > 1.0/3 {
+// isWorse reports whether the target is worse than the old version: by its
+// failure rate or by its latency.
+func (t sums) isWorse(level strictness) bool {
+	if t.failsMore(level) {
+		return true
+	}
+	compared := 0
+	for m, all := range t.all {
+		if all.exceeds(level, level.slowErrors) || t.worst[m].exceeds(level, level.slowErrors+kindErrors) {
 			return true
 		}
+		compared += all.Compared
 	}
-	if target.Timed < minTimed || old.Timed < minTimed {
+	return compared == 0 && t.meanIsWorse(level)
+}
+
+// failsMore compares the failure rates. If the old version has served nothing, a
+// rate above a third is enough.
+func (t sums) failsMore(level strictness) bool {
+	if t.target.Failures < level.failures {
+		return false
+	}
+	p := t.old.add(t.target).failureRate()
+	n, m := float64(t.target.Served), float64(max(1, t.old.Served))
+	standardError := math.Sqrt(p * (1 - p) * (1/n + 1/m))
+	increase := t.target.failureRate() - t.old.failureRate()
+	return increase > minRateIncrease && increase > level.failErrors*standardError ||
+		t.old.Served == 0 && t.target.failureRate() > 1.0/3
+}
+
+// slowest returns the comparison that speaks most against the target.
+func (t sums) slowest() Slowness {
+	var result Slowness
+	for m, all := range t.all {
+		if result.Compared == 0 || all.score() > result.score() {
+			result = all
+		}
+		if worst := t.worst[m]; worst.score() > result.score()+kindErrors {
+			result = worst
+		}
+	}
+	return result
+}
+
+// meanIsWorse compares the mean latencies of all kinds of request. It is used if
+// no kind can be compared, as with the evidence of instances of earlier builds.
+func (t sums) meanIsWorse(level strictness) bool {
+	if t.target.Timed < minTimed || t.old.Timed < minTimed {
 		return false
 	}
-	targetMean, targetVariance := target.logMean()
-	oldMean, oldVariance := old.logMean()
+	targetMean, targetVariance := t.target.logMean()
+	oldMean, oldVariance := t.old.logMean()
 	logRatio := targetMean - oldMean
-	return logRatio > math.Log(minSlowdown) && logRatio > minStandardErrors*math.Sqrt(targetVariance+oldVariance)
+	return logRatio > math.Log(minSlowdown) &&
+		logRatio > level.failErrors*math.Sqrt(targetVariance+oldVariance)
 }
--- /dev/null
+++ b/stager/schedule.go
@@ -0,0 +1,152 @@
+package stager
+
+import "rosemaryarch.example/rosemaryarch/clock"
+
+// The schedule of a roll-out. A bad version may serve about a tenth of all
+// requests until the roll-out ends, so the initial share is smaller. The larger
+// shares follow in the second half, in which a session may change to the target,
+// and only while no instance doubts the target. The middle share is small enough
+// for the bound on a bad version that shows late; the full share lasts just long
+// enough for requests on the old version to end.
+const (
+	initialShare  = 0.08
+	middleShare   = 0.2
+	exchangeTime  = 700 * clock.Millis(1) // at the start, without the target, until all instances have the session uses
+	halfwayMargin = 700 * clock.Millis(1) // after the first half, for instances that saw the roll-out at other times
+
+	middleTime = 3 * clock.Second // planned duration of middleShare
+	// heldMiddleTime is the duration of middleShare if doubt has delayed it.
+	heldMiddleTime = 1500 * clock.Millis(1)
+	// clearTime is how long no instance may have doubts before a larger share. The
+	// reports of other data centres are a second old.
+	clearTime = 1200 * clock.Millis(1)
+	// minJudged is the number of responses of the target before a larger share.
+	// For a service with little traffic, the wait for them ends after a part of
+	// the roll-out given by scarceFraction.
+	minJudged      = 20
+	scarceFraction = 12
+
+	completeTime   = 1500 * clock.Millis(1) // duration of the full share before the roll-out may complete
+	deadlineMargin = 2500 * clock.Millis(1) // time left at which it completes even with requests on the old version
+	// settleTime is the time from the final judgement to completion, in which the
+	// verdicts of all instances arrive.
+	settleTime = 1200 * clock.Millis(1)
+	// lateMargin is the time left at which the roll-out no longer waits for late
+	// reports.
+	lateMargin = 1500 * clock.Millis(1)
+	// freshTime is the age from which a report is late, and silentTime the age from
+	// which its instance counts as gone.
+	freshTime  = 2 * clock.Second
+	silentTime = 5 * clock.Second
+)
+
+// stage is the part of the schedule that sets the target's share.
+type stage uint8
+
+const (
+	initialStage stage = iota
+	middleStage
+	fullStage
+)
+
+// targetShare returns the share of the sessions that the target serves.
+func (r *rolloutState) targetShare(now clock.Millis) float64 {
+	if r.elapsed(now) < exchangeTime {
+		return 0
+	}
+	switch r.currentStage(now) {
+	case fullStage:
+		return 1
+	case middleStage:
+		return middleShare
+	default:
+		return initialShare
+	}
+}
+
+// currentStage returns the stage, which never goes back: sessions that have moved
+// to the target stay there. It depends on the time alone while no instance has
+// doubts, so that all instances change at the same time.
+func (r *rolloutState) currentStage(now clock.Millis) stage {
+	middleFrom, fullFrom := r.stageTimes()
+	switch e := r.elapsed(now); {
+	case r.doubtful || r.peersDoubt(now):
+	case e >= fullFrom:
+		r.stage = fullStage
+	case e >= middleFrom:
+		r.stage = max(r.stage, middleStage)
+	}
+	return r.stage
+}
+
+// stageTimes returns the elapsed times at which the larger shares begin if no
+// further doubt arises.
+func (r *rolloutState) stageTimes() (middleFrom, fullFrom clock.Millis) {
+	d := r.rollout.Duration
+	planned := d/2 + halfwayMargin
+	middleFrom = planned + d/scarceFraction
+	if r.enough {
+		middleFrom = min(middleFrom, max(planned, r.enoughFrom))
+	}
+	if r.clearFrom > 0 {
+		middleFrom = max(middleFrom, r.clearFrom+clearTime)
+	}
+	return middleFrom, max(planned+middleTime, middleFrom+heldMiddleTime)
+}
+
+// assess updates what the stage depends on.
+func (r *rolloutState) assess(now clock.Millis, t sums) {
+	r.doubtful = t.isWorse(doubt)
+	elapsed := r.elapsed(now)
+	if r.doubtful || r.peersDoubt(now) {
+		r.clearFrom = elapsed
+	}
+	if !r.enough && t.target.Served >= minJudged {
+		r.enough, r.enoughFrom = true, elapsed
+	}
+}
+
+// peersDoubt reports whether another instance has doubts about the target.
+func (r *rolloutState) peersDoubt(now clock.Millis) bool {
+	for _, p := range r.peers {
+		if p.Doubtful && now-p.receivedAt < silentTime {
+			return true
+		}
+	}
+	return false
+}
+
+// reportsAreLate reports whether the last report of a live instance is too old to
+// complete the roll-out.
+func (r *rolloutState) reportsAreLate(now clock.Millis) bool {
+	for _, p := range r.peers {
+		if age := now - p.receivedAt; age >= freshTime && age < silentTime {
+			return true
+		}
+	}
+	return false
+}
+
+// completeFrom returns the elapsed time from which the roll-out completes even
+// with requests on the old version.
+func (r *rolloutState) completeFrom() clock.Millis { return r.rollout.Duration - deadlineMargin }
+
+// finalJudgement returns the elapsed time from which less evidence against the
+// target is enough.
+func (r *rolloutState) finalJudgement() clock.Millis { return r.completeFrom() - settleTime }
+
+// mayComplete reports whether the roll-out may complete: all reports are recent,
+// and either the full share has been served long enough, without doubt and
+// without requests on the old version, or the end of the roll-out is near.
+func (r *rolloutState) mayComplete(now clock.Millis, oldInFlight int) bool {
+	elapsed := r.elapsed(now)
+	if r.reportsAreLate(now) && elapsed < r.rollout.Duration-lateMargin {
+		return false
+	}
+	if elapsed >= r.completeFrom() {
+		return true
+	}
+	_, fullFrom := r.stageTimes()
+	return oldInFlight == 0 && elapsed >= fullFrom+completeTime && r.currentStage(now) == fullStage &&
+		!r.doubtful && !r.peersDoubt(now)
+}
--- /dev/null
+++ b/stager/simulation_test.go
@@ -0,0 +1,308 @@
+package stager
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+)
+
+const (
+	simulatedInstances  = 9
+	simulatedRate       = 80.0 // requests per second to the service
+	simulatedDecisions  = 200  // ms between two decisions of an instance
+	simulatedLocalBeat  = 250  // ms between two reports to the instances of the same data centre
+	simulatedRemoteBeat = 1000 // the same to all others
+	simulatedTurn       = 600  // ms between the turns of two instances to write a verdict
+	simulatedDeadline   = 5000 // ms until a client that waits for the first event leaves
+)
+
+// simulatedKind describes the latencies of one kind of request, which are
+// lognormal.
+type simulatedKind struct {
+	name                   string
+	first, firstDeviation  float64 // ms
+	events, eventDeviation float64 // of a stream; 0 for a plain response
+	pace                   float64 // ms between events
+}
+
+var simulatedKinds = []simulatedKind{
+	{"short answer", 40, 1.1, 45, 0.6, 45},
+	{"long answer", 700, 0.8, 55, 0.4, 45},
+	{"label", 60, 1.1, 3, 0.8, 25},
+	{"plain", 30, 0.5, 0, 0, 0},
+}
+
+// simulatedVersion describes how a target differs from the old version.
+type simulatedVersion struct {
+	slowShare float64      // share of the requests that are slow
+	slowdown  float64      // of these
+	failShare float64      // share of the requests that fail
+	from      clock.Millis // time since the order from which that holds
+	kind      string       // the only kind to which that applies; empty: all
+	cold      bool         // new endpoints are slower at first, and their caches are empty
+}
+
+// simulatedEvent is something that happens at one time of a simulation.
+type simulatedEvent struct {
+	at clock.Millis
+	do func()
+}
+
+type simulatedQueue []simulatedEvent
+
+func (q simulatedQueue) Len() int           { return len(q) }
+func (q simulatedQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q simulatedQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *simulatedQueue) Push(x any)        { *q = append(*q, x.(simulatedEvent)) }
+func (q *simulatedQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// simulation is one roll-out on a fleet.
+type simulation struct {
+	random    *rand.Rand
+	duration  clock.Millis
+	version   simulatedVersion
+	queue     simulatedQueue
+	now       clock.Millis
+	instances []*Stager
+	judgedAt  map[int]clock.Millis // first verdict of each instance
+
+	phase    Phase
+	endedAt  clock.Millis
+	served   int // requests that began before the deadline
+	byTarget int // of these, on the target
+}
+
+func simulate(seed uint64, duration clock.Millis, version simulatedVersion) *simulation {
+	m := &simulation{
+		random: rand.New(rand.NewPCG(seed, 1)), duration: duration, version: version,
+		judgedAt: make(map[int]clock.Millis),
+	}
+	for i := range simulatedInstances {
+		s := New(Options{SessionAge: 10 * clock.Second})
+		s.Set(0, Rollout{Service: "s", Target: "v2", Duration: duration, Phase: Active})
+		m.instances = append(m.instances, s)
+		m.every(simulatedDecisions, func() { m.decide(i) })
+		m.every(simulatedLocalBeat, func() { m.report(i, true) })
+		m.every(simulatedRemoteBeat, func() { m.report(i, false) })
+	}
+	m.after(0, m.arrive)
+	for m.queue.Len() > 0 && m.now < duration {
+		e := heap.Pop(&m.queue).(simulatedEvent)
+		m.now = e.at
+		e.do()
+	}
+	return m
+}
+
+func (m *simulation) after(d float64, do func()) {
+	heap.Push(&m.queue, simulatedEvent{m.now + max(1, clock.Millis(d)), do})
+}
+
+// every calls do periodically, from a random time on.
+func (m *simulation) every(interval float64, do func()) {
+	var next func()
+	next = func() {
+		do()
+		m.after(interval, next)
+	}
+	m.after(interval*m.random.Float64(), next)
+}
+
+func (m *simulation) report(sender int, local bool) {
+	reports := m.instances[sender].Reports(m.now)
+	for i, s := range m.instances {
+		// Data centres have two instances each, and the last one has one.
+		if i != sender && (i/2 == sender/2) == local {
+			s.Merge(m.now, fmt.Sprint("instance-", sender), reports)
+		}
+	}
+}
+
+// decide writes the verdict of an instance in its turn, as package launcher does.
+func (m *simulation) decide(i int) {
+	for _, v := range m.instances[i].Decide(m.now) {
+		if _, ok := m.judgedAt[i]; !ok {
+			m.judgedAt[i] = m.now
+		}
+		if m.phase != "" || m.now < m.judgedAt[i]+clock.Millis(i*simulatedTurn) {
+			continue
+		}
+		m.phase, m.endedAt = v.Phase, m.now
+		for _, s := range m.instances {
+			s.Set(m.now, Rollout{Service: "s", Target: "v2", Duration: m.duration, Phase: v.Phase})
+		}
+	}
+}
+
+func (m *simulation) lognormal(median, deviation float64) float64 {
+	return median * math.Exp(deviation*m.random.NormFloat64())
+}
+
+// arrive sends a request to one instance and schedules the next one.
+func (m *simulation) arrive() {
+	m.after(1000*m.random.ExpFloat64()/simulatedRate, m.arrive)
+	s, k := m.instances[m.random.IntN(len(m.instances))], simulatedKinds[m.random.IntN(len(simulatedKinds))]
+	session := fmt.Sprint(m.random.Uint64())
+	version, factor, coldFactor, failShare := "v1", 1.0, 1.0, 0.005
+	if s.Choose(m.now, "s", session).UseTarget {
+		version = "v2"
+		m.byTarget++
+		v := m.version
+		if v.cold && m.now < 4*clock.Second {
+			coldFactor = 1.6
+		} else if v.cold {
+			coldFactor = 1.3
+		}
+		if m.now >= v.from && (v.kind == "" || v.kind == k.name) {
+			if m.random.Float64() < v.slowShare {
+				factor = v.slowdown
+			}
+			failShare = max(failShare, v.failShare)
+		}
+	}
+	m.served++
+	o := s.Begin(m.now, Sending{Service: "s", Version: version, Kind: k.name})
+	first := factor * coldFactor * m.lognormal(k.first, k.firstDeviation)
+	switch {
+	case m.random.Float64() < failShare:
+		m.after(first, func() { o.End(m.now, true, true) })
+	case first > simulatedDeadline:
+		m.after(simulatedDeadline, func() { o.End(m.now, false, false) })
+	default:
+		events := 1
+		if k.events > 0 {
+			events = max(1, int(m.lognormal(k.events, k.eventDeviation)))
+		}
+		m.after(first, func() { m.continueStream(o, factor*m.lognormal(k.pace, 0.3), events) })
+	}
+}
+
+// continueStream delivers an event and schedules the next one.
+func (m *simulation) continueStream(o *Observation, pace float64, events int) {
+	o.Receive(m.now, 1)
+	if o != nil && o.paced {
+		m.after(pace*float64(events-1), func() { o.End(m.now, true, false) })
+		return
+	}
+	if o == nil || events == 1 {
+		o.End(m.now, true, false)
+		return
+	}
+	m.after(m.lognormal(pace, 0.3), func() { m.continueStream(o, pace, events-1) })
+}
+
+// simulateAll runs n simulations in parallel.
+func simulateAll(n int, duration clock.Millis, version simulatedVersion) []*simulation {
+	results := make([]*simulation, n)
+	var wait sync.WaitGroup
+	free := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for i := range results {
+		wait.Go(func() {
+			free <- struct{}{}
+			results[i] = simulate(uint64(i)+1, duration, version)
+			<-free
+		})
+	}
+	wait.Wait()
+	return results
+}
+
+// Guards against a bad version that is completed, or that serves more than 0.12
+// of the requests and 30 before its deadline: one that is slow or fails, from the
+// start or later, for some or all requests. Seen on kseal-router, day hasty, seeds
+// 12 and 13.
+func TestBadVersionsAreRolledBack(t *testing.T) {
+	tests := map[string]simulatedVersion{
+		"half are eight times as slow":          {slowShare: 0.5, slowdown: 8, from: 3000},
+		"half are eight times as slow, cold":    {slowShare: 0.5, slowdown: 8, from: 3000, cold: true},
+		"all are four times as slow":            {slowShare: 1, slowdown: 4},
+		"slow from a later moment":              {slowShare: 0.5, slowdown: 8, from: 6000},
+		"slow from the second half":             {slowShare: 0.5, slowdown: 8, from: 8500},
+		"one kind is eight times as slow":       {slowShare: 1, slowdown: 8, kind: "short answer"},
+		"one plain kind is eight times as slow": {slowShare: 1, slowdown: 8, kind: "plain"},
+		"half fail":                             {failShare: 0.5},
+		"half fail from a later moment":         {failShare: 0.5, from: 6000},
+		"half of one kind fails":                {failShare: 0.5, kind: "plain"},
+	}
+	for name, version := range tests {
+		for _, duration := range []clock.Millis{15 * clock.Second, 24 * clock.Second} {
+			t.Run(fmt.Sprint(name, ", ", duration/clock.Second, " s"), func(t *testing.T) {
+				const runs = 50
+				completed, exposed, targets, served := 0, 0, 0, 0
+				for _, m := range simulateAll(runs, duration, version) {
+					if m.phase != RolledBack {
+						completed++
+					}
+					if float64(m.byTarget) > 0.12*float64(m.served)+30 {
+						exposed++
+					}
+					targets, served = targets+m.byTarget, served+m.served
+				}
+				t.Logf("not rolled back: %d of %d; too many requests: %d; mean share %.3f",
+					completed, runs, exposed, float64(targets)/float64(served))
+				if completed > 0 || exposed > 0 {
+					t.Errorf("got %d not rolled back and %d with too many requests, want none of %d",
+						completed, exposed, runs)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a good version that is rolled back or completed too late: at
+// most one in a hundred of 1,000, also if its endpoints are cold at first.
+func TestGoodVersionsAreCompleted(t *testing.T) {
+	tests := map[string]struct {
+		version  simulatedVersion
+		duration clock.Millis
+	}{
+		"15 s":       {simulatedVersion{}, 15 * clock.Second},
+		"15 s, cold": {simulatedVersion{cold: true}, 15 * clock.Second},
+		"24 s, cold": {simulatedVersion{cold: true}, 24 * clock.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			const runs = 1000
+			stopped, late := 0, 0
+			for _, m := range simulateAll(runs, tt.duration, tt.version) {
+				switch {
+				case m.phase == RolledBack:
+					stopped++
+				case m.phase != Completed || m.endedAt > tt.duration-clock.Second:
+					late++
+				}
+			}
+			t.Logf("rolled back: %d of %d; not completed a second before the deadline: %d", stopped, runs, late)
+			if stopped+late >= runs/100 {
+				t.Errorf("got %d rolled back and %d late, want fewer than %d of %d", stopped, late, runs/100, runs)
+			}
+		})
+	}
+}
+
+// Guards against a bad version that is slow in half of the requests of one kind
+// only. About ten of its responses are slow before the end of a roll-out of 15 s.
+func TestHalfOfOneKindSlow(t *testing.T) {
+	const runs = 50
+	completed := 0
+	version := simulatedVersion{slowShare: 0.5, slowdown: 8, kind: "label"}
+	for _, m := range simulateAll(runs, 15*clock.Second, version) {
+		if m.phase != RolledBack {
+			completed++
+		}
+	}
+	if completed > 0 {
+		t.Errorf("got %d of %d not rolled back, want none", completed, runs)
+	}
+}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -18,19 +18,6 @@
 	RolledBack Phase = "rolled_back"
 )
 
-// The schedule of a roll-out. A bad version may serve about a tenth of all
-// requests until the roll-out ends, so the initial share is smaller. The larger
-// shares follow in the second half, in which a session may change to the target.
-const (
-	initialShare   = 0.08
-	middleShare    = 0.3
-	exchangeTime   = 700 * clock.Millis(1)  // at the start, without the target, until all instances have the session uses
-	halfwayMargin  = 700 * clock.Millis(1)  // after the first half, for instances that saw the roll-out at other times
-	middleTime     = 2500 * clock.Millis(1) // duration of middleShare
-	completeTime   = 1500 * clock.Millis(1) // duration of the full share before the roll-out may complete
-	deadlineMargin = 2500 * clock.Millis(1) // time left at which it completes even with requests on the old version
-)
-
 // Rollout is an operator's request to roll out a version of a service.
 type Rollout struct {
 	Service  string
@@ -46,15 +33,33 @@
 	Phase   Phase
 	New     Evidence
 	Old     Evidence
+	Slow    Slowness // of the measure that speaks most against the target
 }
 
 // rolloutState is the state of one roll-out on this instance.
 type rolloutState struct {
 	rollout Rollout
-	start   clock.Millis      // time at which any instance first saw the roll-out
-	stopped bool              // the target was judged bad
-	report  Report            // evidence of this instance
-	peers   map[string]Report // evidence of other instances, by instance and process
+	start   clock.Millis          // time at which any instance first saw the roll-out
+	stopped bool                  // the target was judged bad
+	report  Report                // evidence of this instance, without latencies
+	peers   map[string]peerReport // by instance and process
+
+	newLatencies latencyTable              // of ended requests on this instance
+	oldLatencies latencyTable              // the same for all other versions
+	running      map[*Observation]struct{} // requests in progress on this instance
+
+	stage      stage
+	doubtful   bool         // by the evidence of all instances
+	clearFrom  clock.Millis // elapsed time since which no instance doubts
+	enough     bool         // the target has served enough to judge it
+	enoughFrom clock.Millis // elapsed time since which enough is set
+}
+
+// peerReport is the last report of another instance.
+type peerReport struct {
+	Report
+
+	receivedAt clock.Millis
 }
 
 // Options are the settings of a Stager.
@@ -71,6 +76,8 @@
 	mu       sync.Mutex
 	rollouts map[string]*rolloutState // by service
 	uses     map[uint64]lastUse       // by hash of service and session
+
+	target, old latencyTable // for temporary use under the lock
 }
 
 // New returns a Stager without roll-outs.
@@ -85,7 +92,9 @@
 	defer s.mu.Unlock()
 	r := s.rollouts[o.Service]
 	if r == nil || r.rollout.Target != o.Target || r.finished() && o.Phase == "" {
-		r = &rolloutState{start: now, peers: make(map[string]Report)}
+		r = &rolloutState{
+			start: now, peers: make(map[string]peerReport), running: make(map[*Observation]struct{}),
+		}
 		r.report = Report{Service: o.Service, Target: o.Target}
 		s.rollouts[o.Service] = r
 	}
@@ -156,49 +165,6 @@
 	return e
 }
 
-// targetShare returns the share of the sessions that the target serves.
-func (r *rolloutState) targetShare(now clock.Millis) float64 {
-	halfway := r.rollout.Duration/2 + halfwayMargin
-	switch e := r.elapsed(now); {
-	case e < exchangeTime:
-		return 0
-	case e < halfway:
-		return initialShare
-	case e < halfway+middleTime:
-		return middleShare
-	default:
-		return 1
-	}
-}
-
-// Begin counts a request that starts on a version. The returned function records
-// its end: whether the result counts as evidence, whether it is a failure, and
-// its latency, or 0 if that is unknown.
-func (s *Stager) Begin(service, version string) func(counts, failed bool, latency clock.Millis) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := s.rollouts[service]
-	if r == nil || r.finished() {
-		return func(bool, bool, clock.Millis) {}
-	}
-	old := version != r.rollout.Target
-	if old {
-		r.report.OldInFlight++
-	}
-	return func(counts, failed bool, latency clock.Millis) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		evidence := &r.report.New
-		if old {
-			r.report.OldInFlight--
-			evidence = &r.report.Old
-		}
-		if counts {
-			evidence.record(failed, latency)
-		}
-	}
-}
-
 // record adds one response. The latency of a failure is ignored.
 func (e *Evidence) record(failed bool, latency clock.Millis) {
 	e.Served++
@@ -225,6 +191,9 @@
 		}
 		report := r.report
 		report.Elapsed, report.Stopped = int64(r.elapsed(now)), r.stopped
+		r.copyLatencies(now, &s.target, &s.old)
+		report.NewLatencies, report.OldLatencies = s.target.list(), s.old.list()
+		report.Doubtful, report.Stage = r.doubtful, r.currentStage(now)
 		reports = append(reports, report)
 	}
 	return reports
@@ -244,8 +213,9 @@
 			r.start -= lead
 		}
 		m.Elapsed = 0
-		r.peers[key] = m
+		r.peers[key] = peerReport{Report: m, receivedAt: now}
 		r.stopped = r.stopped || m.Stopped
+		r.stage = max(r.stage, min(m.Stage, fullStage))
 	}
 }
 
@@ -260,17 +230,17 @@
 		if r.finished() {
 			continue
 		}
-		target, old, oldInFlight := r.report.New, r.report.Old, r.report.OldInFlight
-		for _, m := range r.peers {
-			target, old = target.add(m.New), old.add(m.Old)
-			oldInFlight += m.OldInFlight
+		t := r.sums(now, &s.target, &s.old)
+		elapsed := r.elapsed(now)
+		r.assess(now, t)
+		v := Verdict{
+			Service: r.rollout.Service, Target: r.rollout.Target, New: t.target, Old: t.old, Slow: t.slowest(),
 		}
-		v := Verdict{Service: r.rollout.Service, Target: r.rollout.Target, New: target, Old: old}
 		switch {
-		case r.stopped || isWorse(target, old):
+		case r.stopped || t.isWorse(immediate) || elapsed >= r.finalJudgement() && t.isWorse(final):
 			r.stopped = true
 			v.Phase = RolledBack
-		case r.mayComplete(now, oldInFlight):
+		case r.mayComplete(now, t.oldInFlight):
 			v.Phase = Completed
 		default:
 			continue
@@ -279,15 +249,3 @@
 	}
 	return verdicts
 }
-
-// mayComplete reports whether the roll-out may complete: the full share has been
-// served long enough, and no requests run on the old version or the end of the
-// roll-out is near.
-func (r *rolloutState) mayComplete(now clock.Millis, oldInFlight int) bool {
-	elapsed := r.elapsed(now)
-	fullShareFrom := r.rollout.Duration/2 + halfwayMargin + middleTime
-	if elapsed < fullShareFrom+completeTime {
-		return false
-	}
-	return oldInFlight == 0 || elapsed >= r.rollout.Duration-deadlineMargin
-}
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -24,6 +24,15 @@
 	return ""
 }
 
+// respond records one response of a version to a request without a prediction.
+func respond(s *Stager, version string, failed bool, latency clock.Millis) {
+	o := s.Begin(0, Sending{Service: "s", Version: version, Kind: "k"})
+	if !failed {
+		o.Receive(latency, 1)
+	}
+	o.End(latency, true, failed)
+}
+
 // Guards against sessions that change their version in the first half of a
 // roll-out: one that used the old version recently must stay there, on every
 // instance (soak rule PINNED). Seen on kseal-router-grown, quiet-1.
@@ -76,16 +85,18 @@
 		newServed, newFailed, oldServed, oldFailed int
 		newLatency, oldLatency                     clock.Millis
 		want                                       Phase
+		wantTarget                                 bool // the target serves any session in the second half
 	}{
-		"half fail":                   {24, 12, 300, 1, 100, 100, RolledBack},
-		"a third fails":               {30, 10, 300, 2, 100, 100, RolledBack},
-		"one route of four fails":     {60, 9, 700, 3, 100, 100, RolledBack},
-		"latency eight times as long": {20, 0, 300, 0, 800, 100, RolledBack},
-		"good":                        {60, 0, 700, 3, 100, 100, ""},
-		"good on a failing service":   {60, 8, 700, 95, 100, 100, ""},
-		"latency 1.5 times as long":   {60, 0, 700, 0, 150, 100, ""},
-		"too few responses":           {3, 3, 300, 0, 100, 100, ""},
-		"both versions fail":          {40, 20, 400, 200, 100, 100, ""},
+		"half fail":                     {24, 12, 300, 1, 100, 100, RolledBack, false},
+		"a third fails":                 {30, 10, 300, 2, 100, 100, RolledBack, false},
+		"one route of four fails":       {60, 9, 700, 3, 100, 100, RolledBack, false},
+		"latency eight times as long":   {20, 0, 300, 0, 800, 100, RolledBack, false},
+		"good":                          {60, 0, 700, 3, 100, 100, "", true},
+		"good on a failing service":     {60, 8, 700, 95, 100, 100, "", true},
+		"latency 1.5 times as long":     {60, 0, 700, 0, 150, 100, "", true},
+		"too few responses, all failed": {3, 3, 300, 0, 100, 100, "", false},
+		"too few responses":             {3, 1, 300, 0, 100, 100, "", true},
+		"both versions fail":            {40, 20, 400, 200, 100, 100, "", true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -95,7 +106,7 @@
 				for i := range served {
 					// Latencies range from half to twice the given one.
 					l := latency * clock.Millis(50+i%4*50) / 100
-					s.Begin("s", version)(true, i < failed, l)
+					respond(s, version, i < failed, l)
 				}
 			}
 			record("v2", tt.newServed, tt.newFailed, tt.newLatency)
@@ -107,8 +118,8 @@
 			if got != tt.want {
 				t.Errorf("phase: got %q, want %q", got, tt.want)
 			}
-			if c := s.Choose(20*clock.Second, "s", "any"); c.UseTarget == (tt.want == RolledBack) {
-				t.Errorf("served by the target in the second half: got %v", c.UseTarget)
+			if c := s.Choose(20*clock.Second, "s", "any"); c.UseTarget != tt.wantTarget {
+				t.Errorf("served by the target in the second half: got %v, want %v", c.UseTarget, tt.wantTarget)
 			}
 		})
 	}
@@ -123,9 +134,9 @@
 		o := New(Options{})
 		o.Set(0, testRollout(Active))
 		for j := range 40 {
-			o.Begin("s", "v1")(true, false, 100)
+			respond(o, "v1", false, 100)
 			if j < 4 {
-				o.Begin("s", "v2")(true, j%2 == 0, 100)
+				respond(o, "v2", j%2 == 0, 100)
 			}
 		}
 		if got := o.Decide(1000); len(got) != 0 {
@@ -162,14 +173,15 @@
 func TestCompletesWhenOldVersionIsIdle(t *testing.T) {
 	s := New(Options{})
 	s.Set(0, testRollout(Active))
-	end := s.Begin("s", "v1")
+	o := s.Begin(0, Sending{Service: "s", Version: "v1", Kind: "k"})
 	if got := s.Decide(18 * clock.Second); len(got) != 0 {
 		t.Errorf("with a request on the old version: got %v, want no verdict", got)
 	}
 	if got := s.Decide(22 * clock.Second); len(got) != 1 || got[0].Phase != Completed {
 		t.Errorf("near the end of the roll-out: got %v, want completed", got)
 	}
-	end(true, false, 100)
+	o.Receive(100, 1)
+	o.End(100, true, false)
 	if got := s.Decide(18 * clock.Second); len(got) != 1 || got[0].Phase != Completed {
 		t.Errorf("idle: got %v, want completed", got)
 	}
