stager, heartbeater: send the roll-out evidence of a data centre as a sum

Cause: a heartbeat to another data centre has the report of its sender only, and the instances of a larger data centre take turns to send. The report of one instance arrives in other data centres every few seconds at best, so the evidence from there is as old.

Change: heartbeats to other data centres also have the sum of the reports of the sender's data centre, under a new key of the message. A receiver counts the sum instead of the reports of its instances. Earlier builds ignore the key, and their reports count where there is no sum.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -294,10 +294,13 @@
 	}
 	var remoteMessage Message
 	if len(direct)+len(relays) > 0 {
-		remoteMessage = Message{From: m.From, Rollouts: m.Rollouts, Summary: h.buildSummary(now, &m)}
+		remoteMessage = Message{
+			From: m.From, Rollouts: m.Rollouts, RolloutSums: m.RolloutSums, Summary: h.buildSummary(now, &m),
+		}
 		remoteMessage.Neighbours, remoteMessage.States = h.neighbourUpdates(now)
 	}
 	h.mu.Unlock()
+	m.RolloutSums = nil
 	h.send(&m, local)
 	h.send(&remoteMessage, direct)
 	remoteMessage.Hop = hopRelay
--- a/heartbeater/message.go
+++ b/heartbeater/message.go
@@ -89,6 +89,7 @@
 	States        []MemberState       `cbor:"8,keyasint,omitempty"` // of all live neighbours of the sender
 	Summary       *Summary            `cbor:"9,keyasint,omitempty"` // of the sender's data centre, in messages to others
 	Hop           hop                 `cbor:"10,keyasint,omitempty"`
+	RolloutSums   []stager.Report     `cbor:"11,keyasint,omitempty"` // of the sender's data centre, in messages to others
 }
 
 // hop says how a message reached its receiver.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -134,7 +134,7 @@
 		meter:   meter.New(),
 		catalog: cataloger.New(),
 		stager: stager.New(
-			stager.Options{SessionAge: s.Bounds.SessionAge()},
+			stager.Options{SessionAge: s.Bounds.SessionAge(), DataCentre: s.DataCentre},
 		),
 		budget: budgeter.New(budgeter.Options{
 			Window: s.Bounds.RetryWindow(), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -333,7 +333,8 @@
 }
 
 func (l *Launcher) fillMessage(m *heartbeater.Message) {
-	m.Rollouts = l.stager.Reports(l.clock.Now())
+	now := l.clock.Now()
+	m.Rollouts, m.RolloutSums = l.stager.Reports(now), l.stager.Sums(now)
 	m.Rates = l.serviceRates()
 	l.dispatcher.Loads(func(endpoint string, work float64, running int, delay float64) {
 		m.Loads = append(m.Loads, heartbeater.Load{
@@ -384,7 +385,10 @@
 	}
 	if len(m.Rollouts) > 0 {
 		key := m.From.Name + "/" + time.UnixMilli(m.From.Incarnation).UTC().Format(time.RFC3339Nano)
-		l.stager.Merge(l.clock.Now(), key, m.Rollouts)
+		l.stager.Merge(l.clock.Now(), stager.Source{Instance: key, DataCentre: m.From.DataCentre}, m.Rollouts)
+	}
+	if len(m.RolloutSums) > 0 && m.From.DataCentre != l.settings.DataCentre {
+		l.stager.MergeSums(l.clock.Now(), m.From.DataCentre, m.RolloutSums)
 	}
 }
 
--- a/stager/evidence.go
+++ b/stager/evidence.go
@@ -61,7 +61,7 @@
 func (r *rolloutState) sums(now clock.Millis, targetLatencies, oldLatencies *latencyTable) sums {
 	t := sums{target: r.report.New, old: r.report.Old, oldInFlight: r.report.OldInFlight}
 	r.copyLatencies(now, targetLatencies, oldLatencies)
-	for _, p := range r.peers {
+	for p := range r.others {
 		t.target, t.old = t.target.add(p.New), t.old.add(p.Old)
 		t.oldInFlight += p.OldInFlight
 		targetLatencies.merge(p.NewLatencies)
--- a/stager/schedule.go
+++ b/stager/schedule.go
@@ -108,8 +108,8 @@
 
 // peersDoubt reports whether another instance has doubts about the target.
 func (r *rolloutState) peersDoubt(now clock.Millis) bool {
-	for _, p := range r.peers {
-		if p.Doubtful && now-p.receivedAt < silentTime {
+	for p := range r.others {
+		if p.doubts(now) {
 			return true
 		}
 	}
@@ -119,7 +119,7 @@
 // reportsAreLate reports whether the last report of a live instance is too old to
 // complete the roll-out.
 func (r *rolloutState) reportsAreLate(now clock.Millis) bool {
-	for _, p := range r.peers {
+	for p := range r.others {
 		if age := now - p.receivedAt; age >= freshTime && age < silentTime {
 			return true
 		}
--- a/stager/schedule_test.go
+++ b/stager/schedule_test.go
@@ -34,7 +34,7 @@
 			s := New(Options{})
 			s.Set(0, testRollout(Active))
 			tt.report.Service, tt.report.Target = "s", "v2"
-			s.Merge(tt.at-tt.age, "other", []Report{tt.report})
+			s.Merge(tt.at-tt.age, Source{Instance: "other"}, []Report{tt.report})
 			if got := s.Choose(tt.at, "s", "any").UseTarget; got != tt.wantFull {
 				t.Errorf("served by the target: got %v, want %v", got, tt.wantFull)
 			}
@@ -58,13 +58,13 @@
 	if got := s.Choose(18*clock.Second, "s", "any").UseTarget; !got {
 		t.Fatal("not served by the target at the full share")
 	}
-	s.Merge(18*clock.Second, "other", []Report{{Service: "s", Target: "v2", Doubtful: true}})
+	s.Merge(18*clock.Second, Source{Instance: "other"}, []Report{{Service: "s", Target: "v2", Doubtful: true}})
 	if got := s.Choose(18*clock.Second, "s", "any").UseTarget; !got {
 		t.Error("not served by the target after another instance had doubts")
 	}
 	o := New(Options{})
 	o.Set(0, testRollout(Active))
-	o.Merge(14*clock.Second, "other", []Report{{Service: "s", Target: "v2", Stage: fullStage}})
+	o.Merge(14*clock.Second, Source{Instance: "other"}, []Report{{Service: "s", Target: "v2", Stage: fullStage}})
 	if got := o.Choose(14*clock.Second, "s", "any").UseTarget; !got {
 		t.Error("not served by the target while another instance uses the full share")
 	}
@@ -134,7 +134,7 @@
 	if err := cbor.Unmarshal(encoded, &received); err != nil {
 		t.Fatal(err)
 	}
-	other.Merge(1000, "s", received)
+	other.Merge(1000, Source{Instance: "s"}, received)
 	var tables [2]latencyTable
 	sum := other.rollouts["s"].sums(1000, &tables[0], &tables[1])
 	for i, want := range []int{kinds * perKind / 10, kinds * perKind * 9 / 10} {
@@ -152,3 +152,42 @@
 		t.Errorf("responses of the target: got %d, want %d", got, kinds*perKind/10)
 	}
 }
+
+// Guards against evidence of another data centre that is missing because only
+// some of its instances have sent a report, or that counts twice because both its
+// sum and its instances' reports have arrived.
+func TestSumsOfDataCentres(t *testing.T) {
+	const perInstance = 10
+	east := make([]*Stager, 3)
+	for i := range east {
+		east[i] = New(Options{DataCentre: "east"})
+		east[i].Set(0, testRollout(Active))
+		for range perInstance {
+			respond(east[i], "v2", false, 100)
+		}
+	}
+	west := New(Options{DataCentre: "west"})
+	west.Set(0, testRollout(Active))
+	for range perInstance {
+		respond(west, "v2", false, 100)
+	}
+	for i, s := range east[1:] {
+		east[0].Merge(1000, Source{fmt.Sprint("east-", i+1), "east"}, s.Reports(1000))
+	}
+	// The evidence of the receivers' own data centre comes back in no sum.
+	east[0].Merge(1000, Source{"west-0", "west"}, west.Reports(1000))
+	west.Merge(1000, Source{"east-1", "east"}, east[1].Reports(1000))
+	west.MergeSums(1000, "east", east[0].Sums(1000))
+	var tables [2]latencyTable
+	sum := west.rollouts["s"].sums(1000, &tables[0], &tables[1])
+	if got, want := sum.target.Served, (len(east)+1)*perInstance; got != want {
+		t.Errorf("responses of the target: got %d, want %d", got, want)
+	}
+	latencies := 0
+	for i := range tables[0].kinds {
+		latencies += tables[0].kinds[i].done.from(0)
+	}
+	if want := (len(east) + 1) * perInstance; latencies != want {
+		t.Errorf("latencies of the target: got %d, want %d", latencies, want)
+	}
+}
--- a/stager/simulation_test.go
+++ b/stager/simulation_test.go
@@ -89,7 +89,7 @@
 		judgedAt: make(map[int]clock.Millis),
 	}
 	for i := range simulatedInstances {
-		s := New(Options{SessionAge: 10 * clock.Second})
+		s := New(Options{SessionAge: 10 * clock.Second, DataCentre: simulatedDataCentre(i)})
 		s.Set(0, Rollout{Service: "s", Target: "v2", Duration: duration, Phase: Active})
 		m.instances = append(m.instances, s)
 		m.every(simulatedDecisions, func() { m.decide(i) })
@@ -119,12 +119,16 @@
 	m.after(interval*m.random.Float64(), next)
 }
 
+// simulatedDataCentre returns the data centre of an instance. Each has two, except
+// the last one.
+func simulatedDataCentre(instance int) string { return fmt.Sprint("data-centre-", instance/2) }
+
 func (m *simulation) report(sender int, local bool) {
 	reports := m.instances[sender].Reports(m.now)
+	source := Source{fmt.Sprint("instance-", sender), simulatedDataCentre(sender)}
 	for i, s := range m.instances {
-		// Data centres have two instances each, and the last one has one.
-		if i != sender && (i/2 == sender/2) == local {
-			s.Merge(m.now, fmt.Sprint("instance-", sender), reports)
+		if i != sender && (simulatedDataCentre(i) == source.DataCentre) == local {
+			s.Merge(m.now, source, reports)
 		}
 	}
 }
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -42,7 +42,8 @@
 	start   clock.Millis          // time at which any instance first saw the roll-out
 	stopped bool                  // the target was judged bad
 	report  Report                // evidence of this instance, without latencies
-	peers   map[string]peerReport // by instance and process
+	peers   map[string]peerReport // of instances, by Source.Instance
+	centres map[string]peerReport // sums of other data centres, by name
 
 	newLatencies latencyTable              // of ended requests on this instance
 	oldLatencies latencyTable              // the same for all other versions
@@ -60,6 +61,7 @@
 	Report
 
 	receivedAt clock.Millis
+	dataCentre string
 }
 
 // Options are the settings of a Stager.
@@ -68,6 +70,7 @@
 	// one must use the same version, including a margin for the duration of the
 	// request.
 	SessionAge clock.Millis
+	DataCentre string // of this instance
 }
 
 // Stager holds the roll-outs of all services. It is safe for concurrent use.
@@ -93,7 +96,8 @@
 	r := s.rollouts[o.Service]
 	if r == nil || r.rollout.Target != o.Target || r.finished() && o.Phase == "" {
 		r = &rolloutState{
-			start: now, peers: make(map[string]peerReport), running: make(map[*Observation]struct{}),
+			start: now, peers: make(map[string]peerReport), centres: make(map[string]peerReport),
+			running: make(map[*Observation]struct{}),
 		}
 		r.report = Report{Service: o.Service, Target: o.Target}
 		s.rollouts[o.Service] = r
@@ -157,13 +161,7 @@
 }
 
 // elapsed returns the time since any instance first saw the roll-out.
-func (r *rolloutState) elapsed(now clock.Millis) clock.Millis {
-	e := now - r.start
-	for _, m := range r.peers {
-		e = max(e, clock.Millis(m.Elapsed))
-	}
-	return e
-}
+func (r *rolloutState) elapsed(now clock.Millis) clock.Millis { return now - r.start }
 
 // record adds one response. The latency of a failure is ignored.
 func (e *Evidence) record(failed bool, latency clock.Millis) {
@@ -199,23 +197,14 @@
 	return reports
 }
 
-// Merge replaces the reports of another instance. key identifies the instance
-// and its process, since counts restart with the process.
-func (s *Stager) Merge(now clock.Millis, key string, reports []Report) {
+// Merge replaces the reports of another instance.
+func (s *Stager) Merge(now clock.Millis, source Source, reports []Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range reports {
-		r := s.rollouts[m.Service]
-		if r == nil || r.rollout.Target != m.Target || r.finished() {
-			continue
-		}
-		if lead := clock.Millis(m.Elapsed) - (now - r.start); lead > 0 {
-			r.start -= lead
+		if r := s.adopt(now, &m); r != nil {
+			r.peers[source.Instance] = peerReport{Report: m, receivedAt: now, dataCentre: source.DataCentre}
 		}
-		m.Elapsed = 0
-		r.peers[key] = peerReport{Report: m, receivedAt: now}
-		r.stopped = r.stopped || m.Stopped
-		r.stage = max(r.stage, min(m.Stage, fullStage))
 	}
 }
 
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -142,7 +142,7 @@
 		if got := o.Decide(1000); len(got) != 0 {
 			t.Fatalf("verdict of one instance alone: %v", got)
 		}
-		s.Merge(1000, fmt.Sprint("instance-", i), o.Reports(1000))
+		s.Merge(1000, Source{Instance: fmt.Sprint("instance-", i)}, o.Reports(1000))
 	}
 	got := s.Decide(1000)
 	if len(got) != 1 || got[0].Phase != RolledBack {
