--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -82,14 +82,14 @@
 // evidence against the parts of the prompt.
 func (s *send) recordBreak(err error) {
 	x := s.exchange
-	if s.latency > 0 || len(x.prompt.parts) == 0 || !connectionEnded(err) {
+	if s.answered || len(x.prompt.parts) == 0 || !connectionEnded(err) {
 		return
 	}
 	x.breaks++
 	d, e, at := x.dispatcher, s.choice.endpoint, x.now()
 	id, p := x.id, x.prompt
 	header := x.request.Header.Get(d.options.Names.Prefix)
-	go func() {
+	record := func() {
 		if !d.hasEnded(e.Address) {
 			return
 		}
@@ -97,7 +97,11 @@
 		d.options.Meter.CountEvent("endpoint_ended_before_first_event")
 		d.options.Logger.Log("endpoint_ended", logger.Text("id", id), logger.Text("endpoint", e.ID),
 			logger.Text("parts", header))
-	}()
+	}
+	x.endChecks.Go(record)
+	if x.breaks >= maxBreaks {
+		x.endChecks.Wait() // mayCrashEndpoints depends on them
+	}
 }
 
 // hasEnded reports whether the port of an endpoint refuses connections, now or
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +47,7 @@
 	mayHaveExecuted bool            // an endpoint may have executed the request
 	tried           map[string]bool // ids of endpoints
 	breaks          int             // sends whose connection ended before the first event
+	endChecks       sync.WaitGroup  // of the endpoints of these sends
 	trial           bool            // sent although its prompt holds a part that crashes endpoints
 	heldPart        string          // part of the prompt because of which the request is refused, for the log
 	headerSent      bool            // the client has received the response header
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -14,6 +14,7 @@
 	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/refuser"
+	"rosemaryarch.example/rosemaryarch/stager"
 )
 
 // send is one attempt to have the request served by one endpoint.
@@ -25,12 +26,13 @@
 	response *forwarder.Response
 
 	trace         forwarder.Trace
-	dropped       []string     // reasons of responses that were dropped, for the log
-	outcome       string       // for the log
-	failed        bool         // the endpoint failed, for its circuit breaker
-	counted       bool         // the result is evidence about the version, for its roll-out
-	versionFailed bool         // if counted: the result is a failure of the version
-	latency       clock.Millis // until the first event, or the whole plain response
+	dropped       []string            // reasons of responses that were dropped, for the log
+	outcome       string              // for the log
+	failed        bool                // the endpoint failed, for its circuit breaker
+	counted       bool                // the result is evidence about the version, for its roll-out
+	versionFailed bool                // if counted: the result is a failure of the version
+	answered      bool                // the first event, or the whole plain response, has arrived
+	observation   *stager.Observation // for the roll-out; nil without one
 }
 
 // run sends the request and handles the response.
@@ -223,7 +225,6 @@
 		return s.invalidResponse(refuser.DropSecondResponse, "the body holds another response")
 	}
 	response.Release()
-	s.latency = x.now() - s.begin
 	s.counted, s.versionFailed = true, response.Status >= http.StatusInternalServerError
 	s.failed = s.versionFailed
 	if impliesNotExecuted(response.Status) {
@@ -232,6 +233,9 @@
 	if response.Status < http.StatusMultipleChoices && len(body) > 0 {
 		x.dispatcher.options.Quarantine.RecordFirstEvent(x.now(), x.prompt.parts)
 	}
+	if !s.versionFailed {
+		s.observation.Receive(x.now(), 1)
+	}
 	if s.versionFailed && x.route.Retryable() && x.sends < x.maxSends() && x.remaining() > x.route.Target/2 {
 		s.outcome = "failed"
 		return s.retryElsewhere(body)
@@ -259,7 +263,6 @@
 	response.SetReadTimeout(0) // it cannot be replaced any more
 	body := io.LimitReader(io.MultiReader(bytes.NewReader(begin), response), limit+1)
 	n, err := io.Copy(x.writer, body)
-	s.latency = x.now() - s.begin
 	if err != nil || n > limit {
 		x.status = 0
 		s.outcome, s.failed, s.counted, s.versionFailed = "body_broke", true, true, true
@@ -272,6 +275,9 @@
 	}
 	s.counted, s.versionFailed = true, response.Status >= http.StatusInternalServerError
 	s.failed = s.versionFailed
+	if !s.versionFailed {
+		s.observation.Receive(x.now(), 1)
+	}
 	response.Release()
 	completer.Complete(x.writer)
 	return resultDone, nil
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -80,11 +80,12 @@
 		}
 		waited = 0
 		x.dispatcher.recordReceived(now, x.endpoint)
+		s.observation.Receive(now, count)
 		if first {
 			first = false
-			s.latency = max(1, now-s.begin)
+			s.answered = true
 			x.dispatcher.options.Quarantine.RecordFirstEvent(now, x.prompt.parts)
-			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, s.latency)
+			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, now-s.begin)
 			if !x.headerSent {
 				x.firstEventMs = now - x.start
 				x.writeStreamHeader(response)
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -164,7 +164,10 @@
 			l.logger.LogUnlimited("rollout_judged", logger.Text("service", v.Service), logger.Text("target", v.Target),
 				logger.Text("phase", string(v.Phase)), logger.Number("new_served", v.New.Served),
 				logger.Number("new_bad", v.New.Failures), logger.Number("old_served", v.Old.Served),
-				logger.Number("old_bad", v.Old.Failures))
+				logger.Number("old_bad", v.Old.Failures), logger.Number("compared", v.Slow.Compared),
+				logger.Number("slow", v.Slow.Slow), logger.Number("slow_expected", v.Slow.Expected),
+				logger.Number("slow_score", v.Slow.Score), logger.Number("shift", v.Slow.Shift),
+				logger.Number("shift_score", v.Slow.ShiftScore))
 		})
 	}
 	l.mu.Lock()
@@ -329,7 +332,8 @@
 }
 
 func (l *Launcher) fillMessage(m *heartbeater.Message) {
-	m.Rollouts = l.stager.Reports(l.clock.Now())
+	now := l.clock.Now()
+	m.Rollouts, m.RolloutSums = l.stager.Reports(now), l.stager.Sums(now)
 	m.Rates = l.serviceRates()
 	m.Quarantine = l.heldParts(l.clock.Now())
 	l.dispatcher.Loads(func(endpoint string, work float64, running int, delay float64) {
@@ -384,7 +388,10 @@
 	}
 	if len(m.Rollouts) > 0 {
 		key := m.From.Name + "/" + time.UnixMilli(m.From.Incarnation).UTC().Format(time.RFC3339Nano)
-		l.stager.Merge(l.clock.Now(), key, m.Rollouts)
+		l.stager.Merge(l.clock.Now(), stager.Source{Instance: key, DataCentre: m.From.DataCentre}, m.Rollouts)
+	}
+	if len(m.RolloutSums) > 0 && m.From.DataCentre != l.settings.DataCentre {
+		l.stager.MergeSums(l.clock.Now(), m.From.DataCentre, m.RolloutSums)
 	}
 }
 
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,7 +1,6 @@
 package quarantiner
 
 import (
-	"slices"
 	"sync"
 
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -136,16 +135,23 @@
 	}
 }
 
-// Suspicious reports whether an endpoint has ended while a request with one of the
-// parts waited, without a first event of such a request since.
+// Suspicious reports whether two endpoints or more have ended while requests with
+// one of the parts waited, without a first event of such a request since.
 func (q *Quarantiner) Suspicious(parts []string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return slices.ContainsFunc(parts, func(name string) bool {
-		return slices.ContainsFunc(q.crashes, func(c *crash) bool {
-			return c.waiting[name] != nil && c.at > q.parts[name].sound
-		})
-	})
+	for _, name := range parts {
+		count := 0
+		for _, c := range q.crashes {
+			if c.waiting[name] != nil && c.at > q.parts[name].sound {
+				count++
+			}
+		}
+		if count >= 2 {
+			return true
+		}
+	}
+	return false
 }
 
 // Check returns a part that is held among the given ones, and the time until one
