--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -73,14 +73,30 @@
 	return first
 }
 
+// crashTest is a course of crashes and the parts that are held after it.
+type crashTest struct {
+	crash func(n *network)
+	want  []string
+}
+
+func checkHeld(t *testing.T, tests map[string]crashTest) {
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(9)
+			tt.crash(n)
+			n.tick(1400)
+			if got := n.held(t); !slices.Equal(got, tt.want) {
+				t.Errorf("held: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against requests that crash one endpoint after the other because no
 // instance sees enough of the crashes, and against holding parts that sound
 // requests share with them.
 func TestHoldsThePartThatCrashesEndpoints(t *testing.T) {
-	tests := map[string]struct {
-		crash func(n *network)
-		want  []string
-	}{
+	tests := map[string]crashTest{
 		"each crash seen by another instance": {func(n *network) {
 			for i := range 4 {
 				n.sound(i, "system", "subject")
@@ -154,25 +170,13 @@
 			}
 		}, nil},
 	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			n := newNetwork(9)
-			tt.crash(n)
-			n.tick(1400)
-			if got := n.held(t); !slices.Equal(got, tt.want) {
-				t.Errorf("held: got %v, want %v", got, tt.want)
-			}
-		})
-	}
+	checkHeld(t, tests)
 }
 
 // Guards against sound parts that are held, and deadly ones that are not, because
 // many requests wait at endpoints that end.
 func TestManyRequestsWait(t *testing.T) {
-	tests := map[string]struct {
-		crash func(n *network)
-		want  []string
-	}{
+	tests := map[string]crashTest{
 		"all endpoints end together": {func(n *network) {
 			n.sound(0, "system")
 			n.tick(200)
@@ -195,16 +199,7 @@
 			}
 		}, nil},
 	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			n := newNetwork(9)
-			tt.crash(n)
-			n.tick(1400)
-			if got := n.held(t); !slices.Equal(got, tt.want) {
-				t.Errorf("held: got %v, want %v", got, tt.want)
-			}
-		})
-	}
+	checkHeld(t, tests)
 }
 
 // Guards against a decision that comes later than contactMs, 3 s, after the fifth
