exchanger: a failure that broke off is no answer

Found by a review: a plain service's 4xx whose body broke off was passed on as its whole answer, with a cut "run: no" lost, so that an order kept it for good though the service may not have run it. Cause: statusError dropped the error of reading the body and kept the part it had. Change: an incomplete body, or one above the limit, is an unknown outcome.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -104,11 +104,15 @@
 }
 
 // statusError reads the response into a StatusError. A body that is not JSON
-// leaves the execution state unknown.
+// leaves the execution state unknown. If the body is not complete, the error is
+// ErrOutcomeUnknown and no StatusError.
 func statusError(resp *http.Response) error {
 	e := &StatusError{}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
-	if err != nil || json.Unmarshal(body, e) != nil {
+	body, err := ReadBody(resp.Body, maxResponseBytes)
+	if err != nil {
+		return errors.Mark(errors.Wrapf(err, "exchanger: read response with status %d", resp.StatusCode), ErrOutcomeUnknown)
+	}
+	if json.Unmarshal(body, e) != nil {
 		e = &StatusError{}
 	}
 	if e.Execution == "" {
