quarantiner: a part behind the deadly one does not hide it

Cause: a held part was taken for the proven cause of every crash under it. Change: such crashes count against another part once two more have come without the held one. Also: a trial whose connection ends alone may be sent again, as any request; if the list of crashes is full, those go first that first events have cleared; the check of an end no longer sleeps after its last probe; turns of old writes are forgotten. Test: TestHoldsThePartThatCrashesEndpoints, "each session behind the deadly part" (before: session-0 and session-1 held, deadly not).

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -63,12 +63,17 @@
 	return nil
 }
 
-// maxSends returns the largest number of sends of the request.
+// maxSends returns the largest number of sends of the request. A trial that has ended
+// an endpoint is not sent again.
 func (x *exchange) maxSends() int {
-	if x.trial {
+	attempts := max(1, x.route.Attempts)
+	switch {
+	case !x.trial:
+		return attempts
+	case x.endpointEnded.Load():
 		return 1
 	}
-	return max(1, x.route.Attempts)
+	return min(attempts, 1+x.breaks) // a connection that ends alone says nothing about the part
 }
 
 // mayCrashEndpoints reports whether the request must not be sent again because the
@@ -93,14 +98,15 @@
 		if !d.hasEnded(e.Address) {
 			return
 		}
+		x.endpointEnded.Store(true)
 		d.options.Quarantine.RecordCrash(at, matcher.Hash("endpoint", e.ID), p.hash, p.parts)
 		d.options.Meter.CountEvent("endpoint_ended_before_first_event")
 		d.options.Logger.Log("endpoint_ended", logger.Text("id", id), logger.Text("endpoint", e.ID),
 			logger.Text("parts", header))
 	}
 	x.endChecks.Go(record)
-	if x.breaks >= maxBreaks {
-		x.endChecks.Wait() // mayCrashEndpoints depends on them
+	if x.breaks >= maxBreaks || x.trial {
+		x.endChecks.Wait() // mayCrashEndpoints and maxSends depend on them
 	}
 }
 
@@ -109,7 +115,10 @@
 func (d *Dispatcher) hasEnded(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), (endCheckDelay + 2*endCheckTimeout).Duration())
 	defer cancel()
-	for range 2 {
+	for i := range 2 {
+		if i > 0 {
+			sleep(ctx, endCheckDelay)
+		}
 		err := d.options.Forwarder.Probe(ctx, address, endCheckTimeout)
 		if errors.Is(err, forwarder.ErrRefused) {
 			return true
@@ -117,7 +126,6 @@
 		if err != nil {
 			return false // this process, or the network, may be the cause
 		}
-		sleep(ctx, endCheckDelay)
 	}
 	return false
 }
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,7 @@
 	tried           map[string]bool // ids of endpoints
 	breaks          int             // sends whose connection ended before the first event
 	endChecks       sync.WaitGroup  // of the endpoints of these sends
+	endpointEnded   atomic.Bool     // one of these endpoints has ended
 	trial           bool            // sent although its prompt holds a part that crashes endpoints
 	heldPart        string          // part of the prompt because of which the request is refused, for the log
 	headerSent      bool            // the client has received the response header
--- a/launcher/quarantine.go
+++ b/launcher/quarantine.go
@@ -106,6 +106,9 @@
 		return
 	}
 	l.storedHolds.Store(&key)
+	l.mu.Lock()
+	delete(l.dueAt, heldPartsName+"/"+key)
+	l.mu.Unlock()
 }
 
 // key returns the held parts and their trials as text.
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -31,6 +31,10 @@
 	// settleTime is the time between a crash becoming known and a decision based on
 	// it, in which other instances report first events of the parts.
 	settleTime = 500 * clock.Millis(1)
+	// minUnexplained is the number of crashes against a part under prompts without a
+	// held one. A held part may have been taken for the cause because it was in the
+	// first prompts with the deadly one.
+	minUnexplained = 2
 	// maxRequests limits the different prompts that are kept for one part of a
 	// crash.
 	maxRequests = 3
@@ -67,13 +71,25 @@
 		}
 	}
 	if len(q.crashes) >= maxCrashes {
-		q.crashes = slices.Delete(q.crashes, 0, 1)
+		oldest := max(0, slices.IndexFunc(q.crashes, q.isCleared))
+		q.crashes = slices.Delete(q.crashes, oldest, oldest+1)
 	}
 	c := &crash{endpoint: endpoint, at: at, waiting: make(map[string]*waiting)}
 	q.crashes = append(q.crashes, c)
 	return c
 }
 
+// isCleared reports whether requests with each of the parts that waited have had a
+// first event since the crash. The lock is held.
+func (q *Quarantiner) isCleared(c *crash) bool {
+	for name := range c.waiting {
+		if q.parts[name].sound <= c.at {
+			return false
+		}
+	}
+	return true
+}
+
 // addWaiting adds a part of a prompt that waited when an endpoint ended. The lock is
 // held.
 func (q *Quarantiner) addWaiting(now clock.Millis, c *crash, name string, position int, request uint64, sends int) {
@@ -112,13 +128,14 @@
 }
 
 // candidate is the evidence against a part: the crashes since the last first event
-// of a request with it, without those that a held part explains.
+// of a request with it.
 type candidate struct {
 	Verdict
-	position int
-	crashAt  clock.Millis
-	counted  []countedCrash
-	requests []uint64
+	unexplained int // crashes under prompts without a held part
+	position    int
+	crashAt     clock.Millis
+	counted     []countedCrash
+	requests    []uint64
 }
 
 // countedCrash is a crash that counts against a part.
@@ -134,8 +151,8 @@
 		!slices.ContainsFunc(c.requests, func(r uint64) bool { return slices.Contains(o.requests, r) })
 }
 
-// add adds a crash.
-func (c *candidate) add(at clock.Millis, w *waiting) {
+// add adds a crash. explained tells that a held part was among those that waited.
+func (c *candidate) add(at clock.Millis, w *waiting, explained bool) {
 	c.position, c.crashAt = max(c.position, w.position), max(c.crashAt, at)
 	for _, request := range w.requests {
 		if !slices.Contains(c.requests, request) {
@@ -145,6 +162,9 @@
 	counted := countedCrash{at, w.requests}
 	if !slices.ContainsFunc(c.counted, counted.isCommon) {
 		c.counted = append(c.counted, counted)
+		if !explained {
+			c.unexplained++
+		}
 	}
 	c.Crashes, c.Requests = len(c.counted), len(c.requests)
 }
@@ -155,7 +175,7 @@
 	if c.Sound {
 		needed = onceSound
 	}
-	return slices.ContainsFunc(needed, func(t threshold) bool {
+	return c.unexplained >= minUnexplained && slices.ContainsFunc(needed, func(t threshold) bool {
 		return c.Crashes >= t.crashes && c.Requests >= t.requests
 	})
 }
@@ -175,18 +195,16 @@
 func (q *Quarantiner) mostLikely(now clock.Millis) *candidate {
 	byPart := make(map[string]*candidate)
 	for _, c := range q.crashes {
-		if q.explained(c) {
-			continue
-		}
+		explained := q.explained(c)
 		for name, w := range c.waiting {
 			sound := q.parts[name].sound
-			if c.at <= sound || now-w.heardAt < settleTime {
+			if q.held[name] != nil || c.at <= sound || now-w.heardAt < settleTime {
 				continue
 			}
 			if byPart[name] == nil {
 				byPart[name] = &candidate{Verdict: Verdict{Part: name, Held: true, Sound: sound > 0}}
 			}
-			byPart[name].add(c.at, w)
+			byPart[name].add(c.at, w, explained)
 		}
 	}
 	var best *candidate
@@ -198,8 +216,8 @@
 	return best
 }
 
-// explained reports whether a request that waited holds a part that is held: a crash
-// has one cause. The lock is held.
+// explained reports whether a request that waited holds a part that is held. The lock
+// is held.
 func (q *Quarantiner) explained(c *crash) bool {
 	for name := range q.held {
 		if c.waiting[name] != nil {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -151,6 +151,12 @@
 				n.sound(8, "system")
 			}
 		}, []string{"deadly"}},
+		"each session behind the deadly part": {func(n *network) {
+			for i := range 8 {
+				n.crash(i, i, i/2, 800, "system", "deadly", fmt.Sprint("session-", i/4))
+				n.sound(8, "system")
+			}
+		}, []string{"deadly", "session-0"}},
 		"sound requests between the crashes": {func(n *network) {
 			for i := range 8 {
 				n.crash(i, i, i, 300, "system", "subject")
