assembler: redirects of plain services are not followed

Found by a review: a call that a plain service answered with 302, 303 or 307 was sent again to the location of the redirect, once more as POST with 307, and the caller got that answer. Change: the client for calls of plain services takes a redirect as the answer.

--- a/assembler/answer_test.go
+++ b/assembler/answer_test.go
@@ -47,3 +47,39 @@
 		})
 	}
 }
+
+// Guards against the answer to another request, the one that follows a redirect, as the
+// answer of a call, and against a call that is sent twice.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	for name, status := range map[string]int{"303": 303, "302": 302, "307": 307} {
+		t.Run(name, func(t *testing.T) {
+			seen := 0
+			mux := http.NewServeMux()
+			mux.HandleFunc("/bookings", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Location", "/other")
+				w.WriteHeader(status)
+			})
+			mux.HandleFunc("/other", func(w http.ResponseWriter, r *http.Request) {
+				seen++
+				_, _ = io.WriteString(w, "answer to "+r.Method+" /other")
+			})
+			server := &http.Server{Handler: mux}
+			listener, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _ = server.Serve(listener) }()
+			defer server.Close()
+			i := &Instance{serviceClient: newServiceClient((&net.Dialer{}).DialContext)}
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost,
+				"http://"+listener.Addr().String()+"/bookings", strings.NewReader(""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			reply, err := i.exchange(req)
+			if seen != 0 {
+				t.Errorf("got %d %q %v of a second request, want none", reply.Status, reply.Body, err)
+			}
+		})
+	}
+}
--- a/assembler/instance.go
+++ b/assembler/instance.go
@@ -206,7 +206,11 @@
 // services carry no id, so that a late copy of an answer could not be told from the
 // answer to the next call on its connection.
 func newServiceClient(dial func(context.Context, string, string) (net.Conn, error)) *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+	return &http.Client{
+		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true},
+		// A redirect is the service's answer to the call; following it would be another call.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // newRandom returns a random generator for one purpose, identified by stream. With
