--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -6,8 +6,9 @@
 // parts of all these requests but one are innocent, and a first event clears the
 // parts of its request. A part is held back once several endpoints have ended
 // under several different requests with it and no request with it has had a first
-// event since. Of several such parts the most likely one is held, which then
-// explains the evidence against the others.
+// event since. Of several such parts the most likely one is held; crashes under it
+// then count against another part only beside further ones without it. From time
+// to time one request with a held part is sent: a first event ends the hold.
 //
 // One instance sees only a few of the crashes. Instances exchange their
 // observations, and those of first events of parts that others suspect.
