capper, dispatcher: log and count the rate limits that endpoints state

The hypotheses of docs/incidents/rate-limits-ignored.md cannot be told apart while no log says which instance has heard of which limit. Sends do not change.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"rosemaryarch.example/rosemaryarch/balancer"
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/budgeter"
+	"rosemaryarch.example/rosemaryarch/capper"
 	"rosemaryarch.example/rosemaryarch/cascader"
 	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -35,6 +36,7 @@
 	Target      string // id of the endpoint that is addressed
 	NotExecuted string // set by an endpoint that has not executed the request
 	Signature   string // the endpoint's signature of its response
+	Limit       string // requests per second that an endpoint accepts from all instances
 	Prefix      string // parts of the prompt as ID:TOKENS, separated by commas
 	Tokens      string // prompt tokens and maximum output tokens
 	LengthHint  string // expected output tokens
@@ -61,6 +63,7 @@
 	Stager      *stager.Stager
 	Budget      *budgeter.Budgeter
 	SlowStarter *slowstarter.SlowStarter
+	Capper      *capper.Capper
 	Forwarder   *forwarder.Forwarder
 	Balancer    balancer.Balancer
 	Cascader    cascader.Cascader
@@ -235,6 +238,7 @@
 			d.options.SlowStarter.Forget(id)
 		}
 	}
+	d.options.Capper.Sweep(now)
 	for k, at := range d.prefixSent {
 		if now-at > prefixCacheAge {
 			delete(d.prefixSent, k)
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -16,6 +16,7 @@
 	"rosemaryarch.example/rosemaryarch/balancer"
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/budgeter"
+	"rosemaryarch.example/rosemaryarch/capper"
 	"rosemaryarch.example/rosemaryarch/cascader"
 	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -207,6 +208,7 @@
 		Catalog:   f.catalog, Stager: f.stager,
 		Budget:      budgeter.New(budgeter.Options{Window: 10 * clock.Second, Ratio: 0.9, Slack: 50}),
 		SlowStarter: slowstarter.New(),
+		Capper:      capper.New(),
 		Quarantine:  f.quarantine, TakesTrials: func() bool { return true },
 		Forwarder: f.forwarder,
 		Balancer:  balancer.Default(), Cascader: cascader.Default(),
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -9,9 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 
+	"rosemaryarch.example/rosemaryarch/capper"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/completer"
 	"rosemaryarch.example/rosemaryarch/forwarder"
+	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/stager"
@@ -66,9 +68,35 @@
 	s.response = response
 	defer response.Close()
 	d.recordReceived(x.now(), e.ID)
+	s.observeStatements()
 	return s.handleResponse(ctx)
 }
 
+// observeStatements records what the endpoint states about itself in the response
+// header, unless another endpoint has answered at its address.
+func (s *send) observeStatements() {
+	x, response := s.exchange, s.response
+	if response.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	options := &x.dispatcher.options
+	rate, limited := capper.Parse(response.Header.Get(options.Names.Limit))
+	id := s.choice.endpoint.ID
+	if options.Capper.Observe(x.now(), matcher.Hash("endpoint", id), rate, limited) {
+		options.Meter.CountEvent("endpoint_limit_changed")
+		options.Logger.Log("endpoint_limit", logger.Text("endpoint", id), logger.Text("limit", limitText(rate, limited)),
+			logger.Text("id", x.id))
+	}
+}
+
+// limitText returns a stated limit for the log.
+func limitText(rate float64, limited bool) string {
+	if !limited {
+		return "none"
+	}
+	return strconv.FormatFloat(rate, 'g', -1, 64)
+}
+
 // mayAbandon reports whether a send to a silent endpoint may be abandoned: only
 // if the request can be sent to another endpoint within the retry budget, which
 // then has counted it. An endpoint that is only slow still holds the answer.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -19,6 +19,7 @@
 	"rosemaryarch.example/rosemaryarch/balancer"
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/budgeter"
+	"rosemaryarch.example/rosemaryarch/capper"
 	"rosemaryarch.example/rosemaryarch/cascader"
 	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -106,6 +107,7 @@
 	budget          *budgeter.Budgeter
 	stager          *stager.Stager
 	quarantine      *quarantiner.Quarantiner
+	capper          *capper.Capper
 	storedHolds     atomic.Pointer[string] // held parts that the store is known to hold
 	storingHolds    atomic.Bool            // they are being written
 	heartbeater     *heartbeater.Heartbeater
@@ -145,6 +147,7 @@
 			Window: s.Bounds.RetryWindow(), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 		}),
 		quarantine: quarantiner.New(),
+		capper:     capper.New(),
 		rollouts:   make(map[string]storedRollout),
 		dueAt:      make(map[string]clock.Millis),
 		avoidedAt:  make(map[string]clock.Millis),
@@ -179,7 +182,7 @@
 		Table: l.table.Load, Confirmed: l.watcher.Confirmed,
 		Evacuated: func(dataCentre string) bool { return (*l.evacuated.Load())[dataCentre] },
 		Catalog:   l.catalog, Stager: l.stager,
-		Budget: l.budget, SlowStarter: slowstarter.New(), Quarantine: l.quarantine,
+		Budget: l.budget, SlowStarter: slowstarter.New(), Quarantine: l.quarantine, Capper: l.capper,
 		TakesTrials: func() bool { return l.memberPosition() == 0 },
 		Forwarder: forwarder.New(forwarder.Options{
 			Clock: l.clock, DialTimeout: dialTimeout, IDHeader: platform.HeaderNames().ID,
