capper: instances divide the rate that an endpoint states

An endpoint in need names the requests a second that it accepts from all instances.

Cause: a bound over the whole fleet that nobody kept, and that no instance could keep by itself, since it sees its own requests only. The known instances of the endpoint's data centre now have fixed shares that add up to the rate, as for cold endpoints; all others send nothing. Statements and their end go with the heartbeats, because most instances have no share of a small rate and would never hear of its end. If the stated rates leave no room for as long as a request may wait, it is refused at once.

--- a/capper/capper.go
+++ b/capper/capper.go
@@ -32,6 +32,8 @@
 	rate   float64      // requests per second; noRate once the limit has ended
 	at     clock.Millis // instant of the latest response that states it, or of its end
 	direct bool         // this instance has received that response itself
+	quota  quota
+	sends  []clock.Millis // instants of the sends of this instance within window
 }
 
 // New returns a Capper without limits.
@@ -59,6 +61,7 @@
 // set applies a statement of an instant, unless a later one is known, and reports
 // whether it has changed the rate. The lock is held.
 func (c *Capper) set(endpoint uint64, rate float64, at clock.Millis, direct bool) (changed bool) {
+	rate = float64(float32(rate)) // as in a Report
 	l := c.limits[endpoint]
 	switch {
 	case l == nil && rate < 0:
@@ -71,6 +74,9 @@
 	}
 	changed = rate != l.rate
 	l.rate, l.at, l.direct = rate, at, direct
+	if changed {
+		l.quota.valid = false
+	}
 	return changed
 }
 
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -3,6 +3,7 @@
 import (
 	"rosemaryarch.example/rosemaryarch/balancer"
 	"rosemaryarch.example/rosemaryarch/breaker"
+	"rosemaryarch.example/rosemaryarch/capper"
 	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
@@ -67,6 +68,7 @@
 	bodyBytes    int
 	tried        map[string]bool // endpoints to which the request was sent already
 	eligible     int             // endpoints that may serve the request, set by choose
+	wait         clock.Millis    // if eligible is 0: time in ms until an endpoint may serve it; 0: unknown
 }
 
 // isEngine reports whether the service's endpoints are model engines.
@@ -92,7 +94,7 @@
 		}
 		e := endpoints[i]
 		ticket, ok := d.breakers.Allow(now, e.ID)
-		if ok && d.admitCold(now, q, e) {
+		if ok && d.admitLimited(now, e) && d.admitCold(now, q, e) {
 			c.endpoint, c.ticket, c.cold = e, ticket, e.ColdUntil > now
 			endpointLoad := d.loadOf(e.ID)
 			endpointLoad.work += c.work
@@ -116,33 +118,75 @@
 }
 
 // eligible returns the endpoints that may serve the request: not evacuated, not
-// tried yet, within the limits on cold endpoints, and of the version that the
-// roll-out selects for the session. If there are none of that version, it returns
-// the others, unless the roll-out excludes them. Without a roll-out, only versions
-// that have been listed long enough are eligible.
+// tried yet, within the limits on cold endpoints and those that endpoints state,
+// and of the version that the roll-out selects for the session. If there are none
+// of that version, it returns the others, unless the roll-out excludes them.
+// Without a roll-out, only versions that have been listed long enough are eligible.
 func (d *Dispatcher) eligible(now clock.Millis, q *criteria) []*cataloger.State {
 	all := d.options.Catalog.Snapshot().Service(q.service)
 	version := d.options.Stager.Choose(now, q.service, q.session)
-	var preferred, fallback []*cataloger.State
+	var preferred, fallback availability
 	for _, e := range all {
-		if q.tried[e.ID] || d.options.Evacuated(e.DataCentre) || !d.coldAllowed(now, q, e) {
+		if q.tried[e.ID] || d.options.Evacuated(e.DataCentre) {
 			continue
 		}
+		group := &preferred
 		switch {
 		case !version.HasOrder:
-			if d.options.Catalog.VersionEligible(now, q.service, e.Version) {
-				preferred = append(preferred, e)
+			if !d.options.Catalog.VersionEligible(now, q.service, e.Version) {
+				continue
 			}
-		case (e.Version == version.Target) == version.UseTarget:
-			preferred = append(preferred, e)
-		default:
-			fallback = append(fallback, e)
+		case (e.Version == version.Target) != version.UseTarget:
+			group = &fallback
 		}
+		if !d.coldAllowed(now, q, e) {
+			group.cold = true
+			continue
+		}
+		group.add(e, d.limitWait(now, e))
+	}
+	// An endpoint that is only within no limit now is no reason to use another version.
+	if len(preferred.list) == 0 && preferred.wait == 0 && !version.Strict {
+		preferred = fallback
 	}
-	if len(preferred) == 0 && !version.Strict {
-		return fallback
+	q.wait = 0
+	if !preferred.cold {
+		q.wait = preferred.wait
+	}
+	return preferred.list
+}
+
+// availability holds the endpoints of one version that may serve a request now.
+type availability struct {
+	list []*cataloger.State
+	wait clock.Millis // least time until another one may, by its stated limit; 0: there is none
+	cold bool         // there are others, whose share for cold endpoints is used up
+}
+
+// add adds an endpoint that may serve the request after the given time.
+func (a *availability) add(e *cataloger.State, wait clock.Millis) {
+	switch {
+	case wait == 0:
+		a.list = append(a.list, e)
+	case a.wait == 0 || wait < a.wait:
+		a.wait = wait
 	}
-	return preferred
+}
+
+// limitWait returns the time until this instance may send to an endpoint by the rate
+// that the endpoint states; 0: now.
+func (d *Dispatcher) limitWait(now clock.Millis, e *cataloger.State) clock.Millis {
+	return d.options.Capper.Wait(now, matcher.Hash("endpoint", e.ID), func() capper.Instances {
+		return d.options.Sharers(e.DataCentre)
+	})
+}
+
+// admitLimited reports whether the send is within the rate that the endpoint states,
+// and counts it if so.
+func (d *Dispatcher) admitLimited(now clock.Millis, e *cataloger.State) bool {
+	return d.options.Capper.Allow(now, matcher.Hash("endpoint", e.ID), func() capper.Instances {
+		return d.options.Sharers(e.DataCentre)
+	})
 }
 
 // coldAllowed reports whether this instance may send to a cold endpoint at all
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -79,6 +79,9 @@
 	// ColdSenders returns how many instances may send to cold endpoints of this data
 	// centre, and the position of this one among them.
 	ColdSenders func() (count, position int)
+	// Sharers returns the instances that divide the rate limits of the endpoints of a
+	// data centre.
+	Sharers func(dataCentre string) capper.Instances
 	// PeerRates returns the rates of other instances for a service, and
 	// PeerRetries their use of the retry budget for it.
 	PeerRates   func(service string) throttler.PeerRates
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -33,9 +33,10 @@
 // names are header names for tests.
 var names = HeaderNames{
 	ID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Workspace: "X-Workspace", Target: "X-Target",
-	NotExecuted: "X-Not-Run", Signature: "X-Signature", Prefix: "X-Prefix", Tokens: "X-Tokens", LengthHint: "X-Hint",
-	Model: "X-Model", Confidence: "X-Confidence", Priority: "X-Priority", Session: "X-Session", LastEvent: "Last-Event-Id",
-	Reserved: []string{"X-Reserved", "X-Priority"},
+	NotExecuted: "X-Not-Run", Signature: "X-Signature", Limit: "X-Limit", Prefix: "X-Prefix", Tokens: "X-Tokens",
+	LengthHint: "X-Hint", Model: "X-Model", Confidence: "X-Confidence", Priority: "X-Priority", Session: "X-Session",
+	LastEvent: "Last-Event-Id",
+	Reserved:  []string{"X-Reserved", "X-Priority"},
 }
 
 // handler serves one request on a raw connection and reports whether the
@@ -219,6 +220,9 @@
 		Meter: meter.New(), Logger: requestLog, Members: func() int { return 1 },
 		ColdSenders: func() (int, int) { return 1, 0 },
 		Ready:       func() int { return 1 },
+		Sharers: func(string) capper.Instances {
+			return capper.Instances{Self: "i", Names: []string{"i"}}
+		},
 		PeerRates:   func(string) throttler.PeerRates { return throttler.PeerRates{} },
 		PeerRetries: func(string) budgeter.PeerCounts { return budgeter.PeerCounts{} },
 		PeerReady:   func() bool { return false },
--- /dev/null
+++ b/dispatcher/limit_test.go
@@ -0,0 +1,54 @@
+package dispatcher
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/matcher"
+)
+
+// Guards against requests beyond the rate that an endpoint states, and against
+// clients that wait for an endpoint although none accepts requests in time (soak
+// rule LIMIT).
+func TestStatedLimit(t *testing.T) {
+	limited := func(c net.Conn, r *http.Request, _ string) bool {
+		return writeResponse(c, r, 200, "fine", "X-Limit: 0.5")
+	}
+	tests := map[string]struct {
+		handlers []handler
+		sends    int // to the first endpoint
+		refused  int
+	}{
+		// The first response states the limit, which then allows two requests in 4.2 s.
+		"the only endpoint": {[]handler{limited}, 3, 7},
+		"another endpoint":  {[]handler{limited, succeed}, 3, 0},
+		"malformed limit": {[]handler{func(c net.Conn, r *http.Request, _ string) bool {
+			return writeResponse(c, r, 200, "fine", "X-Limit: few")
+		}}, 10, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(matcher.Unsafe, nil), tt.handlers...)
+			refused := 0
+			for i := range 10 {
+				got := f.do("POST", "/a/x", "body", names.ID, "id-"+strconv.Itoa(i))
+				if got.status == 200 {
+					continue
+				}
+				refused++
+				after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				if got.status != 503 || err != nil || after < 1 {
+					t.Errorf("refusal: got %d, Retry-After %v %v, want 503 and at least 1", got.status, after, err)
+				}
+			}
+			if refused != tt.refused {
+				t.Errorf("refused: got %d, want %d", refused, tt.refused)
+			}
+			if got := f.endpoints[0].count(); got > tt.sends {
+				t.Errorf("sends: got %d, want at most %d", got, tt.sends)
+			}
+		})
+	}
+}
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -250,13 +250,28 @@
 		if ctx.Err() != nil {
 			return nil, nil, refuser.ErrDeadline
 		}
-		if x.now() >= min(giveUp, x.deadline) {
+		until := min(giveUp, x.deadline)
+		if x.now() >= until {
 			return nil, nil, refuser.ErrNoEndpoint.WithRetryAfter(busyRetry)
 		}
+		if q.eligible == 0 && x.now()+q.wait > until {
+			return nil, nil, refuser.ErrNoEndpoint.WithMessage("no endpoint accepts a request for %d ms", q.wait).
+				WithRetryAfter(x.limitRetry(q.wait))
+		}
 		sleep(ctx, pollInterval)
 	}
 }
 
+// limitRetry returns the delay after which a client may find an endpoint that
+// accepts requests from this instance only after wait. Other instances have
+// limits of their own.
+func (x *exchange) limitRetry(wait clock.Millis) clock.Millis {
+	if x.dispatcher.options.PeerReady() {
+		return min(wait, busyRetry)
+	}
+	return wait
+}
+
 // reauthorise checks the request against the current configuration again, just
 // before it is sent. If the configuration has changed, it also updates the
 // deadline and the index of the model.
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -66,8 +66,8 @@
 type Options struct {
 	Clock clock.Clock
 	Self  Member
-	// Fill adds the current loads, rates, roll-out reports and held parts of prompts
-	// to a message.
+	// Fill adds the current loads, rates, roll-out reports, held parts of prompts and
+	// limits of endpoints to a message.
 	Fill func(m *Message)
 	// OnMessage is called with each received message.
 	OnMessage func(m *Message)
@@ -184,6 +184,14 @@
 	return list
 }
 
+// Instances returns the names of all known instances, alive or not, including this
+// one.
+func (h *Heartbeater) Instances() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append(slices.Clone(h.peers.names), h.options.Self.Name)
+}
+
 // KnownCount returns the number of known instances, alive or not, including this
 // one.
 func (h *Heartbeater) KnownCount() int {
@@ -297,12 +305,12 @@
 	if len(direct)+len(relays) > 0 {
 		remoteMessage = Message{
 			From: m.From, Rollouts: m.Rollouts, RolloutSums: m.RolloutSums, Quarantine: m.Quarantine,
-			Summary: h.buildSummary(now, &m),
+			KnownLimits: m.KnownLimits, Summary: h.buildSummary(now, &m),
 		}
 		remoteMessage.Neighbours, remoteMessage.States = h.neighbourUpdates(now)
 	}
 	h.mu.Unlock()
-	m.RolloutSums = nil
+	m.RolloutSums, m.KnownLimits = nil, nil
 	h.send(&m, local)
 	h.send(&remoteMessage, direct)
 	remoteMessage.Hop = hopRelay
--- a/heartbeater/message.go
+++ b/heartbeater/message.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"rosemaryarch.example/rosemaryarch/capper"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/quarantiner"
@@ -94,6 +95,10 @@
 	// Quarantine holds observations of the sender about prompts that crash
 	// endpoints, or nil.
 	Quarantine *quarantiner.Report `cbor:"12,keyasint,omitempty"`
+	// Limits holds what the sender has heard from endpoints about the rates that they
+	// accept, and KnownLimits, in messages to other data centres, all that it knows.
+	Limits      []capper.Report `cbor:"13,keyasint,omitempty"`
+	KnownLimits []capper.Report `cbor:"14,keyasint,omitempty"`
 }
 
 // hop says how a message reached its receiver.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -195,6 +195,7 @@
 			OpenMax: 4 * clock.Second, MaxProbes: 1, ProbeSuccesses: 2, ProbeTimeout: 3 * clock.Second, MaxOpenShare: 0.5,
 		},
 		Meter: l.meter, Logger: l.logger, Members: l.heartbeater.KnownCount, ColdSenders: l.coldSenders,
+		Sharers:   l.sharers,
 		PeerLoad:  l.heartbeater.Load,
 		PeerReady: l.peerReady, Ready: l.readyCount, PeerRates: l.peerRates, PeerRetries: l.peerRetries,
 	}
@@ -220,6 +221,18 @@
 	return len(names), position
 }
 
+// sharers returns the instances that divide the rate limits of the endpoints of a
+// data centre: those that are known there, since most requests to its endpoints
+// come from them, or all if there are none.
+func (l *Launcher) sharers(dataCentre string) capper.Instances {
+	in := capper.Instances{Self: l.settings.Instance, Names: l.heartbeater.InstancesIn(dataCentre)}
+	if len(in.Names) == 0 {
+		in.Names = l.heartbeater.Instances()
+	}
+	in.Others = l.heartbeater.KnownCount() - len(in.Names)
+	return in
+}
+
 // Run serves until SIGTERM or SIGINT and returns when the last request has ended
 // or the grace period is almost over. SIGHUP reloads the settings. The error is
 // that of an address that cannot be opened or of a server that fails.
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -335,7 +335,8 @@
 	now := l.clock.Now()
 	m.Rollouts, m.RolloutSums = l.stager.Reports(now), l.stager.Sums(now)
 	m.Rates = l.serviceRates()
-	m.Quarantine = l.heldParts(l.clock.Now())
+	m.Quarantine = l.heldParts(now)
+	m.Limits, m.KnownLimits = l.capper.Reports(now, false), l.capper.Reports(now, true)
 	l.dispatcher.Loads(func(endpoint string, work float64, running int, delay float64) {
 		m.Loads = append(m.Loads, heartbeater.Load{
 			Endpoint: matcher.Hash("endpoint", endpoint), Work: float32(work), Running: running,
@@ -386,6 +387,9 @@
 	if m.Quarantine != nil {
 		l.quarantine.Merge(l.clock.Now(), *m.Quarantine)
 	}
+	if len(m.Limits)+len(m.KnownLimits) > 0 {
+		l.capper.Merge(l.clock.Now(), append(m.Limits, m.KnownLimits...))
+	}
 	if len(m.Rollouts) > 0 {
 		key := m.From.Name + "/" + time.UnixMilli(m.From.Incarnation).UTC().Format(time.RFC3339Nano)
 		l.stager.Merge(l.clock.Now(), stager.Source{Instance: key, DataCentre: m.From.DataCentre}, m.Rollouts)
