--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -170,7 +170,7 @@
 		Clock: l.clock, Source: l.store.Source(), Kinds: l.relayedKinds(),
 		StoreLost: l.storeLost, StoreRegained: l.storeRegained,
 		Role: l.role, Follow: l.follow, DirectChanged: l.setReadingStore, Confirmed: l.hub.Confirm, FeedEnded: l.feedEnded,
-		Backoff: l.backoff,
+		Backoff: l.backoff, EraChanged: l.eraChanged,
 	})
 	l.dispatcher = dispatcher.New(l.dispatcherOptions())
 	return l, nil
--- a/launcher/state.go
+++ b/launcher/state.go
@@ -38,7 +38,14 @@
 // changeConfig applies a newer configuration. An older or unreadable one is
 // ignored.
 func (l *Launcher) changeConfig(o watcher.Object) {
-	if o.Name != platform.ConfigName || o.Deleted || o.Revision <= l.tableRevision.Load() {
+	if o.Name != platform.ConfigName || o.Deleted {
+		return
+	}
+	if present := l.tableRevision.Load(); o.Revision <= present {
+		if o.Revision < present {
+			l.logger.LogUnlimited("older_revision_ignored", logger.Number("revision", o.Revision), logger.Number("era", o.Era),
+				logger.Number("present", present))
+		}
 		return
 	}
 	t, err := platform.DecodeConfig(o)
@@ -56,7 +63,7 @@
 	l.tableRevision.Store(o.Revision)
 	l.meter.SetGauge("configuration_version", float64(t.Version()))
 	l.logger.LogUnlimited("configuration_adopted", logger.Number("version", t.Version()),
-		logger.Number("revision", o.Revision))
+		logger.Number("revision", o.Revision), logger.Number("era", o.Era))
 }
 
 func (l *Launcher) replaceEndpoints(list []watcher.Object) {
@@ -167,6 +174,11 @@
 		logger.Number("confirmed_ms_ago", l.clock.Now()-l.watcher.Confirmed()))
 }
 
+func (l *Launcher) eraChanged(era int64) {
+	l.meter.CountEvent("store_era_changed")
+	l.logger.LogUnlimited("store_era", logger.Number("era", era))
+}
+
 func (l *Launcher) storeRegained(outage clock.Millis) {
 	now := l.clock.Now()
 	l.catalog.StoreRegained(now)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -38,9 +38,21 @@
 	listPause = 150 * clock.Millis(1)
 )
 
+// Position is a state of the store. Its revision is comparable only with those of
+// the same era: a store that comes back from an older copy begins a new era, in
+// which it gives out again the revisions since that copy.
+type Position struct {
+	Era      int64 // 0 if the store does not state it
+	Revision int64
+}
+
+// nowhere is the position before the first list call.
+var nowhere = Position{Revision: -1}
+
 // Object is one object in the store.
 type Object struct {
 	Name     string
+	Era      int64 // in which the object was read
 	Revision int64
 	Spec     []byte
 	Status   []byte
@@ -49,12 +61,12 @@
 
 // Source makes the calls to the store.
 type Source struct {
-	// List returns the objects of a kind and the store's revision.
-	List func(ctx context.Context, kind string) ([]Object, int64, error)
-	// Watch waits for changes after the revision from, for at most wait, and
-	// returns them with the revision to continue from. It returns ErrHistoryGone
+	// List returns the objects of a kind and the position of the store.
+	List func(ctx context.Context, kind string) ([]Object, Position, error)
+	// Watch waits for changes after the position from, for at most wait, and
+	// returns them with the position to continue from. It returns ErrHistoryGone
 	// if the store no longer has them.
-	Watch func(ctx context.Context, kind string, from int64, wait clock.Millis) ([]Object, int64, error)
+	Watch func(ctx context.Context, kind string, from Position, wait clock.Millis) ([]Object, Position, error)
 	// DropConnections closes kept-alive connections, which may be stalled.
 	DropConnections func()
 }
@@ -98,6 +110,8 @@
 	// Backoff returns the pause before the next call to a store that has not
 	// answered the given number of calls, 2 or more.
 	Backoff func(failures int) clock.Millis
+	// EraChanged is called when the store states a later era than before.
+	EraChanged func(era int64)
 	// StoreLost is called when the store stops answering, and StoreRegained, with
 	// the length of the outage, when it answers again or for the first time.
 	StoreLost     func(err error)
@@ -113,6 +127,7 @@
 	storeUpChanged chan struct{} // closed when storeUp changes
 	confirmed      clock.Millis  // instant up to which the primary kind has been read
 	lostAt         clock.Millis  // start of the last outage
+	era            int64         // latest era that the store has stated
 	readers        sync.WaitGroup
 }
 
@@ -200,9 +215,9 @@
 }
 
 func (w *Watcher) followPrimary(ctx context.Context, k Kind) {
-	from, failures, historyLosses := int64(-1), 0, 0
+	from, failures, historyLosses := nowhere, 0, 0
 	for ctx.Err() == nil {
-		watched := from >= 0
+		watched := from != nowhere
 		kind := k
 		if failures > 0 {
 			kind.Wait = retryWait // detects at once that the store answers again
@@ -241,7 +256,7 @@
 }
 
 func (w *Watcher) followSecondary(ctx context.Context, k Kind) {
-	from, historyLosses := int64(-1), 0
+	from, historyLosses := nowhere, 0
 	for ctx.Err() == nil {
 		up, changed := w.storeState()
 		if !up {
@@ -259,7 +274,7 @@
 			case <-call.Done():
 			}
 		}()
-		watched := from >= 0
+		watched := from != nowhere
 		next, err := w.readOnce(call, k, from)
 		cancel()
 		from = next
@@ -277,31 +292,33 @@
 	}
 }
 
-// readOnce makes one call and applies its result: a list if from is negative,
-// otherwise a watch of the changes after revision from. It returns the revision
-// to continue from, or -1 to list again.
-func (w *Watcher) readOnce(ctx context.Context, k Kind, from int64) (int64, error) {
+// readOnce makes one call and applies its result: a list if from is nowhere,
+// otherwise a watch of the changes after it. It returns the position to continue
+// from, or nowhere to list again.
+func (w *Watcher) readOnce(ctx context.Context, k Kind, from Position) (Position, error) {
 	start := w.options.Clock.Now()
-	if from < 0 {
+	if from == nowhere {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout.Duration())
 		defer cancel()
-		list, revision, err := w.options.Source.List(ctx, k.Name)
+		list, at, err := w.options.Source.List(ctx, k.Name)
 		if err != nil {
-			return -1, err
+			return nowhere, err
 		}
+		w.recordEra(at.Era)
 		k.Replace(list)
 		w.confirmRead(k, start)
-		return revision, nil
+		return at, nil
 	}
 	call, cancel := context.WithTimeout(ctx, (k.Wait + watchSlack).Duration())
 	defer cancel()
 	list, next, err := w.options.Source.Watch(call, k.Name, from, k.Wait)
 	if errors.Is(err, ErrHistoryGone) {
-		return -1, err
+		return nowhere, err
 	}
 	if err != nil {
 		return from, err
 	}
+	w.recordEra(next.Era)
 	for _, o := range list {
 		k.Change(o)
 	}
@@ -331,6 +348,18 @@
 	w.confirmed = max(w.confirmed, at)
 }
 
+// recordEra applies the era of a response, and calls Options.EraChanged if it is
+// later than the one before.
+func (w *Watcher) recordEra(era int64) {
+	w.mu.Lock()
+	before := w.era
+	w.era = max(w.era, era)
+	w.mu.Unlock()
+	if before > 0 && era > before {
+		w.options.EraChanged(era)
+	}
+}
+
 func (w *Watcher) storeState() (bool, chan struct{}) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -64,37 +64,37 @@
 
 func (f *fakeStore) source() Source {
 	return Source{
-		List: func(ctx context.Context, _ string) ([]Object, int64, error) {
+		List: func(ctx context.Context, _ string) ([]Object, Position, error) {
 			if err := f.begin(ctx); err != nil {
-				return nil, 0, err
+				return nil, Position{}, err
 			}
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			return append([]Object(nil), f.objects...), f.revision, nil
+			return append([]Object(nil), f.objects...), Position{Revision: f.revision}, nil
 		},
 		Watch:           f.watch,
 		DropConnections: func() {},
 	}
 }
 
-func (f *fakeStore) watch(ctx context.Context, _ string, from int64, wait clock.Millis) ([]Object, int64, error) {
+func (f *fakeStore) watch(ctx context.Context, _ string, from Position, wait clock.Millis) ([]Object, Position, error) {
 	if err := f.begin(ctx); err != nil {
-		return nil, 0, err
+		return nil, Position{}, err
 	}
 	timer := time.After(wait.Duration())
 	for {
 		f.mu.Lock()
-		if from < f.compactedUpTo {
+		if from.Revision < f.compactedUpTo {
 			f.mu.Unlock()
-			return nil, 0, ErrHistoryGone
+			return nil, Position{}, ErrHistoryGone
 		}
 		var list []Object
 		for _, o := range f.log {
-			if o.Revision > from && !f.missesChanges {
+			if o.Revision > from.Revision && !f.missesChanges {
 				list = append(list, o)
 			}
 		}
-		at, changed := f.revision, f.changed
+		at, changed := Position{Revision: f.revision}, f.changed
 		if f.missesChanges {
 			at = from
 		}
@@ -107,7 +107,7 @@
 			return nil, at, nil
 		case <-changed:
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		}
 	}
 }
@@ -152,6 +152,7 @@
 		Role:          func() Role { return Role{Direct: true} },
 		DirectChanged: func(bool) {},
 		Confirmed:     func(clock.Millis) {},
+		EraChanged:    func(int64) {},
 		Backoff:       func(failures int) clock.Millis { return min(600, clock.Millis(150)<<(failures-2)) },
 		StoreLost:     func(error) { s.mu.Lock(); s.lost++; s.mu.Unlock() },
 		StoreRegained: func(clock.Millis) { s.mu.Lock(); s.regained++; s.mu.Unlock() },
@@ -262,17 +263,17 @@
 		var lists atomic.Int64
 		broken := Source{
 			DropConnections: source.DropConnections,
-			List: func(ctx context.Context, kind string) ([]Object, int64, error) {
+			List: func(ctx context.Context, kind string) ([]Object, Position, error) {
 				if kind == "other" && lists.Add(1) > 1 {
 					time.Sleep(time.Millisecond)
-					return nil, 0, ErrUnavailable
+					return nil, Position{}, ErrUnavailable
 				}
 				return source.List(ctx, kind)
 			},
-			Watch: func(ctx context.Context, kind string, from int64, wait clock.Millis) ([]Object, int64, error) {
+			Watch: func(ctx context.Context, kind string, from Position, wait clock.Millis) ([]Object, Position, error) {
 				if kind == "other" {
 					time.Sleep(time.Second)
-					return nil, 0, ErrHistoryGone
+					return nil, Position{}, ErrHistoryGone
 				}
 				return source.Watch(ctx, kind, from, wait)
 			},
@@ -298,11 +299,11 @@
 		source := f.source()
 		inner := source.Watch
 		first := true
-		source.Watch = func(ctx context.Context, kind string, from int64, wait clock.Millis) ([]Object, int64, error) {
+		source.Watch = func(ctx context.Context, kind string, from Position, wait clock.Millis) ([]Object, Position, error) {
 			if kind == "lead" && first {
 				first = false
 				<-ctx.Done() // the connection stalls
-				return nil, 0, ctx.Err()
+				return nil, Position{}, ctx.Err()
 			}
 			return inner(ctx, kind, from, wait)
 		}
@@ -382,7 +383,7 @@
 		source := f.source()
 		inner := source.Watch
 		var calls atomic.Int64
-		source.Watch = func(ctx context.Context, kind string, from int64, wait clock.Millis) ([]Object, int64, error) {
+		source.Watch = func(ctx context.Context, kind string, from Position, wait clock.Millis) ([]Object, Position, error) {
 			if kind == "many" {
 				calls.Add(1)
 			}
