engineclient: each attempt has its own connection

An operator's report: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told 'not run' of requests that ran. On the own interface a refusal of an engine names no attempt, so that a late second copy on a kept connection counted as the refusal of the next attempt, which the engine executes.

Attempts and their resumption open a connection each, as calls of plain services do; load reports and commands keep theirs.

--- a/engineclient/client.go
+++ b/engineclient/client.go
@@ -122,19 +122,38 @@
 type httpClient struct {
 	base, commandKey string
 	client           *http.Client
+	attempts         *http.Client // each request has its own connection
 }
 
 // NewHTTP returns a client of the engine at the URL base, such as
 // "http://127.0.0.1:7101". commandKey authenticates commands and may be empty.
 // Timeouts come from the context of each call, so client must have none.
 func NewHTTP(base, commandKey string, client *http.Client) Client {
-	h := &httpClient{base: base, commandKey: commandKey, client: client}
+	h := &httpClient{base: base, commandKey: commandKey, client: client, attempts: withoutReuse(client)}
 	return Client{
 		Generate: h.generate, Resume: h.resume, Cancel: h.cancel, Load: h.load, CacheEvents: h.cacheEvents,
 		Command: h.command, ExportCache: h.exportCache, ImportCache: h.importCache,
 	}
 }
 
+// withoutReuse returns a client that opens a connection for each request. A refusal
+// names no attempt, so that a late second copy of an earlier one on a kept connection
+// would count as the refusal of an attempt that the engine executes.
+func withoutReuse(client *http.Client) *http.Client {
+	transport, ok := client.Transport.(*http.Transport)
+	switch {
+	case client.Transport == nil:
+		transport = http.DefaultTransport.(*http.Transport)
+	case !ok:
+		return client
+	}
+	c := *client
+	own := transport.Clone()
+	own.DisableKeepAlives = true
+	c.Transport = own
+	return &c
+}
+
 func (h *httpClient) generate(ctx context.Context, r streamer.Request) (iter.Seq2[framer.EngineEvent, error], error) {
 	return h.stream(ctx, "/v1/generate", r)
 }
@@ -158,7 +177,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "engineclient: encode request"), ErrNotSent)
 	}
-	resp, err := h.send(ctx, http.MethodPost, path, data) //nolint:bodyclose // the returned sequence closes it
+	resp, err := h.send(ctx, h.attempts, http.MethodPost, path, data) //nolint:bodyclose // the returned sequence closes it
 	if err != nil {
 		return nil, err
 	}
@@ -181,14 +200,16 @@
 	}, nil
 }
 
-// send sends a request with the given body and returns the response.
-func (h *httpClient) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+// send sends a request with the given body by a client and returns the response.
+func (h *httpClient) send(
+	ctx context.Context, client *http.Client, method, path string, body []byte,
+) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, h.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "engineclient: build request"), ErrNotSent)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := exchanger.Send(h.client, req)
+	resp, err := exchanger.Send(client, req)
 	return resp, markReason(err)
 }
 
@@ -247,7 +268,7 @@
 const maxCacheBytes = 64 << 20
 
 func (h *httpClient) exportCache(ctx context.Context, prefix string) ([]byte, error) {
-	resp, err := h.send(ctx, http.MethodGet, "/v1/cache/"+prefix, nil)
+	resp, err := h.send(ctx, h.client, http.MethodGet, "/v1/cache/"+prefix, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -257,7 +278,7 @@
 }
 
 func (h *httpClient) importCache(ctx context.Context, prefix string, state []byte) error {
-	resp, err := h.send(ctx, http.MethodPut, "/v1/cache/"+prefix, state)
+	resp, err := h.send(ctx, h.client, http.MethodPut, "/v1/cache/"+prefix, state)
 	if err != nil {
 		return err
 	}
