dispatcher: only a stream continues a stream

An operator's report: a stream broke off, the next worker answered with an error, and clients found its text in the middle of their stream or a stream that ended as complete. The answer to a resumed request was judged by status, id and signature only.

It must now have the media type of the response that the client has received; otherwise the attempt has failed.

One existing case, 'resumed, all events' of TestStreamEndsBeforeFirstEvent, took an empty success without a media type for the end of the stream. That is the fault: such an answer says nothing of the stream. The case now states the media type of a stream and must be complete as before; its old form is a case of its own and must not be complete.

--- a/dispatcher/attribution_test.go
+++ b/dispatcher/attribution_test.go
@@ -50,13 +50,16 @@
 		body          string
 		complete      bool
 	}{
-		"not resumable":       {untilClose(0, ""), eventsAfter, false, 502, "", true},
-		"comment only":        {untilClose(0, ": hello\n\n"), eventsAfter, false, 502, "", true},
-		"resumable":           {untilClose(0, ""), eventsAfter, true, 200, completeStream, true},
-		"after the resume":    {cut, untilClose(0, ""), true, 200, completeStream, false},
-		"declared length":     {declared("Content-Length: 0\r\n\r\n"), eventsAfter, true, 200, "", true},
-		"chunks":              {declared("Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), eventsAfter, true, 200, "", true},
-		"resumed, all events": {cut, declared("Content-Length: 0\r\n\r\n"), true, 200, completeStream, true},
+		"not resumable":    {untilClose(0, ""), eventsAfter, false, 502, "", true},
+		"comment only":     {untilClose(0, ": hello\n\n"), eventsAfter, false, 502, "", true},
+		"resumable":        {untilClose(0, ""), eventsAfter, true, 200, completeStream, true},
+		"after the resume": {cut, untilClose(0, ""), true, 200, completeStream, false},
+		"declared length":  {declared("Content-Length: 0\r\n\r\n"), eventsAfter, true, 200, "", true},
+		"chunks":           {declared("Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), eventsAfter, true, 200, "", true},
+		"resumed, all events": {
+			cut, declared("Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n"), true, 200, completeStream, true,
+		},
+		"resumed, no stream": {cut, declared("Content-Length: 0\r\n\r\n"), true, 200, completeStream, false},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -53,6 +53,7 @@
 	trial           bool            // sent although its prompt holds a part that crashes endpoints
 	heldPart        string          // part of the prompt because of which the request is refused, for the log
 	headerSent      bool            // the client has received the response header
+	mediaType       string          // of the response whose header the client has received, if a stream
 	lastEventID     int64           // of the stream so far; -1 if there is none
 	model           int             // index into the route's models
 	escalation      *escalation     // endpoint reserved for the largest model, or nil
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -196,7 +196,7 @@
 		if response.Header.Get(n.ID) != x.id {
 			return s.invalidResponse(refuser.DropWithoutID, "the response does not carry the id of the request")
 		}
-		if x.route.Kind == matcher.Stream {
+		if x.route.Kind == matcher.Stream && (!x.headerSent || mediaType(response.Header) == x.mediaType) {
 			return s.serveStream(ctx)
 		}
 	}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -130,11 +131,19 @@
 // writeStreamHeader sends the response header to the client.
 func (x *exchange) writeStreamHeader(response *forwarder.Response) {
 	x.headerSent = true
+	x.mediaType = mediaType(response.Header)
 	x.status = response.Status
 	x.copyHeader(response)
 	x.writer.WriteHeader(response.Status)
 }
 
+// mediaType returns the media type of a body without its parameters, or "" if the
+// header states none.
+func mediaType(h http.Header) string {
+	t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // writeEvent sends an event to the client and reports whether that succeeded.
 func (x *exchange) writeEvent(event []byte) bool {
 	if _, err := x.writer.Write(event); err != nil {
