pauser: endpoints that ask for a pause get one

Each instance keeps the pause by endpoint and process, and where no endpoint serves a request in time it is refused at once with the time to come back.

--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -118,8 +118,8 @@
 }
 
 // eligible returns the endpoints that may serve the request: not evacuated, not
-// tried yet, within the limits on cold endpoints and those that endpoints state,
-// and of the version that the roll-out selects for the session. If there are none
+// tried yet, within the limits on cold endpoints, the limits and pauses that endpoints
+// state, and of the version that the roll-out selects for the session. If there are none
 // of that version, it returns the others, unless the roll-out excludes them.
 // Without a roll-out, only versions that have been listed long enough are eligible.
 func (d *Dispatcher) eligible(now clock.Millis, q *criteria) []*cataloger.State {
@@ -143,9 +143,9 @@
 			group.cold = true
 			continue
 		}
-		group.add(e, d.limitWait(now, e))
+		group.add(e, max(d.limitWait(now, e), d.options.Pauser.Wait(now, e.ID, e.StartedAt)))
 	}
-	// An endpoint that is only within no limit now is no reason to use another version.
+	// An endpoint that will accept requests later is no reason to use another version.
 	if len(preferred.list) == 0 && preferred.wait == 0 && !version.Strict {
 		preferred = fallback
 	}
@@ -159,7 +159,7 @@
 // availability holds the endpoints of one version that may serve a request now.
 type availability struct {
 	list []*cataloger.State
-	wait clock.Millis // least time until another one may, by its stated limit; 0: there is none
+	wait clock.Millis // least time until another one may, as it has stated itself; 0: there is none
 	cold bool         // there are others, whose share for cold endpoints is used up
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -20,6 +20,7 @@
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/meter"
+	"rosemaryarch.example/rosemaryarch/pauser"
 	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/stager"
@@ -64,6 +65,7 @@
 	Budget      *budgeter.Budgeter
 	SlowStarter *slowstarter.SlowStarter
 	Capper      *capper.Capper
+	Pauser      *pauser.Pauser
 	Forwarder   *forwarder.Forwarder
 	Balancer    balancer.Balancer
 	Cascader    cascader.Cascader
@@ -242,6 +244,7 @@
 		}
 	}
 	d.options.Capper.Sweep(now)
+	d.options.Pauser.Sweep(now)
 	for k, at := range d.prefixSent {
 		if now-at > prefixCacheAge {
 			delete(d.prefixSent, k)
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -24,6 +24,7 @@
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/meter"
+	"rosemaryarch.example/rosemaryarch/pauser"
 	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/stager"
@@ -210,6 +211,7 @@
 		Budget:      budgeter.New(budgeter.Options{Window: 10 * clock.Second, Ratio: 0.9, Slack: 50}),
 		SlowStarter: slowstarter.New(),
 		Capper:      capper.New(),
+		Pauser:      pauser.New(),
 		Quarantine:  f.quarantine, TakesTrials: func() bool { return true },
 		Forwarder: f.forwarder,
 		Balancer:  balancer.Default(), Cascader: cascader.Default(),
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -52,3 +52,39 @@
 		})
 	}
 }
+
+// Guards against requests to an endpoint that has turned one away and asked for a
+// pause, and against clients that wait although no endpoint serves them in time (soak
+// rule BUDGET).
+func TestPause(t *testing.T) {
+	pause := func(value string) handler {
+		return func(c net.Conn, r *http.Request, _ string) bool {
+			return writeResponse(c, r, 503, "", "X-Not-Run: 1", "Retry-After: "+value)
+		}
+	}
+	tests := map[string]struct {
+		handlers []handler
+		sends    int // to the first endpoint, of ten requests
+		status   int // of the last request
+	}{
+		"the only endpoint": {[]handler{pause("3")}, 1, 503},
+		"another endpoint":  {[]handler{pause("3"), succeed}, 1, 200},
+		"fraction":          {[]handler{pause("1.5")}, 1, 503},
+		"no pause":          {[]handler{pause("soon")}, 10, 503},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(matcher.Unsafe, func(r *matcher.Route) { r.Attempts = 2 }), tt.handlers...)
+			var got response
+			for i := range 10 {
+				got = f.do("POST", "/a/x", "body", names.ID, "id-"+strconv.Itoa(i))
+			}
+			if got.status != tt.status {
+				t.Errorf("last request: got %d, want %d", got.status, tt.status)
+			}
+			if n := f.endpoints[0].count(); n > tt.sends {
+				t.Errorf("sends: got %d, want at most %d", n, tt.sends)
+			}
+		})
+	}
+}
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -15,6 +15,7 @@
 	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
+	"rosemaryarch.example/rosemaryarch/pauser"
 	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/stager"
 )
@@ -80,6 +81,9 @@
 		return
 	}
 	options := &x.dispatcher.options
+	if response.Status == http.StatusServiceUnavailable {
+		s.observePause(pauser.Parse(response.Header.Get("Retry-After")))
+	}
 	rate, limited := capper.Parse(response.Header.Get(options.Names.Limit))
 	id := s.choice.endpoint.ID
 	if options.Capper.Observe(x.now(), matcher.Hash("endpoint", id), rate, limited) {
@@ -89,6 +93,18 @@
 	}
 }
 
+// observePause keeps requests from the endpoint for d if it has asked for that.
+func (s *send) observePause(d clock.Millis) {
+	if d <= 0 {
+		return
+	}
+	x, e := s.exchange, s.choice.endpoint
+	options := &x.dispatcher.options
+	options.Pauser.Pause(x.now(), e.ID, e.StartedAt, d)
+	options.Meter.CountEvent("endpoint_pause")
+	options.Logger.Log("endpoint_pause", logger.Text("endpoint", e.ID), logger.Number("ms", d), logger.Text("id", x.id))
+}
+
 // limitText returns a stated limit for the log.
 func limitText(rate float64, limited bool) string {
 	if !limited {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -29,6 +29,7 @@
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/meter"
+	"rosemaryarch.example/rosemaryarch/pauser"
 	"rosemaryarch.example/rosemaryarch/platform"
 	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/refuser"
@@ -191,6 +192,7 @@
 		Evacuated: func(dataCentre string) bool { return (*l.evacuated.Load())[dataCentre] },
 		Catalog:   l.catalog, Stager: l.stager,
 		Budget: l.budget, SlowStarter: slowstarter.New(), Quarantine: l.quarantine, Capper: l.capper,
+		Pauser:      pauser.New(),
 		TakesTrials: func() bool { return l.memberPosition() == 0 },
 		Forwarder: forwarder.New(forwarder.Options{
 			Clock: l.clock, DialTimeout: dialTimeout, IDHeader: platform.HeaderNames().ID,
