cataloger: endpoints that say that they leave get no further requests

The header was not read: in TestLeavingEndpoint an endpoint that leaves got ten requests of ten, until the store lists it as leaving.

The statement belongs to the process that the request was sent to: it holds while the entry is gone and back or reported again, and ends with a restart under the same id. TestLeavingEndpoint and TestLeavingIsRemembered pass: one request.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -21,6 +21,10 @@
 // entry's propagation through the store.
 const coldMargin = 800 * clock.Millis(1)
 
+// leavingAge is the time for which it is remembered that an endpoint leaves which is no
+// longer listed.
+const leavingAge = 10 * clock.Minute
+
 // Endpoint is one entry of the store.
 type Endpoint struct {
 	ID         string
@@ -72,14 +76,24 @@
 	ids             []string                           // of the entries, sorted
 	firstSeen       map[string]map[string]clock.Millis // time of the first entry, by service and version
 	loaded          bool                               // a full list has been received
+	leaving         map[string]departure               // endpoints that have said that they leave, by id
 	storeDown       bool                               // the store does not respond
 	storeRegainedAt clock.Millis                       // time at which the store last became available again
 	snapshot        *Snapshot                          // nil if an entry has changed since it was built
 }
 
+// departure is an endpoint's statement that it leaves.
+type departure struct {
+	endpoint Endpoint // as it was listed when it said so
+	at       clock.Millis
+}
+
 // New returns an empty Cataloger.
 func New() *Cataloger {
-	return &Cataloger{entries: make(map[string]*State), firstSeen: make(map[string]map[string]clock.Millis)}
+	return &Cataloger{
+		entries: make(map[string]*State), firstSeen: make(map[string]map[string]clock.Millis),
+		leaving: make(map[string]departure),
+	}
 }
 
 // Snapshot returns the current view.
@@ -152,6 +166,26 @@
 	}
 }
 
+// MarkLeaving records that an endpoint has said that it leaves. Its process receives no
+// further requests, whatever the store lists. It reports whether that is new.
+func (c *Cataloger) MarkLeaving(now clock.Millis, e Endpoint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.leaving[e.ID]; ok && !restarted(known.endpoint, e) {
+		return false
+	}
+	c.leaving[e.ID] = departure{e, now}
+	c.snapshot = nil
+	return true
+}
+
+// hasLeft reports whether the process of an entry has said that it leaves. The lock
+// must be held.
+func (c *Cataloger) hasLeft(e Endpoint) bool {
+	d, ok := c.leaving[e.ID]
+	return ok && !restarted(d.endpoint, e)
+}
+
 // put adds or replaces an entry. A restarted endpoint does not inherit the state
 // of its predecessor. Versions that are listed before the first full list is
 // complete do not wait for a roll-out. The lock must be held.
@@ -208,6 +242,11 @@
 func (c *Cataloger) Expire(now clock.Millis) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for id, d := range c.leaving {
+		if s := c.entries[id]; now-d.at > leavingAge && (s == nil || !c.hasLeft(s.Endpoint)) {
+			delete(c.leaving, id)
+		}
+	}
 	if c.storeDown {
 		return false
 	}
@@ -260,7 +299,7 @@
 	snapshot := &Snapshot{byService: make(map[string][]*State), all: make([]*State, 0, len(c.ids))}
 	for _, id := range c.ids {
 		s := c.entries[id]
-		if s.Draining {
+		if s.Draining || c.hasLeft(s.Endpoint) {
 			continue
 		}
 		snapshot.all = append(snapshot.all, s)
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -61,6 +61,45 @@
 	}
 }
 
+// Guards against requests to an endpoint that has said that it leaves and whose entry
+// disappears and comes back, and against one that stays unused after its process has
+// restarted (soak rule DRAIN).
+func TestLeavingIsRemembered(t *testing.T) {
+	restart := func(e *Endpoint) { e.StartedAt, e.Sequence = 7000, 1 }
+	tests := map[string]struct {
+		then func(c *Cataloger)
+		want bool // the endpoint may receive requests
+	}{
+		"nothing":          {func(*Cataloger) {}, false},
+		"another report":   {func(c *Cataloger) { c.Put(2000, entry("a", func(e *Endpoint) { e.Sequence = 10 })) }, false},
+		"removed and back": {func(c *Cataloger) { c.Remove(2000, "a"); c.Put(3000, entry("a", nil)) }, false},
+		"missing and back": {func(c *Cataloger) {
+			c.Replace(2000, nil)
+			c.Replace(3000, []Endpoint{entry("a", nil)})
+		}, false},
+		"restarted":         {func(c *Cataloger) { c.Put(2000, entry("a", restart)) }, true},
+		"restarted, listed": {func(c *Cataloger) { c.Replace(2000, []Endpoint{entry("a", restart)}) }, true},
+		"long ago, present": {func(c *Cataloger) { c.Expire(1001 + leavingAge) }, false},
+		"restarted, said late": {func(c *Cataloger) {
+			c.Put(2000, entry("a", restart))
+			c.MarkLeaving(2100, entry("a", nil)) // a response of the earlier process
+		}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := New()
+			c.Put(1000, entry("a", nil))
+			if !c.MarkLeaving(1000, entry("a", nil)) || c.MarkLeaving(1001, entry("a", nil)) {
+				t.Error("leaving is reported as new not once")
+			}
+			tt.then(c)
+			if got := c.Snapshot().Endpoint("a") != nil; got != tt.want {
+				t.Errorf("may receive requests: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against full load on an endpoint that has just started, even under the
 // same id, and against an endpoint that stays cold.
 func TestCold(t *testing.T) {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -37,6 +37,7 @@
 	Target      string // id of the endpoint that is addressed
 	NotExecuted string // set by an endpoint that has not executed the request
 	Signature   string // the endpoint's signature of its response
+	Leaving     string // set to 1 by an endpoint that is about to stop
 	Limit       string // requests per second that an endpoint accepts from all instances
 	Prefix      string // parts of the prompt as ID:TOKENS, separated by commas
 	Tokens      string // prompt tokens and maximum output tokens
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -36,8 +36,8 @@
 	ID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Workspace: "X-Workspace", Target: "X-Target",
 	NotExecuted: "X-Not-Run", Signature: "X-Signature", Limit: "X-Limit", Prefix: "X-Prefix", Tokens: "X-Tokens",
 	LengthHint: "X-Hint", Model: "X-Model", Confidence: "X-Confidence", Priority: "X-Priority", Session: "X-Session",
-	LastEvent: "Last-Event-Id",
-	Reserved:  []string{"X-Reserved", "X-Priority"},
+	LastEvent: "Last-Event-Id", Leaving: "X-Leaving",
+	Reserved: []string{"X-Reserved", "X-Priority"},
 }
 
 // handler serves one request on a raw connection and reports whether the
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"testing"
 
+	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 )
 
@@ -88,3 +89,46 @@
 		})
 	}
 }
+
+// Guards against requests to an endpoint that has stated in an answer that it leaves,
+// before the store shows that, and against one that stays unused after its process
+// has restarted (soak rule DRAIN).
+func TestLeavingEndpoint(t *testing.T) {
+	tests := map[string]struct {
+		value string
+		sends int // to the endpoint, of ten requests
+	}{
+		"leaves": {"1", 1}, "does not leave": {"0", 10}, "no value": {"", 10},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(matcher.Unsafe, nil), func(c net.Conn, r *http.Request, _ string) bool {
+				return writeResponse(c, r, 200, "fine", "X-Leaving: "+tt.value)
+			})
+			send := func() {
+				for i := range 10 {
+					f.do("POST", "/a/x", "body", names.ID, "id-"+strconv.Itoa(i))
+				}
+			}
+			send()
+			if n := f.endpoints[0].count(); n != tt.sends {
+				t.Errorf("sends: got %d, want %d", n, tt.sends)
+			}
+			entry := cataloger.Endpoint{
+				ID: "e0", Service: "s", Address: f.endpoints[0].listener.Addr().String(), DataCentre: "dc", Version: "v1", Slots: 8,
+			}
+			entry.Sequence++
+			f.catalog.Put(f.confirmed(), entry)
+			send()
+			if n := f.endpoints[0].count(); tt.sends == 1 && n != 1 {
+				t.Errorf("sends after another report: got %d, want 1", n)
+			}
+			entry.StartedAt++
+			f.catalog.Put(f.confirmed(), entry)
+			send()
+			if n := f.endpoints[0].count(); n <= tt.sends {
+				t.Errorf("sends after the restart of the endpoint: got %d, want more than %d", n, tt.sends)
+			}
+		})
+	}
+}
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -84,8 +84,13 @@
 	if response.Status == http.StatusServiceUnavailable {
 		s.observePause(pauser.Parse(response.Header.Get("Retry-After")))
 	}
-	rate, limited := capper.Parse(response.Header.Get(options.Names.Limit))
 	id := s.choice.endpoint.ID
+	if response.Header.Get(options.Names.Leaving) == "1" &&
+		options.Catalog.MarkLeaving(x.now(), s.choice.endpoint.Endpoint) {
+		options.Meter.CountEvent("endpoint_leaving")
+		options.Logger.Log("endpoint_leaving", logger.Text("endpoint", id), logger.Text("id", x.id))
+	}
+	rate, limited := capper.Parse(response.Header.Get(options.Names.Limit))
 	if options.Capper.Observe(x.now(), matcher.Hash("endpoint", id), rate, limited) {
 		options.Meter.CountEvent("endpoint_limit_changed")
 		options.Logger.Log("endpoint_limit", logger.Text("endpoint", id), logger.Text("limit", limitText(rate, limited)),
