--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -43,6 +43,7 @@
 	generation int // number of starts
 	id         string
 	draining   bool
+	listed     bool         // its entry is in the store
 	drainedAt  clock.Millis // when the store acknowledged that the endpoint leaves; 0: it does not leave
 	sequence   int64        // of the published entry, counted from each start
 	startedAt  int64        // Unix time in ms
@@ -87,6 +88,7 @@
 func (e *endpoint) publish() error {
 	e.mu.Lock()
 	e.sequence++
+	e.listed = true
 	entry := cataloger.Endpoint{
 		ID: e.id, Service: e.service, Address: e.proxy.Load().Address(), DataCentre: dataCentre(e.index), Version: "v1",
 		Slots: slots, Draining: e.draining, Sequence: e.sequence, StartedAt: e.startedAt,
@@ -113,6 +115,7 @@
 func (e *endpoint) remove() {
 	e.mu.Lock()
 	id := e.id
+	e.listed = false
 	e.mu.Unlock()
 	e.soak.store.Delete(platform.EndpointKind, id)
 }
--- a/soaker/operator.go
+++ b/soaker/operator.go
@@ -43,6 +43,7 @@
 
 	mu      sync.Mutex
 	version int64
+	text    any // of the configuration that was written last
 	keys    []key
 }
 
@@ -132,6 +133,7 @@
 	if err := o.soak.store.Put(platform.ConfigKind, platform.ConfigName, text); err != nil {
 		return err
 	}
+	o.text = text
 	now := o.soak.clock.Now()
 	for i := range o.keys {
 		k := &o.keys[i]
--- a/soaker/schedule.go
+++ b/soaker/schedule.go
@@ -73,12 +73,16 @@
 // injectFaults draws faults from the seed for Options.FaultPhase, starts each after a
 // random gap and waits for the end of all. If a fault that ends or pauses the same
 // process or endpoint is in progress, the new one has no effect. Prompts that crash
-// endpoints are drawn separately and leave the other faults of a seed as they are.
+// endpoints and a store that comes back from an older copy are drawn separately and
+// leave the other faults of a seed as they are.
 func (s *Soaker) injectFaults(ctx context.Context) {
 	var running sync.WaitGroup
 	if length := drawPromptTime(s.options); length > 0 {
 		running.Go(func() { s.crashByPrompts(ctx, length) })
 	}
+	if times := restoreTimes(s.options); len(times) > 0 {
+		running.Go(func() { s.restoreStore(ctx, times) })
+	}
 	for left := s.options.FaultPhase; left > 0 && !s.options.PromptsOnly && ctx.Err() == nil; {
 		gap := minGap + clock.Millis(s.rand.Int64N(int64(maxGap-minGap)))
 		f := faults[s.rand.IntN(len(faults))]
