dispatcher: limits of old endpoints are no reason for the target of a roll-out

Without an endpoint of its version, a session may use the other one. Endpoints that only accept requests later, by their stated rate or pause, must not lead to the target, whose share is bounded (EXPOSURE); sessions of the target may still use the old version.

--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -145,8 +145,9 @@
 		}
 		group.add(e, max(d.limitWait(now, e), d.options.Pauser.Wait(now, e.ID, e.StartedAt)))
 	}
-	// An endpoint that will accept requests later is no reason to use another version.
-	if len(preferred.list) == 0 && preferred.wait == 0 && !version.Strict {
+	// That all endpoints of the old versions accept requests only later is no reason to
+	// use the target.
+	if len(preferred.list) == 0 && (preferred.wait == 0 || version.UseTarget) && !version.Strict {
 		preferred = fallback
 	}
 	q.wait = 0
--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -7,7 +7,9 @@
 	"testing"
 
 	"rosemaryarch.example/rosemaryarch/cataloger"
+	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
+	"rosemaryarch.example/rosemaryarch/stager"
 )
 
 // Guards against requests beyond the rate that an endpoint states, and against
@@ -132,3 +134,26 @@
 		})
 	}
 }
+
+// Guards against sessions of the old version that are sent to the target of a roll-out
+// because the old endpoints accept requests only later (soak rule EXPOSURE).
+func TestLimitIsNoReasonForTheTarget(t *testing.T) {
+	limited := func(c net.Conn, r *http.Request, _ string) bool {
+		return writeResponse(c, r, 200, "fine", "X-Limit: 0.5")
+	}
+	f := newFleet(t, route(matcher.Unsafe, nil), limited, succeed)
+	f.catalog.Put(f.confirmed(), cataloger.Endpoint{
+		ID: "e1", Service: "s", Address: f.endpoints[1].listener.Addr().String(), DataCentre: "dc", Version: "v2", Slots: 8,
+	})
+	f.stager.Set(f.confirmed(), stager.Rollout{Service: "s", Target: "v2", Duration: clock.Minute, Phase: stager.Active})
+	for i := range 40 {
+		id := strconv.Itoa(i)
+		f.do("POST", "/a/x", "body", names.ID, "id-"+id, names.Session, "session-"+id)
+	}
+	if got := f.endpoints[1].count(); got > 12 {
+		t.Errorf("requests to the target: got %d of 40, want at most 12", got)
+	}
+	if got := f.endpoints[0].count(); got == 0 {
+		t.Error("requests to the old version: got 0")
+	}
+}
