dispatcher: the client of a refused request is told of the endpoint's pause

A request that the only endpoint had turned away with a pause of 3 s was refused with Retry-After 0.4 s, since the refusal of the last send counted; the client came back in vain. Without another ready instance it now has the length of the pause. TestPause checks the header of each refusal: 0.441 s before, at least 2 s now.

--- a/dispatcher/limit_test.go
+++ b/dispatcher/limit_test.go
@@ -66,14 +66,15 @@
 		}
 	}
 	tests := map[string]struct {
-		handlers []handler
-		sends    int // to the first endpoint, of ten requests
-		status   int // of the last request
+		handlers   []handler
+		sends      int     // to the first endpoint, of ten requests
+		status     int     // of the last request
+		retryAfter float64 // s, least of all refusals; they vary by a quarter
 	}{
-		"the only endpoint": {[]handler{pause("3")}, 1, 503},
-		"another endpoint":  {[]handler{pause("3"), succeed}, 1, 200},
-		"fraction":          {[]handler{pause("1.5")}, 1, 503},
-		"no pause":          {[]handler{pause("soon")}, 10, 503},
+		"the only endpoint": {[]handler{pause("3")}, 1, 503, 2},
+		"another endpoint":  {[]handler{pause("3"), succeed}, 1, 200, 0},
+		"fraction":          {[]handler{pause("1.5")}, 1, 503, 0.8},
+		"no pause":          {[]handler{pause("soon")}, 10, 503, 0.3},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -81,6 +82,10 @@
 			var got response
 			for i := range 10 {
 				got = f.do("POST", "/a/x", "body", names.ID, "id-"+strconv.Itoa(i))
+				after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+				if got.status == 503 && (err != nil || after < tt.retryAfter) {
+					t.Errorf("request %d: got Retry-After %v %v, want at least %v", i, after, err, tt.retryAfter)
+				}
 			}
 			if got.status != tt.status {
 				t.Errorf("last request: got %d, want %d", got.status, tt.status)
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -237,7 +237,9 @@
 	s.response.Release()
 	x.dispatcher.options.Meter.CountRetry(refuser.RetryRefused)
 	s.failed = s.response.Status != http.StatusMisdirectedRequest
-	return resultRetry, refuser.ErrNoEndpoint.WithMessage("the endpoint refused the request").WithRetryAfter(busyRetry)
+	pause := pauser.Parse(s.response.Header.Get("Retry-After"))
+	return resultRetry, refuser.ErrNoEndpoint.WithMessage("the endpoint refused the request").
+		WithRetryAfter(max(busyRetry, x.limitRetry(pause)))
 }
 
 // drop records that a response was dropped, in the metrics and for the log.
