Remove state and calls that stand twice

After reading the change as a newcomer: the era is asked of the watcher, a quota is computed anew when it has no instant, a pause is parsed once, the position of a list is taken in one place, and two tests of the watcher share their options. A test uses the platform's name table for its header. No behaviour, bound or check changes.

--- a/capper/capper.go
+++ b/capper/capper.go
@@ -14,7 +14,7 @@
 	// older report does not restore the limit.
 	endedAge = 10 * clock.Second
 	// forgetAge is the age from which a statement is dropped.
-	forgetAge = 2 * 60 * clock.Second
+	forgetAge = 2 * clock.Minute
 )
 
 // noRate is the rate of an endpoint that states no limit.
@@ -75,7 +75,7 @@
 	changed = rate != l.rate
 	l.rate, l.at, l.direct = rate, at, direct
 	if changed {
-		l.quota.valid = false
+		l.quota = quota{}
 	}
 	return changed
 }
--- a/capper/share.go
+++ b/capper/share.go
@@ -37,8 +37,7 @@
 type quota struct {
 	sends    int          // that the instance may make within window
 	position int          // of the instance in the order of the endpoint
-	at       clock.Millis // instant of the computation
-	valid    bool
+	at       clock.Millis // instant of the computation; 0: not computed for the present rate
 }
 
 // Share returns the number of requests that an instance may send to an endpoint
@@ -115,9 +114,9 @@
 	if l.rate < 0 {
 		return 0
 	}
-	if q := &l.quota; !q.valid || now-q.at >= shareAge {
+	if q := &l.quota; q.at == 0 || now-q.at >= shareAge {
 		q.sends, q.position = Share(l.rate, endpoint, instances())
-		q.at, q.valid = now, true
+		q.at = now
 	}
 	sends := l.quota.sends
 	if sends == 0 {
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -177,17 +177,19 @@
 // limitWait returns the time until this instance may send to an endpoint by the rate
 // that the endpoint states; 0: now.
 func (d *Dispatcher) limitWait(now clock.Millis, e *cataloger.State) clock.Millis {
-	return d.options.Capper.Wait(now, matcher.Hash("endpoint", e.ID), func() capper.Instances {
-		return d.options.Sharers(e.DataCentre)
-	})
+	return d.options.Capper.Wait(now, matcher.Hash("endpoint", e.ID), d.sharersOf(e))
 }
 
 // admitLimited reports whether the send is within the rate that the endpoint states,
 // and counts it if so.
 func (d *Dispatcher) admitLimited(now clock.Millis, e *cataloger.State) bool {
-	return d.options.Capper.Allow(now, matcher.Hash("endpoint", e.ID), func() capper.Instances {
-		return d.options.Sharers(e.DataCentre)
-	})
+	return d.options.Capper.Allow(now, matcher.Hash("endpoint", e.ID), d.sharersOf(e))
+}
+
+// sharersOf returns a function that returns the instances that divide the rate of an
+// endpoint. It is called for endpoints with a limit only.
+func (d *Dispatcher) sharersOf(e *cataloger.State) func() capper.Instances {
+	return func() capper.Instances { return d.options.Sharers(e.DataCentre) }
 }
 
 // coldAllowed reports whether this instance may send to a cold endpoint at all
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -34,6 +34,7 @@
 	failed        bool                // the endpoint failed, for its circuit breaker
 	counted       bool                // the result is evidence about the version, for its roll-out
 	versionFailed bool                // if counted: the result is a failure of the version
+	pause         clock.Millis        // that the endpoint has asked for; 0: none
 	answered      bool                // the first event, or the whole plain response, has arrived
 	observation   *stager.Observation // for the roll-out; nil without one
 }
@@ -82,7 +83,8 @@
 	}
 	options := &x.dispatcher.options
 	if response.Status == http.StatusServiceUnavailable {
-		s.observePause(pauser.Parse(response.Header.Get("Retry-After")))
+		s.pause = pauser.Parse(response.Header.Get("Retry-After"))
+		s.observePause()
 	}
 	id := s.choice.endpoint.ID
 	if response.Header.Get(options.Names.Leaving) == "1" &&
@@ -98,16 +100,17 @@
 	}
 }
 
-// observePause keeps requests from the endpoint for d if it has asked for that.
-func (s *send) observePause(d clock.Millis) {
-	if d <= 0 {
+// observePause keeps requests from the endpoint if it has asked for a pause.
+func (s *send) observePause() {
+	if s.pause <= 0 {
 		return
 	}
 	x, e := s.exchange, s.choice.endpoint
 	options := &x.dispatcher.options
-	options.Pauser.Pause(x.now(), e.ID, e.StartedAt, d)
+	options.Pauser.Pause(x.now(), e.ID, e.StartedAt, s.pause)
 	options.Meter.CountEvent("endpoint_pause")
-	options.Logger.Log("endpoint_pause", logger.Text("endpoint", e.ID), logger.Number("ms", d), logger.Text("id", x.id))
+	options.Logger.Log("endpoint_pause", logger.Text("endpoint", e.ID), logger.Number("ms", s.pause),
+		logger.Text("id", x.id))
 }
 
 // limitText returns a stated limit for the log.
@@ -237,9 +240,8 @@
 	s.response.Release()
 	x.dispatcher.options.Meter.CountRetry(refuser.RetryRefused)
 	s.failed = s.response.Status != http.StatusMisdirectedRequest
-	pause := pauser.Parse(s.response.Header.Get("Retry-After"))
 	return resultRetry, refuser.ErrNoEndpoint.WithMessage("the endpoint refused the request").
-		WithRetryAfter(max(busyRetry, x.limitRetry(pause)))
+		WithRetryAfter(max(busyRetry, x.limitRetry(s.pause)))
 }
 
 // drop records that a response was dropped, in the metrics and for the log.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -116,7 +116,6 @@
 	watcher         *watcher.Watcher
 	kinds           []watcher.Kind                // the followed kinds
 	retainers       map[string]*retainer.Retainer // by kind
-	era             atomic.Int64                  // of the store
 	republish       chan struct{}                 // receives when this instance's object may be missing in the store
 	hub             *relayer.Hub
 	startedAt       clock.Millis
--- a/launcher/limit_test.go
+++ b/launcher/limit_test.go
@@ -31,7 +31,7 @@
 	w.Header().Set(n.ID, r.Header.Get(n.ID))
 	w.Header().Set(n.Signature, "s")
 	if limit > 0 {
-		w.Header().Set("Server-Limit", strconv.FormatFloat(limit, 'f', -1, 64))
+		w.Header().Set(n.Limit, strconv.FormatFloat(limit, 'f', -1, 64))
 	}
 	_, _ = io.WriteString(w, "fine")
 }
--- a/launcher/rollout.go
+++ b/launcher/rollout.go
@@ -116,7 +116,7 @@
 		default:
 			continue
 		}
-		if r.era != 0 && r.era < l.era.Load() {
+		if r.era != 0 && r.era < l.watcher.Era() {
 			continue // its revision says nothing about the object in the present era
 		}
 		if l.takeTurn(now, fmt.Sprintf("%s/%s/%s/%d", service, r.order.Target, r.order.Phase, r.era)) {
--- a/launcher/state.go
+++ b/launcher/state.go
@@ -211,7 +211,6 @@
 // until their authors have had time to write them again, and what this program has
 // written may be gone.
 func (l *Launcher) eraChanged(before, era int64) {
-	l.era.Store(era)
 	l.hub.SetEra(era)
 	if before == 0 {
 		return
--- a/watcher/era_test.go
+++ b/watcher/era_test.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// eraOptions returns options of a watcher that reads an eraStore.
+func eraOptions(c clock.Clock, era *atomic.Int64, kinds ...Kind) Options {
+	return Options{
+		Clock: c, Source: eraStore(era), Kinds: kinds, Role: func() Role { return Role{Direct: true} },
+		DirectChanged: func(bool) {}, Confirmed: func(clock.Millis) {}, Backoff: func(int) clock.Millis { return 150 },
+		Current: func() bool { return true }, EraChanged: func(_, _ int64) {},
+		StoreLost: func(error) {}, StoreRegained: func(clock.Millis) {},
+	}
+}
+
 // Guards against changes that are missed after the store has come back from an
 // older copy: a watch that waits at a revision of the earlier era shows only what
 // follows when the store has given out that revision again.
@@ -56,18 +66,13 @@
 				seen[name] = string(list[0].Spec)
 			}}
 		}
-		w := New(Options{
-			Clock: c, Source: eraStore(&era), Kinds: []Kind{kind("lead", 1000), kind("other", 12000)},
-			Role:          func() Role { return Role{Direct: true} },
-			DirectChanged: func(bool) {}, Confirmed: func(clock.Millis) {}, Backoff: func(int) clock.Millis { return 150 },
-			Current: func() bool { return true },
-			EraChanged: func(before, now int64) {
-				mu.Lock()
-				defer mu.Unlock()
-				eras = append(eras, before, now)
-			},
-			StoreLost: func(error) {}, StoreRegained: func(clock.Millis) {},
-		})
+		o := eraOptions(c, &era, kind("lead", 1000), kind("other", 12000))
+		o.EraChanged = func(before, now int64) {
+			mu.Lock()
+			defer mu.Unlock()
+			eras = append(eras, before, now)
+		}
+		w := New(o)
 		go w.Run(ctx)
 		time.Sleep(300 * time.Millisecond)
 		synctest.Wait()
@@ -101,13 +106,9 @@
 		era.Store(1)
 		var current atomic.Bool
 		kind := Kind{Name: "lead", Wait: 1000, Change: func(Object) {}, Replace: func([]Object) {}}
-		w := New(Options{
-			Clock: c, Source: eraStore(&era), Kinds: []Kind{kind},
-			Role:          func() Role { return Role{Direct: true} },
-			DirectChanged: func(bool) {}, Confirmed: func(clock.Millis) {}, Backoff: func(int) clock.Millis { return 150 },
-			Current:    current.Load,
-			EraChanged: func(_, _ int64) {}, StoreLost: func(error) {}, StoreRegained: func(clock.Millis) {},
-		})
+		o := eraOptions(c, &era, kind)
+		o.Current = current.Load
+		w := New(o)
 		go w.Run(ctx)
 		time.Sleep(2500 * time.Millisecond)
 		synctest.Wait()
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -384,12 +384,17 @@
 	return era >= before
 }
 
+// Era returns the latest known era, or 0 if the store states none.
+func (w *Watcher) Era() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.era
+}
+
 // inEra returns the position if it belongs to the present era, and nowhere
 // otherwise.
 func (w *Watcher) inEra(at Position) Position {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if at.Era != w.era {
+	if at.Era != w.Era() {
 		return nowhere
 	}
 	return at
