launcher: instances of a test have addresses of their own

It opens and closes the UDP socket of 50 instances one after the other at 127.0.0.1 and a port that is only known to be free for TCP; any other process may hold or take that UDP port. Which one did is not known. What it checks is the same.

--- a/launcher/feed_test.go
+++ b/launcher/feed_test.go
@@ -215,7 +215,7 @@
 	p := freePorts(t, 4)
 	readers := make(map[clock.Millis]int) // by time after the start
 	for i := range instances {
-		l, err := New(s.settings(fmt.Sprintf("edge-%02d", i), "127.0.0.1", p), io.Discard)
+		l, err := New(s.settings(fmt.Sprintf("edge-%02d", i), fmt.Sprintf("127.0.3.%d", 1+i), p), io.Discard)
 		if err != nil {
 			t.Fatal(err)
 		}
