stager: responses that break off are counted apart from failures

A verdict's log line showed one number of bad responses, so a version that fails requests could not be told from endpoints that had ended under them. An outcome now says which; rollout_judged has new_broken and old_broken. No decision changes.

--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -332,7 +332,7 @@
 	s := &send{exchange: x, choice: c, criteria: q, begin: begin, observation: observation}
 	result, err := s.run(ctx)
 	d.release(x.now(), c, !s.failed)
-	observation.End(x.now(), s.counted, s.versionFailed)
+	observation.End(x.now(), s.result)
 	if result != resultDone || err != nil || len(s.dropped) > 0 {
 		x.logSend(c, s, err)
 	}
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -28,15 +28,14 @@
 	begin    clock.Millis
 	response *forwarder.Response
 
-	trace         forwarder.Trace
-	dropped       []string            // reasons of responses that were dropped, for the log
-	outcome       string              // for the log
-	failed        bool                // the endpoint failed, for its circuit breaker
-	counted       bool                // the result is evidence about the version, for its roll-out
-	versionFailed bool                // if counted: the result is a failure of the version
-	pause         clock.Millis        // that the endpoint has asked for; 0: none
-	answered      bool                // the first event, or the whole plain response, has arrived
-	observation   *stager.Observation // for the roll-out; nil without one
+	trace       forwarder.Trace
+	dropped     []string            // reasons of responses that were dropped, for the log
+	outcome     string              // for the log
+	failed      bool                // the endpoint failed, for its circuit breaker
+	result      stager.Outcome      // for the roll-out of the version
+	pause       clock.Millis        // that the endpoint has asked for; 0: none
+	answered    bool                // the first event, or the whole plain response, has arrived
+	observation *stager.Observation // for the roll-out; nil without one
 }
 
 // run sends the request and handles the response.
@@ -181,7 +180,7 @@
 		}
 		return resultRetry, refuser.ErrDeadline.WithExecution(refuser.ExecutionUnknown)
 	}
-	s.failed, s.counted, s.versionFailed = true, true, true
+	s.failed, s.result = true, stager.Broken
 	s.recordBreak(err)
 	x.markSuspect(s.choice, s.criteria)
 	x.dispatcher.options.Meter.CountRetry(refuser.RetryFirstTokenLate)
@@ -253,7 +252,10 @@
 // invalidResponse handles a response that cannot be forwarded.
 func (s *send) invalidResponse(reason refuser.DropReason, message string) (sendResult, error) {
 	s.drop(reason)
-	s.outcome, s.failed, s.counted, s.versionFailed = "spoiled", true, true, true
+	s.outcome, s.failed, s.result = "spoiled", true, stager.Failed
+	if reason == refuser.DropIncomplete {
+		s.result = stager.Broken
+	}
 	s.exchange.dispatcher.options.Meter.CountRetry(refuser.RetryMismatchedResponse)
 	return resultRetry, refuser.ErrBackEndFailed.WithMessage("%s", message)
 }
@@ -278,18 +280,17 @@
 		return s.invalidResponse(refuser.DropSecondResponse, "the body holds another response")
 	}
 	response.Release()
-	s.counted, s.versionFailed = true, response.Status >= http.StatusInternalServerError
-	s.failed = s.versionFailed
+	s.recordStatus()
 	if impliesNotExecuted(response.Status) {
 		s.drop(refuser.DropFalseRefusal)
 	}
 	if response.Status < http.StatusMultipleChoices && len(body) > 0 {
 		x.dispatcher.options.Quarantine.RecordFirstEvent(x.now(), x.prompt.parts)
 	}
-	if !s.versionFailed {
+	if !s.failed {
 		s.observation.Receive(x.now(), 1)
 	}
-	if s.versionFailed && x.route.Retryable() && x.sends < x.maxSends() && x.remaining() > x.route.Target/2 {
+	if s.failed && x.route.Retryable() && x.sends < x.maxSends() && x.remaining() > x.route.Target/2 {
 		s.outcome = "failed"
 		return s.retryElsewhere(body)
 	}
@@ -298,6 +299,14 @@
 	return resultDone, nil
 }
 
+// recordStatus records the status of a complete response as the result of the send.
+func (s *send) recordStatus() {
+	s.failed, s.result = false, stager.Served
+	if s.response.Status >= http.StatusInternalServerError {
+		s.failed, s.result = true, stager.Failed
+	}
+}
+
 // forwardLong forwards a response with a long body, of which begin is the start,
 // as it arrives. If the body breaks off, so does the client's response.
 func (s *send) forwardLong(begin []byte) (sendResult, error) {
@@ -318,17 +327,16 @@
 	n, err := io.Copy(x.writer, body)
 	if err != nil || n > limit {
 		x.status = 0
-		s.outcome, s.failed, s.counted, s.versionFailed = "body_broke", true, true, true
+		s.outcome, s.failed, s.result = "body_broke", true, stager.Broken
 		if clientLeft(x.request.Context()) {
-			s.outcome, s.failed, s.counted = reasonClientLeft, false, false
+			s.outcome, s.failed, s.result = reasonClientLeft, false, stager.Ignored
 		} else {
 			s.drop(refuser.DropIncomplete)
 		}
 		return resultDone, nil // the response stays incomplete
 	}
-	s.counted, s.versionFailed = true, response.Status >= http.StatusInternalServerError
-	s.failed = s.versionFailed
-	if !s.versionFailed {
+	s.recordStatus()
+	if !s.failed {
 		s.observation.Receive(x.now(), 1)
 	}
 	response.Release()
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -15,6 +15,7 @@
 	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/splitter"
+	"rosemaryarch.example/rosemaryarch/stager"
 )
 
 // accept reports whether the answer of the first model is kept. It decides by
@@ -53,7 +54,7 @@
 func (s *send) serveStream(ctx context.Context) (sendResult, error) {
 	x, response := s.exchange, s.response
 	if !x.headerSent && !s.accept() && x.escalate() {
-		s.outcome, s.counted = "less_confident", true
+		s.outcome, s.result = "less_confident", stager.Served
 		return resultEscalate, nil
 	}
 	events := splitter.NewAfter(response, x.resumePosition())
@@ -176,8 +177,7 @@
 func (s *send) streamEnded(empty bool) (sendResult, error) {
 	x := s.exchange
 	s.response.Release()
-	s.counted = true
-	s.outcome = "complete"
+	s.outcome, s.result = "complete", stager.Served
 	if empty && !x.headerSent {
 		x.writeStreamHeader(s.response)
 	}
@@ -196,7 +196,7 @@
 		}
 		return resultRetry, refuser.ErrDeadline.WithExecution(refuser.Executed)
 	}
-	s.failed, s.counted, s.versionFailed = true, true, true
+	s.failed, s.result = true, stager.Broken
 	s.drop(refuser.DropIncomplete)
 	s.recordBreak(err)
 	x.markSuspect(s.choice, s.criteria)
--- a/launcher/rollout.go
+++ b/launcher/rollout.go
@@ -96,8 +96,10 @@
 		l.once(now, "verdict/"+v.Service+"/"+v.Target+"/"+string(v.Phase), func() {
 			l.logger.LogUnlimited("rollout_judged", logger.Text("service", v.Service), logger.Text("target", v.Target),
 				logger.Text("phase", string(v.Phase)), logger.Number("new_served", v.New.Served),
-				logger.Number("new_bad", v.New.Failures), logger.Number("old_served", v.Old.Served),
-				logger.Number("old_bad", v.Old.Failures), logger.Number("compared", v.Slow.Compared),
+				logger.Number("new_bad", v.New.Failures), logger.Number("new_broken", v.New.Breaks),
+				logger.Number("old_served", v.Old.Served),
+				logger.Number("old_bad", v.Old.Failures), logger.Number("old_broken", v.Old.Breaks),
+				logger.Number("compared", v.Slow.Compared),
 				logger.Number("slow", v.Slow.Slow), logger.Number("slow_expected", v.Slow.Expected),
 				logger.Number("slow_score", v.Slow.Score), logger.Number("shift", v.Slow.Shift),
 				logger.Number("shift_score", v.Slow.ShiftScore))
--- a/stager/evidence.go
+++ b/stager/evidence.go
@@ -9,10 +9,11 @@
 // Evidence summarises the responses of one version.
 type Evidence struct {
 	Served     int     `cbor:"1,keyasint,omitempty"` // responses that count
-	Failures   int     `cbor:"2,keyasint,omitempty"` // responses that failed
+	Failures   int     `cbor:"2,keyasint,omitempty"` // responses that failed or broke off
 	Timed      int     `cbor:"3,keyasint,omitempty"` // responses with a latency
 	LogSum     float64 `cbor:"4,keyasint,omitempty"` // sum of the logarithms of the latencies in ms
 	LogSquares float64 `cbor:"5,keyasint,omitempty"` // sum of the squares of these logarithms
+	Breaks     int     `cbor:"6,keyasint,omitempty"` // of Failures, responses that broke off
 }
 
 // Report is the evidence of one instance about a roll-out.
@@ -36,6 +37,7 @@
 	return Evidence{
 		Served: e.Served + o.Served, Failures: e.Failures + o.Failures, Timed: e.Timed + o.Timed,
 		LogSum: e.LogSum + o.LogSum, LogSquares: e.LogSquares + o.LogSquares,
+		Breaks: e.Breaks + o.Breaks,
 	}
 }
 
--- a/stager/observation.go
+++ b/stager/observation.go
@@ -6,6 +6,17 @@
 // a stream is measured. A slow stream shows early, and each stream counts once.
 const paceEvents = 8
 
+// Outcome is the end of a request as evidence about its version.
+type Outcome uint8
+
+// The outcomes of a request.
+const (
+	Ignored Outcome = iota // says nothing about the version
+	Served                 // a response without a failure
+	Failed                 // the endpoint responded, with a failure or with something unusable
+	Broken                 // the connection ended, or the endpoint fell silent, before the response was complete
+)
+
 // Sending describes a request that is sent to an endpoint.
 type Sending struct {
 	Service  string
@@ -69,10 +80,9 @@
 	}
 }
 
-// End records the end of the request: whether the result counts as evidence and
-// whether it is a failure of the version. The latency of an answer that ended
-// without a failure is complete; of any other it is at least its age.
-func (o *Observation) End(now clock.Millis, counts, failed bool) {
+// End records the end of the request. The latency of a response without a failure is
+// complete; of any other it is at least its age.
+func (o *Observation) End(now clock.Millis, outcome Outcome) {
 	if o == nil {
 		return
 	}
@@ -85,17 +95,14 @@
 		r.report.OldInFlight--
 		evidence = &r.report.Old
 	}
-	complete := counts && !failed
-	if counts {
-		latency := clock.Millis(0)
-		if o.events > 0 {
-			latency = o.firstAt - o.start
-		}
-		evidence.record(failed, latency)
+	latency := clock.Millis(0)
+	if o.events > 0 {
+		latency = o.firstAt - o.start
 	}
+	evidence.record(outcome, latency)
 	switch {
 	case o.paced:
-	case !complete:
+	case outcome != Served:
 		o.addOpen(now, o.counts)
 	case o.events == 0:
 		// The header has arrived, and the answer is not used.
--- a/stager/schedule_test.go
+++ b/stager/schedule_test.go
@@ -90,7 +90,7 @@
 			for range 20 {
 				o := s.Begin(1000, Sending{Service: "s", Version: "v2", Kind: "k"})
 				if tt.end {
-					o.End(2000, false, false)
+					o.End(2000, Ignored)
 				}
 			}
 			got := Phase("")
@@ -121,7 +121,7 @@
 		for j := range paceEvents + 1 {
 			o.Receive(clock.Millis(10+i%perKind*(j+1)*2), 1)
 		}
-		o.End(clock.Millis(10+i%perKind*40), true, false)
+		o.End(clock.Millis(10+i%perKind*40), Served)
 	}
 	encoded, err := cbor.Marshal(s.Reports(1000))
 	if err != nil {
--- a/stager/simulation_test.go
+++ b/stager/simulation_test.go
@@ -180,9 +180,9 @@
 	first := factor * coldFactor * m.lognormal(k.first, k.firstDeviation)
 	switch {
 	case m.random.Float64() < failShare:
-		m.after(first, func() { o.End(m.now, true, true) })
+		m.after(first, func() { o.End(m.now, Failed) })
 	case first > simulatedDeadline:
-		m.after(simulatedDeadline, func() { o.End(m.now, false, false) })
+		m.after(simulatedDeadline, func() { o.End(m.now, Ignored) })
 	default:
 		events := 1
 		if k.events > 0 {
@@ -196,11 +196,11 @@
 func (m *simulation) continueStream(o *Observation, pace float64, events int) {
 	o.Receive(m.now, 1)
 	if o != nil && o.paced {
-		m.after(pace*float64(events-1), func() { o.End(m.now, true, false) })
+		m.after(pace*float64(events-1), func() { o.End(m.now, Served) })
 		return
 	}
 	if o == nil || events == 1 {
-		o.End(m.now, true, false)
+		o.End(m.now, Served)
 		return
 	}
 	m.after(m.lognormal(pace, 0.3), func() { m.continueStream(o, pace, events-1) })
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -163,11 +163,17 @@
 // elapsed returns the time since any instance first saw the roll-out.
 func (r *rolloutState) elapsed(now clock.Millis) clock.Millis { return now - r.start }
 
-// record adds one response. The latency of a failure is ignored.
-func (e *Evidence) record(failed bool, latency clock.Millis) {
+// record adds the end of one request. The latency of a failure is ignored.
+func (e *Evidence) record(outcome Outcome, latency clock.Millis) {
+	if outcome == Ignored {
+		return
+	}
 	e.Served++
-	if failed {
+	if outcome != Served {
 		e.Failures++
+		if outcome == Broken {
+			e.Breaks++
+		}
 		return
 	}
 	if latency > 0 {
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -27,10 +27,12 @@
 // respond records one response of a version to a request without a prediction.
 func respond(s *Stager, version string, failed bool, latency clock.Millis) {
 	o := s.Begin(0, Sending{Service: "s", Version: version, Kind: "k"})
+	outcome := Failed
 	if !failed {
 		o.Receive(latency, 1)
+		outcome = Served
 	}
-	o.End(latency, true, failed)
+	o.End(latency, outcome)
 }
 
 // Guards against sessions that change their version in the first half of a
@@ -181,7 +183,7 @@
 		t.Errorf("near the end of the roll-out: got %v, want completed", got)
 	}
 	o.Receive(100, 1)
-	o.End(100, true, false)
+	o.End(100, Served)
 	if got := s.Decide(18 * clock.Second); len(got) != 1 || got[0].Phase != Completed {
 		t.Errorf("idle: got %v, want completed", got)
 	}
