--- a/stager/simulation_test.go
+++ b/stager/simulation_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"sync"
 	"testing"
 
@@ -20,6 +21,8 @@
 	simulatedRemoteBeat = 1000 // the same to all others
 	simulatedTurn       = 600  // ms between the turns of two instances to write a verdict
 	simulatedDeadline   = 5000 // ms until a client that waits for the first event leaves
+	simulatedEndpoints  = 12   // of each version
+	simulatedRestart    = 3000 // ms until a crashed endpoint is back
 )
 
 // simulatedKind describes the latencies of one kind of request, which are
@@ -40,12 +43,41 @@
 
 // simulatedVersion describes how a target differs from the old version.
 type simulatedVersion struct {
-	slowShare float64      // share of the requests that are slow
-	slowdown  float64      // of these
-	failShare float64      // share of the requests that fail
-	from      clock.Millis // time since the order from which that holds
-	kind      string       // the only kind to which that applies; empty: all
-	cold      bool         // new endpoints are slower at first, and their caches are empty
+	slowShare  float64      // share of the requests that are slow
+	slowdown   float64      // of these
+	failShare  float64      // share of the requests that fail
+	breakShare float64      // share of the requests that crash their endpoint
+	from       clock.Millis // time since the order from which that holds
+	kind       string       // the only kind to which that applies; empty: all
+	cold       bool         // new endpoints are slower at first, and their caches are empty
+	crashes    crashes
+}
+
+// crashes describes endpoints that are crashed by requests, which are served by both
+// versions in proportion to their shares.
+type crashes struct {
+	from, until clock.Millis // time since the order
+	interval    float64      // ms between two crashes
+}
+
+// simulatedRequest is a request in progress.
+type simulatedRequest struct {
+	observation *Observation
+	ended       bool
+}
+
+func (r *simulatedRequest) end(now clock.Millis, outcome Outcome) {
+	if !r.ended {
+		r.ended = true
+		r.observation.End(now, outcome)
+	}
+}
+
+// simulatedEndpoint is an endpoint of one version.
+type simulatedEndpoint struct {
+	id       string
+	upFrom   clock.Millis
+	requests []*simulatedRequest
 }
 
 // simulatedEvent is something that happens at one time of a simulation.
@@ -75,7 +107,8 @@
 	queue     simulatedQueue
 	now       clock.Millis
 	instances []*Stager
-	judgedAt  map[int]clock.Millis // first verdict of each instance
+	endpoints map[string][]*simulatedEndpoint // by version
+	judgedAt  map[int]clock.Millis            // first verdict of each instance
 
 	phase    Phase
 	endedAt  clock.Millis
@@ -86,7 +119,11 @@
 func simulate(seed uint64, duration clock.Millis, version simulatedVersion) *simulation {
 	m := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), duration: duration, version: version,
-		judgedAt: make(map[int]clock.Millis),
+		judgedAt: make(map[int]clock.Millis), endpoints: make(map[string][]*simulatedEndpoint),
+	}
+	for i := range 2 * simulatedEndpoints {
+		v := []string{"v1", "v2"}[i%2]
+		m.endpoints[v] = append(m.endpoints[v], &simulatedEndpoint{id: fmt.Sprint("endpoint-", i)})
 	}
 	for i := range simulatedInstances {
 		s := New(Options{SessionAge: 10 * clock.Second, DataCentre: simulatedDataCentre(i)})
@@ -97,6 +134,9 @@
 		m.every(simulatedRemoteBeat, func() { m.report(i, false) })
 	}
 	m.after(0, m.arrive)
+	if c := version.crashes; c.interval > 0 {
+		m.after(float64(c.from), m.crash)
+	}
 	for m.queue.Len() > 0 && m.now < duration {
 		e := heap.Pop(&m.queue).(simulatedEvent)
 		m.now = e.at
@@ -157,10 +197,8 @@
 func (m *simulation) arrive() {
 	m.after(1000*m.random.ExpFloat64()/simulatedRate, m.arrive)
 	s, k := m.instances[m.random.IntN(len(m.instances))], simulatedKinds[m.random.IntN(len(simulatedKinds))]
-	session := fmt.Sprint(m.random.Uint64())
-	version, factor, coldFactor, failShare := "v1", 1.0, 1.0, 0.005
-	if s.Choose(m.now, "s", session).UseTarget {
-		version = "v2"
+	version, factor, coldFactor, failShare, crash := m.choose(s, m.session()), 1.0, 1.0, 0.005, false
+	if version == "v2" {
 		m.byTarget++
 		v := m.version
 		if v.cold && m.now < 4*clock.Second {
@@ -173,37 +211,85 @@
 				factor = v.slowdown
 			}
 			failShare = max(failShare, v.failShare)
+			crash = m.random.Float64() < v.breakShare
 		}
 	}
 	m.served++
-	o := s.Begin(m.now, Sending{Service: "s", Version: version, Kind: k.name})
+	e := m.endpoint(version)
+	r := &simulatedRequest{observation: s.Begin(m.now, Sending{Service: "s", Version: version, Kind: k.name})}
+	if m.version.crashes.interval > 0 || m.version.breakShare > 0 {
+		e.requests = append(slices.DeleteFunc(e.requests, func(r *simulatedRequest) bool { return r.ended }), r)
+	}
 	first := factor * coldFactor * m.lognormal(k.first, k.firstDeviation)
 	switch {
+	case crash:
+		m.after(first, func() { m.crashEndpoint(e) })
 	case m.random.Float64() < failShare:
-		m.after(first, func() { o.End(m.now, Failed) })
+		m.after(first, func() { r.end(m.now, Failed) })
 	case first > simulatedDeadline:
-		m.after(simulatedDeadline, func() { o.End(m.now, Ignored) })
+		m.after(simulatedDeadline, func() { r.end(m.now, Ignored) })
 	default:
 		events := 1
 		if k.events > 0 {
 			events = max(1, int(m.lognormal(k.events, k.eventDeviation)))
 		}
-		m.after(first, func() { m.continueStream(o, factor*m.lognormal(k.pace, 0.3), events) })
+		m.after(first, func() { m.continueStream(r, factor*m.lognormal(k.pace, 0.3), events) })
+	}
+}
+
+// crash ends an endpoint, and with it all requests in progress there.
+func (m *simulation) crash() {
+	if m.now >= m.version.crashes.until {
+		return
+	}
+	m.after(m.version.crashes.interval, m.crash)
+	m.crashEndpoint(m.endpoint(m.choose(m.instances[0], m.session())))
+}
+
+func (m *simulation) crashEndpoint(e *simulatedEndpoint) {
+	e.upFrom = m.now + simulatedRestart
+	for _, r := range e.requests {
+		r.end(m.now, Broken)
+	}
+	e.requests = nil
+}
+
+// endpoint returns a random endpoint of a version that is up.
+func (m *simulation) endpoint(version string) *simulatedEndpoint {
+	for {
+		e := m.endpoints[version][m.random.IntN(simulatedEndpoints)]
+		if m.now >= e.upFrom {
+			return e
+		}
 	}
 }
 
+func (m *simulation) session() string { return fmt.Sprint(m.random.Uint64()) }
+
+// choose returns the version that serves a session.
+func (m *simulation) choose(s *Stager, session string) string {
+	if s.Choose(m.now, "s", session).UseTarget {
+		return "v2"
+	}
+	return "v1"
+}
+
 // continueStream delivers an event and schedules the next one.
-func (m *simulation) continueStream(o *Observation, pace float64, events int) {
+func (m *simulation) continueStream(r *simulatedRequest, pace float64, events int) {
+	if r.ended {
+		return
+	}
+	o := r.observation
 	o.Receive(m.now, 1)
 	if o != nil && o.paced {
-		m.after(pace*float64(events-1), func() { o.End(m.now, Served) })
+		m.after(pace*float64(events-1), func() { r.end(m.now, Served) })
 		return
 	}
 	if o == nil || events == 1 {
-		o.End(m.now, Served)
+		r.end(m.now, Served)
 		return
 	}
-	m.after(m.lognormal(pace, 0.3), func() { m.continueStream(o, pace, events-1) })
+	m.after(m.lognormal(pace, 0.3), func() { m.continueStream(r, pace, events-1) })
 }
 
 // simulateAll runs n simulations in parallel.
@@ -295,6 +381,84 @@
 	}
 }
 
+// requestsCrash are crashes as requests cause them that are repeated at other
+// endpoints.
+var requestsCrash = crashes{from: 2000, until: 12000, interval: 350}
+
+// Guards against a bad version that is completed because the old version's endpoints
+// crash for reasons of their own. Seen on thekkedath-tabs, day deadly-rollout, seed 13.
+func TestCrashesHideNoBadVersion(t *testing.T) {
+	tests := map[string]simulatedVersion{
+		"half of one kind fails":                {failShare: 0.5, kind: "plain"},
+		"half of one kind fails, later":         {failShare: 0.5, kind: "long answer", from: 3000},
+		"a third fails":                         {failShare: 0.33},
+		"half of one kind fails, rare crashes":  {failShare: 0.5, kind: "label", crashes: crashes{2000, 12000, 1200}},
+		"half of one kind fails, crashes early": {failShare: 0.5, kind: "label", crashes: crashes{500, 4000, 350}},
+	}
+	for name, version := range tests {
+		t.Run(name, func(t *testing.T) {
+			const runs = 50
+			if version.crashes.interval == 0 {
+				version.crashes = requestsCrash
+			}
+			completed, exposed := 0, 0
+			for _, m := range simulateAll(runs, 15*clock.Second, version) {
+				if m.phase != RolledBack {
+					completed++
+				}
+				if float64(m.byTarget) > 0.12*float64(m.served)+30 {
+					exposed++
+				}
+			}
+			t.Logf("not rolled back: %d of %d; too many requests: %d", completed, runs, exposed)
+			if completed > 0 || exposed > 0 {
+				t.Errorf("got %d not rolled back and %d with too many requests, want none of %d", completed, exposed, runs)
+			}
+		})
+	}
+}
+
+// Guards against a good version that is rolled back because requests have crashed
+// endpoints of it, each under several others. Seen on kseal-router, day
+// deadly-sound-rollout, seed 13.
+func TestCrashesStopNoGoodVersion(t *testing.T) {
+	tests := map[string]crashes{
+		"many":  requestsCrash,
+		"few":   {2000, 12000, 1200},
+		"early": {800, 4000, 350},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			const runs = 300
+			stopped := 0
+			for _, m := range simulateAll(runs, 15*clock.Second, simulatedVersion{crashes: c}) {
+				if m.phase == RolledBack {
+					stopped++
+				}
+			}
+			t.Logf("rolled back: %d of %d", stopped, runs)
+			if stopped >= runs/100 {
+				t.Errorf("got %d rolled back, want fewer than %d of %d", stopped, runs/100, runs)
+			}
+		})
+	}
+}
+
+// Guards against a version that crashes its own endpoints and is completed, since
+// crashes alone are weak evidence.
+func TestCrashingVersionIsRolledBack(t *testing.T) {
+	const runs = 50
+	completed := 0
+	for _, m := range simulateAll(runs, 15*clock.Second, simulatedVersion{breakShare: 0.33}) {
+		if m.phase != RolledBack {
+			completed++
+		}
+	}
+	if completed > 0 {
+		t.Errorf("got %d of %d not rolled back, want none", completed, runs)
+	}
+}
+
 // Guards against a bad version that is slow in half of the requests of one kind
 // only. About ten of its responses are slow before the end of a roll-out of 15 s.
 func TestHalfOfOneKindSlow(t *testing.T) {
