stager: failures of a version are compared apart from responses that break off

Cause: a response that broke off because its endpoint had ended counted as a failure of its version, once for each request that waited.

Failures that endpoints respond with are now compared among the responses that arrived, of all routes and of each route. Responses that break off are compared apart, by ends of endpoints that all instances count once, since one end breaks off many. This keeps a good version whose endpoint was crashed by a request, too.

--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -326,7 +326,8 @@
 	begin := x.now()
 	x.endpoint = e.ID
 	observation := d.options.Stager.Begin(begin, stager.Sending{
-		Service: q.service, Version: e.Version, Kind: x.route.Name + "/" + q.model, Expected: c.expected(q),
+		Service: q.service, Version: e.Version, Endpoint: e.ID, Expected: c.expected(q),
+		Route: x.route.Name, Kind: x.route.Name + "/" + q.model,
 	})
 	d.options.Stager.RecordUse(begin, q.service, x.request.Header.Get(d.options.Names.Session), e.Version)
 	s := &send{exchange: x, choice: c, criteria: q, begin: begin, observation: observation}
--- a/stager/datacentre.go
+++ b/stager/datacentre.go
@@ -22,6 +22,7 @@
 		sum := r.report
 		sum.Elapsed, sum.Stopped = int64(r.elapsed(now)), r.stopped
 		sum.Doubtful, sum.Stage = r.doubtful, r.currentStage(now)
+		routes := r.routes
 		r.copyLatencies(now, &s.target, &s.old)
 		for _, p := range r.peers {
 			if p.dataCentre != s.options.DataCentre {
@@ -29,11 +30,13 @@
 			}
 			sum.New, sum.Old = sum.New.add(p.New), sum.Old.add(p.Old)
 			sum.OldInFlight += p.OldInFlight
+			routes.merge(p.Routes)
 			sum.Doubtful = sum.Doubtful || p.doubts(now)
 			s.target.merge(p.NewLatencies)
 			s.old.merge(p.OldLatencies)
 		}
 		sum.NewLatencies, sum.OldLatencies = s.target.list(), s.old.list()
+		sum.Routes = routes.list()
 		list = append(list, sum)
 	}
 	return list
--- a/stager/evidence.go
+++ b/stager/evidence.go
@@ -14,6 +14,8 @@
 	LogSum     float64 `cbor:"4,keyasint,omitempty"` // sum of the logarithms of the latencies in ms
 	LogSquares float64 `cbor:"5,keyasint,omitempty"` // sum of the squares of these logarithms
 	Breaks     int     `cbor:"6,keyasint,omitempty"` // of Failures, responses that broke off
+	Begun      int     `cbor:"8,keyasint,omitempty"` // of Breaks, responses of which events had arrived
+	Ends       endSet  `cbor:"7,keyasint,omitempty"` // ends of endpoints that may have broken them off
 }
 
 // Report is the evidence of one instance about a roll-out.
@@ -31,18 +33,18 @@
 	OldLatencies []Latencies `cbor:"9,keyasint,omitempty"`
 	Doubtful     bool        `cbor:"10,keyasint,omitempty"` // the target may be bad
 	Stage        stage       `cbor:"11,keyasint,omitempty"` // share that this instance uses
+
+	Routes []RouteCounts `cbor:"12,keyasint,omitempty"` // unknown to earlier builds, too
 }
 
 func (e Evidence) add(o Evidence) Evidence {
 	return Evidence{
 		Served: e.Served + o.Served, Failures: e.Failures + o.Failures, Timed: e.Timed + o.Timed,
 		LogSum: e.LogSum + o.LogSum, LogSquares: e.LogSquares + o.LogSquares,
-		Breaks: e.Breaks + o.Breaks,
+		Breaks: e.Breaks + o.Breaks, Begun: e.Begun + o.Begun, Ends: e.Ends | o.Ends,
 	}
 }
 
-func (e Evidence) failureRate() float64 { return float64(e.Failures) / float64(max(1, e.Served)) }
-
 // logMean returns the mean of the logarithms of the latencies and the variance
 // of that mean.
 func (e Evidence) logMean() (m, v float64) {
@@ -55,17 +57,19 @@
 type sums struct {
 	target, old Evidence
 	oldInFlight int
+	routes      routeTable
 	all, worst  [measureCount]Slowness // of all kinds of request, and of the worst one
 }
 
 // sums adds up the evidence of this instance and of all others. It overwrites
 // both tables.
 func (r *rolloutState) sums(now clock.Millis, targetLatencies, oldLatencies *latencyTable) sums {
-	t := sums{target: r.report.New, old: r.report.Old, oldInFlight: r.report.OldInFlight}
+	t := sums{target: r.report.New, old: r.report.Old, oldInFlight: r.report.OldInFlight, routes: r.routes}
 	r.copyLatencies(now, targetLatencies, oldLatencies)
 	for p := range r.others {
 		t.target, t.old = t.target.add(p.New), t.old.add(p.Old)
 		t.oldInFlight += p.OldInFlight
+		t.routes.merge(p.Routes)
 		targetLatencies.merge(p.NewLatencies)
 		oldLatencies.merge(p.OldLatencies)
 	}
@@ -78,6 +82,7 @@
 // strictness says how much evidence against the target is required.
 type strictness struct {
 	failures   int     // of the target, below which the rate does not count
+	ends       int     // ends of endpoints of the target, below which broken responses do not count
 	failErrors float64 // standard errors of the difference between the failure rates
 	compared   int     // latencies of the target
 	slow       int     // slow responses of the target, below which they do not count
@@ -89,16 +94,12 @@
 // fails a third of its requests of one kind at least, or takes several times as
 // long.
 var (
-	immediate = strictness{failures: 5, failErrors: 3.5, compared: 10, slow: 5, slowErrors: 3.8}
-	final     = strictness{failures: 4, failErrors: 2.6, compared: 8, slow: 4, slowErrors: 3}
-	doubt     = strictness{failures: 3, failErrors: 2, compared: 5, slow: 3, slowErrors: 1.5}
+	immediate = strictness{failures: 5, ends: 3, failErrors: 3.5, compared: 10, slow: 5, slowErrors: 3.8}
+	final     = strictness{failures: 4, ends: 3, failErrors: 2.6, compared: 8, slow: 4, slowErrors: 3}
+	doubt     = strictness{failures: 3, ends: 2, failErrors: 2, compared: 5, slow: 3, slowErrors: 1.5}
 )
 
 const (
-	// minRateIncrease is the failure rate of the target minus that of the old
-	// version. A third of the requests of one kind in four is 0.08 of all; 0.1 let
-	// a version with 13 failures in 125 responses complete.
-	minRateIncrease = 0.05
 	// kindErrors are the standard errors required in addition for one kind of
 	// request, since the worst of about ten kinds is judged.
 	kindErrors = 0.7
@@ -123,20 +124,6 @@
 	return compared == 0 && t.meanIsWorse(level)
 }
 
-// failsMore compares the failure rates. If the old version has served nothing, a
-// rate above a third is enough.
-func (t sums) failsMore(level strictness) bool {
-	if t.target.Failures < level.failures {
-		return false
-	}
-	p := t.old.add(t.target).failureRate()
-	n, m := float64(t.target.Served), float64(max(1, t.old.Served))
-	standardError := math.Sqrt(p * (1 - p) * (1/n + 1/m))
-	increase := t.target.failureRate() - t.old.failureRate()
-	return increase > minRateIncrease && increase > level.failErrors*standardError ||
-		t.old.Served == 0 && t.target.failureRate() > 1.0/3
-}
-
 // slowest returns the comparison that speaks most against the target.
 func (t sums) slowest() Slowness {
 	var result Slowness
--- a/stager/observation.go
+++ b/stager/observation.go
@@ -21,7 +21,9 @@
 type Sending struct {
 	Service  string
 	Version  string
+	Route    string       // a bad version may fail the requests of one route only
 	Kind     string       // requests of one kind have similar latencies
+	Endpoint string       // id
 	Expected clock.Millis // time to the first event; 0 if it cannot be predicted
 }
 
@@ -32,6 +34,8 @@
 	rollout  *rolloutState
 	old      bool  // the version is not the target
 	slot     uint8 // of the kind
+	route    uint8 // slot of the route
+	endpoint string
 	start    clock.Millis
 	expected clock.Millis
 	events   int          // so far; a plain response counts as one
@@ -51,7 +55,7 @@
 	}
 	o := &Observation{
 		stager: s, rollout: r, old: sending.Version != r.rollout.Target, slot: kindSlot(sending.Kind),
-		start: now, expected: sending.Expected,
+		route: routeSlot(sending.Route), endpoint: sending.Endpoint, start: now, expected: sending.Expected,
 	}
 	if o.old {
 		r.report.OldInFlight++
@@ -100,6 +104,15 @@
 		latency = o.firstAt - o.start
 	}
 	evidence.record(outcome, latency)
+	if outcome == Broken {
+		evidence.Ends |= endAt(o.endpoint, r.elapsed(now))
+		if o.events > 0 {
+			evidence.Begun++
+		}
+	}
+	if outcome == Served || outcome == Failed || outcome == Broken && o.events > 0 {
+		r.routes.record(o.route, o.old, outcome == Failed)
+	}
 	switch {
 	case o.paced:
 	case outcome != Served:
--- a/stager/schedule_test.go
+++ b/stager/schedule_test.go
@@ -117,7 +117,8 @@
 		if i%perKind < perKind/10 {
 			version = "v2"
 		}
-		o := s.Begin(0, Sending{Service: "s", Version: version, Kind: fmt.Sprint(i / perKind)})
+		kind := fmt.Sprint(i / perKind)
+		o := s.Begin(0, Sending{Service: "s", Version: version, Route: kind, Kind: kind})
 		for j := range paceEvents + 1 {
 			o.Receive(clock.Millis(10+i%perKind*(j+1)*2), 1)
 		}
--- a/stager/simulation_test.go
+++ b/stager/simulation_test.go
@@ -216,7 +216,9 @@
 	}
 	m.served++
 	e := m.endpoint(version)
-	r := &simulatedRequest{observation: s.Begin(m.now, Sending{Service: "s", Version: version, Kind: k.name})}
+	r := &simulatedRequest{observation: s.Begin(m.now, Sending{
+		Service: "s", Version: version, Route: k.name, Kind: k.name, Endpoint: e.id,
+	})}
 	if m.version.crashes.interval > 0 || m.version.breakShare > 0 {
 		e.requests = append(slices.DeleteFunc(e.requests, func(r *simulatedRequest) bool { return r.ended }), r)
 	}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -45,6 +45,7 @@
 	peers   map[string]peerReport // of instances, by Source.Instance
 	centres map[string]peerReport // sums of other data centres, by name
 
+	routes       routeTable                // responses on this instance
 	newLatencies latencyTable              // of ended requests on this instance
 	oldLatencies latencyTable              // the same for all other versions
 	running      map[*Observation]struct{} // requests in progress on this instance
@@ -197,6 +198,7 @@
 		report.Elapsed, report.Stopped = int64(r.elapsed(now)), r.stopped
 		r.copyLatencies(now, &s.target, &s.old)
 		report.NewLatencies, report.OldLatencies = s.target.list(), s.old.list()
+		report.Routes = r.routes.list()
 		report.Doubtful, report.Stage = r.doubtful, r.currentStage(now)
 		reports = append(reports, report)
 	}
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -188,3 +188,84 @@
 		t.Errorf("idle: got %v, want completed", got)
 	}
 }
+
+// breakOff records responses of a version that break off because an endpoint ends, of
+// which every second one has had an event.
+func breakOff(s *Stager, now clock.Millis, version, endpoint string, count int) {
+	for i := range count {
+		o := s.Begin(now, Sending{Service: "s", Version: version, Route: "r", Kind: "k", Endpoint: endpoint})
+		if i%2 == 1 {
+			o.Receive(now, 1)
+		}
+		o.End(now, Broken)
+	}
+}
+
+// Guards against a good version that is rolled back because one endpoint of it has
+// ended under several requests, which several instances have seen, and against one that
+// ends its endpoints and goes on.
+func TestEndsOfEndpoints(t *testing.T) {
+	tests := map[string]struct {
+		ends  []string // endpoints of the target that end, in this order
+		apart clock.Millis
+		want  Phase
+	}{
+		"one endpoint":                      {[]string{"a"}, 0, ""},
+		"two endpoints":                     {[]string{"a", "b"}, 100, ""},
+		"four endpoints":                    {[]string{"a", "b", "c", "d"}, 500, RolledBack},
+		"one endpoint, again and again":     {[]string{"a", "a", "a", "a"}, endSpan, RolledBack},
+		"one endpoint, within a short time": {[]string{"a", "a", "a", "a"}, 100, ""},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, other := New(Options{}), New(Options{})
+			for _, each := range []*Stager{s, other} {
+				each.Set(0, testRollout(Active))
+				for range 200 {
+					respond(each, "v1", false, 100)
+				}
+				for range 10 {
+					respond(each, "v2", false, 100)
+				}
+				for i, endpoint := range tt.ends {
+					breakOff(each, clock.Millis(i)*tt.apart, "v2", endpoint, 3)
+				}
+			}
+			now := 17 * clock.Second
+			s.Merge(now, Source{Instance: "other"}, other.Reports(now))
+			got := Phase("")
+			for _, v := range s.Decide(now) {
+				got = v.Phase
+			}
+			if got != tt.want {
+				t.Errorf("phase: got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a bad version of which the requests of one route fail, hidden by
+// failures of another route on the old version.
+func TestRoutesAreComparedApart(t *testing.T) {
+	s := New(Options{})
+	s.Set(0, testRollout(Active))
+	record := func(version, route string, served, failed int) {
+		for i := range served {
+			o := s.Begin(0, Sending{Service: "s", Version: version, Route: route, Kind: route})
+			if i < failed {
+				o.End(100, Failed)
+				continue
+			}
+			o.Receive(100, 1)
+			o.End(100, Served)
+		}
+	}
+	record("v1", "failing", 400, 120)
+	record("v1", "sound", 200, 0)
+	record("v2", "failing", 16, 0)
+	record("v2", "sound", 16, 7)
+	got := s.Decide(5 * clock.Second)
+	if len(got) != 1 || got[0].Phase != RolledBack {
+		t.Errorf("got %v, want one roll-back", got)
+	}
+}
