stager: the share of a target follows the bound on a bad version

Cause: all sessions moved to the target at a fixed time, 3.8 s before the deadline of a roll-out of 15 s, because nothing spoke against it. A trial with the whole share on one endpoint showed no failure either, so more evidence is no way out.

The target's share now keeps the bound of the settings without any evidence: the first share leaves 1.2 s of 15 s for all sessions, and they move when the requests until the deadline, counted over all instances, fit into the rest. Evidence for one route needs fewer failures, since fewer requests reach the target.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -146,7 +146,10 @@
 		meter:   meter.New(),
 		catalog: cataloger.New(),
 		stager: stager.New(
-			stager.Options{SessionAge: s.Bounds.SessionAge(), DataCentre: s.DataCentre},
+			stager.Options{
+				SessionAge: s.Bounds.SessionAge(), DataCentre: s.DataCentre,
+				Exposure: stager.Exposure{Fraction: s.Bounds.ExposureFraction, Slack: s.Bounds.ExposureSlack},
+			},
 		),
 		budget: budgeter.New(budgeter.Options{
 			Window: s.Bounds.RetryWindow(), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
--- a/stager/datacentre.go
+++ b/stager/datacentre.go
@@ -30,6 +30,7 @@
 			}
 			sum.New, sum.Old = sum.New.add(p.New), sum.Old.add(p.Old)
 			sum.OldInFlight += p.OldInFlight
+			sum.NewSent, sum.OldSent = sum.NewSent+p.NewSent, sum.OldSent+p.OldSent
 			routes.merge(p.Routes)
 			sum.Doubtful = sum.Doubtful || p.doubts(now)
 			s.target.merge(p.NewLatencies)
@@ -66,6 +67,9 @@
 	}
 	m.Elapsed = 0
 	r.stopped = r.stopped || m.Stopped
+	if m.Stage >= fullStage && r.stage < fullStage {
+		r.fullSince = r.elapsed(now)
+	}
 	r.stage = max(r.stage, min(m.Stage, fullStage))
 	return r
 }
--- a/stager/evidence.go
+++ b/stager/evidence.go
@@ -34,7 +34,9 @@
 	Doubtful     bool        `cbor:"10,keyasint,omitempty"` // the target may be bad
 	Stage        stage       `cbor:"11,keyasint,omitempty"` // share that this instance uses
 
-	Routes []RouteCounts `cbor:"12,keyasint,omitempty"` // unknown to earlier builds, too
+	Routes  []RouteCounts `cbor:"12,keyasint,omitempty"` // unknown to earlier builds, too
+	NewSent int           `cbor:"13,keyasint,omitempty"` // requests sent to the target
+	OldSent int           `cbor:"14,keyasint,omitempty"` // requests sent to all other versions
 }
 
 func (e Evidence) add(o Evidence) Evidence {
@@ -57,6 +59,8 @@
 type sums struct {
 	target, old Evidence
 	oldInFlight int
+	targetSent  int
+	oldSent     int
 	routes      routeTable
 	all, worst  [measureCount]Slowness // of all kinds of request, and of the worst one
 }
@@ -65,10 +69,12 @@
 // both tables.
 func (r *rolloutState) sums(now clock.Millis, targetLatencies, oldLatencies *latencyTable) sums {
 	t := sums{target: r.report.New, old: r.report.Old, oldInFlight: r.report.OldInFlight, routes: r.routes}
+	t.targetSent, t.oldSent = r.report.NewSent, r.report.OldSent
 	r.copyLatencies(now, targetLatencies, oldLatencies)
 	for p := range r.others {
 		t.target, t.old = t.target.add(p.New), t.old.add(p.Old)
 		t.oldInFlight += p.OldInFlight
+		t.targetSent, t.oldSent = t.targetSent+p.NewSent, t.oldSent+p.OldSent
 		t.routes.merge(p.Routes)
 		targetLatencies.merge(p.NewLatencies)
 		oldLatencies.merge(p.OldLatencies)
@@ -82,6 +88,7 @@
 // strictness says how much evidence against the target is required.
 type strictness struct {
 	failures   int     // of the target, below which the rate does not count
+	ofRoute    int     // the same for one route
 	ends       int     // ends of endpoints of the target, below which broken responses do not count
 	failErrors float64 // standard errors of the difference between the failure rates
 	compared   int     // latencies of the target
@@ -94,9 +101,9 @@
 // fails a third of its requests of one kind at least, or takes several times as
 // long.
 var (
-	immediate = strictness{failures: 5, ends: 3, failErrors: 3.5, compared: 10, slow: 5, slowErrors: 3.8}
-	final     = strictness{failures: 4, ends: 3, failErrors: 2.6, compared: 8, slow: 4, slowErrors: 3}
-	doubt     = strictness{failures: 3, ends: 2, failErrors: 2, compared: 5, slow: 3, slowErrors: 1.5}
+	immediate = strictness{failures: 5, ofRoute: 4, ends: 3, failErrors: 3.5, compared: 10, slow: 5, slowErrors: 3.8}
+	final     = strictness{failures: 4, ofRoute: 3, ends: 3, failErrors: 2.6, compared: 8, slow: 4, slowErrors: 3}
+	doubt     = strictness{failures: 3, ofRoute: 2, ends: 2, failErrors: 2, compared: 5, slow: 3, slowErrors: 1.5}
 )
 
 const (
--- a/stager/failures.go
+++ b/stager/failures.go
@@ -110,7 +110,7 @@
 	}
 	for _, c := range t.routes {
 		target, old := failureCounts{c.NewServed, c.NewFailed}, failureCounts{c.OldServed, c.OldFailed}
-		if old.served > 0 && exceedsRate(target, old, minRouteIncrease, level.failures, level.failErrors+kindErrors) {
+		if old.served > 0 && exceedsRate(target, old, minRouteIncrease, level.ofRoute, level.failErrors+kindErrors) {
 			return true
 		}
 	}
--- a/stager/observation.go
+++ b/stager/observation.go
@@ -59,6 +59,9 @@
 	}
 	if o.old {
 		r.report.OldInFlight++
+		r.report.OldSent++
+	} else {
+		r.report.NewSent++
 	}
 	r.running[o] = struct{}{}
 	return o
--- a/stager/schedule.go
+++ b/stager/schedule.go
@@ -2,21 +2,18 @@
 
 import "rosemaryarch.example/rosemaryarch/clock"
 
-// The schedule of a roll-out. A bad version may serve about a tenth of all
-// requests until the roll-out ends, so the initial share is smaller. The larger
-// shares follow in the second half, in which a session may change to the target,
-// and only while no instance doubts the target. The middle share is small enough
-// for the bound on a bad version that shows late; the full share lasts just long
-// enough for requests on the old version to end.
+// The schedule of a roll-out. A bad version may show nothing until it has all of the
+// load, so the target serves small shares of the sessions until the remaining time is
+// as long as the bound on the requests of a bad version allows for all of them. The
+// larger shares follow in the second half, in which a session may change to the target,
+// and only while no instance doubts the target.
 const (
-	initialShare  = 0.08
-	middleShare   = 0.2
-	exchangeTime  = 700 * clock.Millis(1) // at the start, without the target, until all instances have the session uses
-	halfwayMargin = 700 * clock.Millis(1) // after the first half, for instances that saw the roll-out at other times
-
-	middleTime = 3 * clock.Second // planned duration of middleShare
-	// heldMiddleTime is the duration of middleShare if doubt has delayed it.
-	heldMiddleTime = 1500 * clock.Millis(1)
+	maxInitialShare = 0.08
+	minInitialShare = 0.02
+	maxMiddleShare  = 0.2
+	exchangeTime    = 700 * clock.Millis(1) // at the start, without the target, until all instances have the session uses
+	halfwayMargin   = 700 * clock.Millis(1) // after the first half, for instances that saw the roll-out at other times
+
 	// clearTime is how long no instance may have doubts before a larger share. The
 	// reports of other data centres are a second old.
 	clearTime = 1200 * clock.Millis(1)
@@ -27,13 +24,13 @@
 	scarceFraction = 12
 
 	completeTime   = 1500 * clock.Millis(1) // duration of the full share before the roll-out may complete
-	deadlineMargin = 2500 * clock.Millis(1) // time left at which it completes even with requests on the old version
+	deadlineMargin = 800 * clock.Millis(1)  // time left at which it completes even with requests on the old version
 	// settleTime is the time from the final judgement to completion, in which the
 	// verdicts of all instances arrive.
 	settleTime = 1200 * clock.Millis(1)
 	// lateMargin is the time left at which the roll-out no longer waits for late
 	// reports.
-	lateMargin = 1500 * clock.Millis(1)
+	lateMargin = 500 * clock.Millis(1)
 	// freshTime is the age from which a report is late, and silentTime the age from
 	// which its instance counts as gone.
 	freshTime  = 2 * clock.Second
@@ -58,40 +55,42 @@
 	case fullStage:
 		return 1
 	case middleStage:
-		return middleShare
+		return r.exposure.middleShare(r.rollout.Duration, r.plannedMiddle())
 	default:
-		return initialShare
+		return r.exposure.initialShare()
 	}
 }
 
 // currentStage returns the stage, which never goes back: sessions that have moved
-// to the target stay there. It depends on the time alone while no instance has
-// doubts, so that all instances change at the same time.
+// to the target stay there.
 func (r *rolloutState) currentStage(now clock.Millis) stage {
 	middleFrom, fullFrom := r.stageTimes()
 	switch e := r.elapsed(now); {
 	case r.doubtful || r.peersDoubt(now):
-	case e >= fullFrom:
-		r.stage = fullStage
+	case e >= fullFrom && r.stage != fullStage:
+		r.stage, r.fullSince = fullStage, fullFrom
 	case e >= middleFrom:
 		r.stage = max(r.stage, middleStage)
 	}
 	return r.stage
 }
 
+// plannedMiddle returns the elapsed time at which the middle share begins at the
+// earliest.
+func (r *rolloutState) plannedMiddle() clock.Millis { return r.rollout.Duration/2 + halfwayMargin }
+
 // stageTimes returns the elapsed times at which the larger shares begin if no
 // further doubt arises.
 func (r *rolloutState) stageTimes() (middleFrom, fullFrom clock.Millis) {
 	d := r.rollout.Duration
-	planned := d/2 + halfwayMargin
-	middleFrom = planned + d/scarceFraction
+	middleFrom = r.plannedMiddle() + d/scarceFraction
 	if r.enough {
-		middleFrom = min(middleFrom, max(planned, r.enoughFrom))
+		middleFrom = min(middleFrom, max(r.plannedMiddle(), r.enoughFrom))
 	}
 	if r.clearFrom > 0 {
 		middleFrom = max(middleFrom, r.clearFrom+clearTime)
 	}
-	return middleFrom, max(planned+middleTime, middleFrom+heldMiddleTime)
+	return middleFrom, max(middleFrom, d-r.fullTime)
 }
 
 // assess updates what the stage depends on.
@@ -104,6 +103,8 @@
 	if !r.enough && t.target.Served >= minJudged {
 		r.enough, r.enoughFrom = true, elapsed
 	}
+	r.demand.observe(elapsed, t.targetSent+t.oldSent)
+	r.fullTime = r.exposure.fullTime(r.rollout.Duration-elapsed, t.targetSent, t.oldSent, r.demand.rate())
 }
 
 // peersDoubt reports whether another instance has doubts about the target.
@@ -146,7 +147,6 @@
 	if elapsed >= r.completeFrom() {
 		return true
 	}
-	_, fullFrom := r.stageTimes()
-	return oldInFlight == 0 && elapsed >= fullFrom+completeTime && r.currentStage(now) == fullStage &&
+	return oldInFlight == 0 && r.currentStage(now) == fullStage && elapsed >= r.fullSince+completeTime &&
 		!r.doubtful && !r.peersDoubt(now)
 }
--- a/stager/sessionuses.go
+++ b/stager/sessionuses.go
@@ -30,8 +30,8 @@
 // inInitialShare reports whether a session belongs to the initial share. These
 // are the same sessions in each roll-out of a service, so only their uses are
 // kept.
-func inInitialShare(service, session string) bool {
-	return matcher.Fraction(service, session) < initialShare
+func (s *Stager) inInitialShare(service, session string) bool {
+	return matcher.Fraction(service, session) < s.options.Exposure.initialShare()
 }
 
 func sessionKey(service, session string) uint64 { return matcher.Hash("session/"+service, session) }
@@ -40,7 +40,7 @@
 
 // RecordUse records that a request of a session is sent to a version.
 func (s *Stager) RecordUse(now clock.Millis, service, session, version string) {
-	if session == "" || !inInitialShare(service, session) {
+	if session == "" || !s.inInitialShare(service, session) {
 		return
 	}
 	s.mu.Lock()
@@ -70,7 +70,7 @@
 			continue
 		}
 		r := s.rollouts[u.service]
-		if u.sendsLeft == 0 || r == nil || r.finished() || r.targetShare(now) > initialShare ||
+		if u.sendsLeft == 0 || r == nil || r.finished() || r.targetShare(now) > r.exposure.initialShare() ||
 			u.version == versionKey(r.rollout.Target) {
 			continue
 		}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -50,7 +50,12 @@
 	oldLatencies latencyTable              // the same for all other versions
 	running      map[*Observation]struct{} // requests in progress on this instance
 
+	exposure Exposure
+	demand   demand
+	fullTime clock.Millis // how long before the deadline the full share may begin
+
 	stage      stage
+	fullSince  clock.Millis // elapsed time at which the full share began
 	doubtful   bool         // by the evidence of all instances
 	clearFrom  clock.Millis // elapsed time since which no instance doubts
 	enough     bool         // the target has served enough to judge it
@@ -72,6 +77,7 @@
 	// request.
 	SessionAge clock.Millis
 	DataCentre string // of this instance
+	Exposure   Exposure
 }
 
 // Stager holds the roll-outs of all services. It is safe for concurrent use.
@@ -98,9 +104,10 @@
 	if r == nil || r.rollout.Target != o.Target || r.finished() && o.Phase == "" {
 		r = &rolloutState{
 			start: now, peers: make(map[string]peerReport), centres: make(map[string]peerReport),
-			running: make(map[*Observation]struct{}),
+			running: make(map[*Observation]struct{}), exposure: s.options.Exposure,
 		}
 		r.report = Report{Service: o.Service, Target: o.Target}
+		r.fullTime = r.exposure.fullTime(o.Duration, 0, 0, 0)
 		s.rollouts[o.Service] = r
 	}
 	r.rollout = o
@@ -154,7 +161,7 @@
 	default:
 		share := r.targetShare(now)
 		choice.UseTarget = matcher.Fraction(service, session) < share
-		if choice.UseTarget && share <= initialShare {
+		if choice.UseTarget && share <= s.options.Exposure.initialShare() {
 			choice.UseTarget = !s.mustKeepVersion(now, service, session, r.rollout.Target)
 		}
 	}
