--- a/dispatcher/crash_test.go
+++ b/dispatcher/crash_test.go
@@ -164,3 +164,72 @@
 		})
 	}
 }
+
+// Guards against one request that crashes endpoint after endpoint, again and again
+// with the same path, caller and body, and against sound requests that are held with it.
+// Seen on kseal-router, days deadly and deadly-plain.
+func TestRepeatedRequestThatCrashesEndpoints(t *testing.T) {
+	const body = `{"house":1}`
+	tests := map[string]struct {
+		kind        matcher.Kind
+		prefix      string // of the prompt; empty for a plain request
+		wantCrashes int    // at most
+	}{
+		"stream": {matcher.Stream, "system:3,subject:4,own:1", 4},
+		"safe":   {matcher.Safe, "", 4},
+		"unsafe": {matcher.Unsafe, "", 4},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var f *fleet
+			handlers := make([]handler, 14)
+			for i := range handlers {
+				handlers[i] = func(c net.Conn, r *http.Request, got string) bool {
+					if r.URL.Path == "/a/x" && got == body && r.Header.Get(names.Workspace) == "w" {
+						_ = f.endpoints[i].listener.Close()
+						return false
+					}
+					if tt.kind == matcher.Stream {
+						return writeEvents(c, r, 1, 2, true)
+					}
+					return writeResponse(c, r, 200, "ok")
+				}
+			}
+			f = newFleet(t, route(tt.kind, func(r *matcher.Route) { r.Resumable, r.Public = true, false }), handlers...)
+			f.config.Workspaces["other"] = matcher.Workspace{Name: "v"}
+			f.setConfig(f.config)
+			do := func(path, body, key string) response {
+				return f.do("POST", path, body, names.Key, key, names.Prefix, tt.prefix)
+			}
+			for range 5 {
+				do("/a/x", body, "good")
+				f.settle()
+			}
+			ended := 0
+			for _, e := range f.endpoints {
+				c, err := net.Dial("tcp", e.listener.Addr().String())
+				if err != nil {
+					ended++
+					continue
+				}
+				_ = c.Close()
+			}
+			if ended > tt.wantCrashes {
+				t.Errorf("%d endpoints have ended, want at most %d", ended, tt.wantCrashes)
+			}
+			before := f.sent()
+			if got := do("/a/x", body, "good"); got.status != 503 || f.sent() != before {
+				t.Errorf("the same request: got %d after %d sends, want 503 after none", got.status, f.sent()-before)
+			}
+			for what, got := range map[string]response{
+				"another path":   do("/a/y", body, "good"),
+				"another caller": do("/a/x", body, "other"),
+				"another body":   do("/a/x", `{"house":2}`, "good"),
+			} {
+				if got.status != 200 || got.err != nil {
+					t.Errorf("%s: got %d, %v, want 200", what, got.status, got.err)
+				}
+			}
+		})
+	}
+}
