dispatcher: endpoint_ended names the content of the request

The line showed the parts of the prompt only, so that repetitions of one request could not be told from other requests, and of those without a prompt nothing was known. No decision changes.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -92,7 +93,7 @@
 	}
 	x.breaks++
 	d, e, at := x.dispatcher, s.choice.endpoint, x.now()
-	id, p := x.id, x.prompt
+	id, p, content := x.id, x.prompt, strconv.FormatUint(x.content, 16)
 	header := x.request.Header.Get(d.options.Names.Prefix)
 	record := func() {
 		if !d.hasEnded(e.Address) {
@@ -102,7 +103,7 @@
 		d.options.Quarantine.RecordCrash(at, matcher.Hash("endpoint", e.ID), p.hash, p.parts)
 		d.options.Meter.CountEvent("endpoint_ended_before_first_event")
 		d.options.Logger.Log("endpoint_ended", logger.Text("id", id), logger.Text("endpoint", e.ID),
-			logger.Text("parts", header))
+			logger.Text("content", content), logger.Text("parts", header))
 	}
 	x.endChecks.Go(record)
 	if x.breaks >= maxBreaks || x.trial {
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -41,7 +41,8 @@
 	clientDeadline clock.Millis // time at which the client gives up
 	deadline       clock.Millis // time by which the final response must be complete
 	prompt         prompt
-	surging        bool // the workspace sends far more than usual
+	content        uint64 // hash of what all repetitions of the request have in common
+	surging        bool   // the workspace sends far more than usual
 
 	budgetCounted   bool            // the retry budget has counted the request
 	sends           int             // sends that may have reached an endpoint
@@ -120,6 +121,7 @@
 	}
 	x.body = body
 	x.prompt = readPrompt(r.Header, n)
+	x.content = x.contentHash()
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
@@ -132,6 +134,12 @@
 	return nil
 }
 
+// contentHash returns the hash of the caller's key and of all that it asks for.
+func (x *exchange) contentHash() uint64 {
+	r := x.request
+	return matcher.Hash(strings.Join([]string{r.Method, r.Host, r.RequestURI, x.key}, "\x00"), string(x.body))
+}
+
 // readBody reads the request body of at most limit bytes until the deadline. A
 // client may send one byte now and then without end.
 func (x *exchange) readBody(limit int64) ([]byte, error) {
