quarantiner: a request that crashes endpoints is held as a whole

Cause: the quarantine knew parts of prompts only. A request without a prompt was never held, and of one that is repeated a part was held after six or eight crashes.

Evidence is now also kept against the request as a whole, by the hash of method, host, path, key and body. It is held after three crashes without a first event between them, or five if the same other request waited at each of them. Evidence, first events and holds are shared and stored like those of parts, so they survive restarts; first events of whole requests are recorded only while they are suspected, so that they do not displace those of parts.

Tests: requests of TestPromptsThatCrashEndpoints have bodies of their own, since they are different requests. 'one request alone' and 'one request, repeated' expected a part to be held after six crashes or nothing; the request is held after three.

--- a/dispatcher/crash.go
+++ b/dispatcher/crash.go
@@ -12,6 +12,7 @@
 	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
+	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/refuser"
 	"rosemaryarch.example/rosemaryarch/splitter"
 )
@@ -30,14 +31,19 @@
 	endCheckTimeout = 150 * clock.Millis(1)
 )
 
-// checkQuarantine returns an error if the prompt holds a part that crashes
+// quarantined returns the request as the quarantine knows it.
+func (x *exchange) quarantined() quarantiner.Request {
+	return quarantiner.Request{Content: x.content, Parts: x.prompt.parts}
+}
+
+// checkQuarantine returns an error if the request, or a part of its prompt, crashes
 // endpoints, unless the request may be sent to learn whether it still does.
 func (x *exchange) checkQuarantine() error {
 	d := x.dispatcher
-	if x.trial || len(x.prompt.parts) == 0 {
+	if x.trial {
 		return nil
 	}
-	part, left := d.options.Quarantine.Check(x.now(), x.prompt.parts)
+	part, left := d.options.Quarantine.Check(x.now(), x.quarantined())
 	if part == "" || left == 0 && d.options.TakesTrials() {
 		return nil
 	}
@@ -45,18 +51,18 @@
 	return refuser.ErrQuarantined.WithRetryAfter(max(left, shortRetry))
 }
 
-// startTrial marks a request that is sent although its prompt holds a part that
+// startTrial marks a request that is sent although it, or a part of its prompt,
 // crashes endpoints. It returns an error if another request has just been.
 func (x *exchange) startTrial() error {
 	d := x.dispatcher
-	if x.trial || len(x.prompt.parts) == 0 {
+	if x.trial {
 		return nil
 	}
-	part, _ := d.options.Quarantine.Check(x.now(), x.prompt.parts)
+	part, _ := d.options.Quarantine.Check(x.now(), x.quarantined())
 	if part == "" {
 		return nil
 	}
-	if !d.options.Quarantine.TakeTrial(x.now(), x.prompt.parts) {
+	if !d.options.Quarantine.TakeTrial(x.now(), x.quarantined()) {
 		return x.checkQuarantine()
 	}
 	x.trial = true
@@ -80,27 +86,27 @@
 // mayCrashEndpoints reports whether the request must not be sent again because the
 // connections of its sends have ended before the first event.
 func (x *exchange) mayCrashEndpoints() bool {
-	return x.breaks >= maxBreaks && x.dispatcher.options.Quarantine.Suspicious(x.prompt.parts)
+	return x.breaks >= maxBreaks && x.dispatcher.options.Quarantine.Suspicious(x.quarantined())
 }
 
 // recordBreak records that the connection of a send has ended with the given error.
 // If that was before the first event and because the endpoint has ended, it is
-// evidence against the parts of the prompt.
+// evidence against the request and the parts of its prompt.
 func (s *send) recordBreak(err error) {
 	x := s.exchange
-	if s.answered || len(x.prompt.parts) == 0 || !connectionEnded(err) {
+	if s.answered || !connectionEnded(err) {
 		return
 	}
 	x.breaks++
 	d, e, at := x.dispatcher, s.choice.endpoint, x.now()
-	id, p, content := x.id, x.prompt, strconv.FormatUint(x.content, 16)
+	id, request, content := x.id, x.quarantined(), strconv.FormatUint(x.content, 16)
 	header := x.request.Header.Get(d.options.Names.Prefix)
 	record := func() {
 		if !d.hasEnded(e.Address) {
 			return
 		}
 		x.endpointEnded.Store(true)
-		d.options.Quarantine.RecordCrash(at, matcher.Hash("endpoint", e.ID), p.hash, p.parts)
+		d.options.Quarantine.RecordCrash(at, matcher.Hash("endpoint", e.ID), request)
 		d.options.Meter.CountEvent("endpoint_ended_before_first_event")
 		d.options.Logger.Log("endpoint_ended", logger.Text("id", id), logger.Text("endpoint", e.ID),
 			logger.Text("content", content), logger.Text("parts", header))
--- a/dispatcher/crash_test.go
+++ b/dispatcher/crash_test.go
@@ -11,6 +11,7 @@
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
+	"rosemaryarch.example/rosemaryarch/quarantiner"
 )
 
 // settle waits until the ends of endpoints are found out, and lets the quarantiner
@@ -68,12 +69,13 @@
 				handlers[i] = deadly(&f, tt.ends, tt.begin)
 			}
 			f = newFleet(t, route(matcher.Stream, func(r *matcher.Route) { r.Resumable = true }), handlers...)
-			sound := func() response { return f.do("POST", "/a/x", "", names.Prefix, "system:3,subject:4,own:1") }
+			sound := func() response { return f.do("POST", "/a/x", "sound", names.Prefix, "system:3,subject:4,own:1") }
 			if got := sound(); got.status != 200 {
 				t.Fatalf("sound request before: got %d", got.status)
 			}
 			for i := range 4 {
-				f.do("POST", "/a/x", "", names.Prefix, fmt.Sprintf("system:3,subject:4,dead:5,own-%d:1", i))
+				own := fmt.Sprint("own-", i)
+				f.do("POST", "/a/x", own, names.Prefix, "system:3,subject:4,dead:5,"+own+":1")
 				f.settle()
 			}
 			ended := 0
@@ -89,7 +91,7 @@
 				t.Errorf("%d endpoints have ended, want at most %d", ended, tt.wantCrashes)
 			}
 			before := f.sent()
-			got := f.do("POST", "/a/x", "", names.Prefix, "system:3,dead:5,own-9:1")
+			got := f.do("POST", "/a/x", "own-9", names.Prefix, "system:3,dead:5,own-9:1")
 			if held := got.status == 503 && f.sent() == before; held != tt.wantHeld {
 				t.Errorf("next such request: got %d after %d sends, want held %v", got.status, f.sent()-before, tt.wantHeld)
 			}
@@ -120,7 +122,7 @@
 				handlers[i] = func(c net.Conn, r *http.Request, body string) bool {
 					time.Sleep(100 * time.Millisecond)
 					if tt.sound {
-						f.quarantine.RecordFirstEvent(clock.Boot().Now(), []string{"system", "dead"})
+						f.quarantine.RecordFirstEvent(clock.Boot().Now(), quarantiner.Request{Parts: []string{"system", "dead"}})
 					}
 					return end(c, r, body)
 				}
--- a/dispatcher/prompt.go
+++ b/dispatcher/prompt.go
@@ -16,7 +16,6 @@
 	output float64  // expected
 	prefix string   // id of the last shared part; empty if there is none
 	parts  []string // ids of the shared parts, in order
-	hash   uint64   // of all parts
 }
 
 const (
@@ -54,7 +53,6 @@
 	var p prompt
 	header := strings.Join(h.Values(n.Prefix), ",")
 	p.parts = readParts(header)
-	p.hash = matcher.Hash("prompt", header)
 	parts := strings.Split(h.Get(n.Prefix), ",")
 	for i, part := range parts {
 		id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -285,7 +285,7 @@
 		s.drop(refuser.DropFalseRefusal)
 	}
 	if response.Status < http.StatusMultipleChoices && len(body) > 0 {
-		x.dispatcher.options.Quarantine.RecordFirstEvent(x.now(), x.prompt.parts)
+		x.dispatcher.options.Quarantine.RecordFirstEvent(x.now(), x.quarantined())
 	}
 	if !s.failed {
 		s.observation.Receive(x.now(), 1)
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -86,7 +86,7 @@
 		if first {
 			first = false
 			s.answered = true
-			x.dispatcher.options.Quarantine.RecordFirstEvent(now, x.prompt.parts)
+			x.dispatcher.options.Quarantine.RecordFirstEvent(now, x.quarantined())
 			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, now-s.begin)
 			if !x.headerSent {
 				x.firstEventMs = now - x.start
--- a/launcher/quarantine_test.go
+++ b/launcher/quarantine_test.go
@@ -7,6 +7,7 @@
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/platform"
+	"rosemaryarch.example/rosemaryarch/quarantiner"
 )
 
 // closeSocket closes the socket for heartbeats of an instance that does not run.
@@ -17,8 +18,8 @@
 }
 
 // Guards against instances that all restart at the same time and forget which
-// prompts crash endpoints: each would have to end several more before the part is
-// held again.
+// requests and parts of prompts crash endpoints: each would have to end several more
+// before it is held again.
 func TestHeldPartsSurviveRestartOfAllInstances(t *testing.T) {
 	tests := map[string]struct {
 		stored any // object in the store before the restart; nil: what the instance wrote
@@ -40,13 +41,17 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			now := first.clock.Now()
+			now, parts := first.clock.Now(), []string{"system", "dead"}
 			for i := range uint64(4) {
-				first.quarantine.RecordCrash(now+200*clock.Millis(i), i, i, []string{"system", "dead"})
+				first.quarantine.RecordCrash(now+200*clock.Millis(i), i, quarantiner.Request{Content: i, Parts: parts})
 			}
-			first.quarantine.RecordFirstEvent(now+clock.Second, []string{"system"})
+			repeated := quarantiner.Request{Content: 99}
+			for i := range uint64(3) {
+				first.quarantine.RecordCrash(now+200*clock.Millis(i), 10+i, repeated)
+			}
+			first.quarantine.RecordFirstEvent(now+clock.Second, quarantiner.Request{Parts: parts[:1]})
 			first.quarantine.Decide(now + 2*clock.Second)
-			if part, _ := first.quarantine.Check(now, []string{"dead"}); part != "dead" {
+			if part, _ := first.quarantine.Check(now, quarantiner.Request{Parts: parts[1:]}); part != "dead" {
 				t.Fatal("the part is not held before the restart")
 			}
 			first.storeHeldParts(t.Context(), now, first.quarantine.Held(now+2*clock.Second))
@@ -64,9 +69,13 @@
 			}
 			second.readMembers(t.Context())
 			second.quarantine.Decide(second.clock.Now())
-			if part, _ := second.quarantine.Check(second.clock.Now(), []string{"system", "dead"}); part != tt.want {
+			if part, _ := second.quarantine.Check(second.clock.Now(), quarantiner.Request{Parts: parts}); part != tt.want {
 				t.Errorf("after the restart: got %q held, want %q", part, tt.want)
 			}
+			name, _ := second.quarantine.Check(second.clock.Now(), repeated)
+			if held := name != ""; held != (tt.want != "") {
+				t.Errorf("repeated request after the restart: got %q held, want as the part", name)
+			}
 		})
 	}
 }
--- a/quarantiner/crashes_test.go
+++ b/quarantiner/crashes_test.go
@@ -56,12 +56,12 @@
 		for _, w := range present {
 			switch {
 			case crashed[w.endpoint]:
-				n.instances[w.instance].RecordCrash(n.now, uint64(w.endpoint), uint64(w.request), w.parts)
+				n.instances[w.instance].RecordCrash(n.now, uint64(w.endpoint), Request{uint64(w.request), w.parts})
 				if w.attempt++; w.attempt < 4 {
 					send(w)
 				}
 			case w.until <= n.now:
-				n.instances[w.instance].RecordFirstEvent(n.now, w.parts)
+				n.instances[w.instance].RecordFirstEvent(n.now, Request{uint64(w.request), w.parts})
 			default:
 				queue = append(queue, w)
 			}
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -12,12 +12,13 @@
 type threshold struct{ crashes, requests int }
 
 // The thresholds. A part that has never been in a request with a first event needs
-// the evidence of one of neverSound. Independent crashes of endpoints, which are
+// the evidence of one of neverSound, a whole request that of ofContent. Independent crashes of endpoints, which are
 // frequent on a bad day, hit one new part three or four times in a row too rarely
 // to matter.
 var (
 	neverSound = []threshold{{crashes: 3, requests: 3}, {crashes: 4, requests: 2}, {crashes: 6, requests: 1}}
 	onceSound  = []threshold{{crashes: 5, requests: 3}, {crashes: 8, requests: 1}}
+	ofContent  = []threshold{{crashes: 3, requests: 1}}
 )
 
 const (
@@ -43,6 +44,13 @@
 	maxCrashes  = 96
 	maxWaiting  = 192
 	crashMemory = 15 * clock.Minute
+	// contentMemory is the time for which a whole request is suspected. There are far
+	// more of them than of parts.
+	contentMemory = 5 * clock.Minute
+	// minOfTwins is the number of crashes against a whole request beside which the same
+	// other one waited each time. Requests that a crash has broken off together often
+	// meet again at the next endpoint.
+	minOfTwins = 5
 	// maxSuspects limits the parts of crashes of which first events are reported.
 	maxSuspects = 4096
 )
@@ -51,10 +59,10 @@
 type crash struct {
 	endpoint uint64
 	at       clock.Millis
-	waiting  map[string]*waiting // by part
+	waiting  map[string]*waiting // by part or whole request
 }
 
-// waiting is a part of the prompts that waited.
+// waiting is a part of the prompts that waited, or a whole request.
 type waiting struct {
 	position  int
 	requests  []uint64
@@ -80,10 +88,10 @@
 }
 
 // isCleared reports whether requests with each of the parts that waited have had a
-// first event since the crash. The lock is held.
+// first event since the crash. Whole requests don't count, as few come again. The lock is held.
 func (q *Quarantiner) isCleared(c *crash) bool {
 	for name := range c.waiting {
-		if q.parts[name].sound <= c.at {
+		if !isContent(name) && q.parts[name].sound <= c.at {
 			return false
 		}
 	}
@@ -134,6 +142,7 @@
 	unexplained int // crashes under prompts without a held part
 	position    int
 	crashAt     clock.Millis
+	crashes     []*crash // all, also those that count as one
 	counted     []countedCrash
 	requests    []uint64
 }
@@ -152,14 +161,15 @@
 }
 
 // add adds a crash. explained tells that a held part was among those that waited.
-func (c *candidate) add(at clock.Millis, w *waiting, explained bool) {
-	c.position, c.crashAt = max(c.position, w.position), max(c.crashAt, at)
+func (c *candidate) add(end *crash, w *waiting, explained bool) {
+	c.position, c.crashAt = max(c.position, w.position), max(c.crashAt, end.at)
+	c.crashes = append(c.crashes, end)
 	for _, request := range w.requests {
 		if !slices.Contains(c.requests, request) {
 			c.requests = append(c.requests, request)
 		}
 	}
-	counted := countedCrash{at, w.requests}
+	counted := countedCrash{end.at, w.requests}
 	if !slices.ContainsFunc(c.counted, counted.isCommon) {
 		c.counted = append(c.counted, counted)
 		if !explained {
@@ -172,8 +182,11 @@
 // suffices reports whether the evidence reaches a threshold.
 func (c *candidate) suffices() bool {
 	needed := neverSound
-	if c.Sound {
+	switch {
+	case c.Sound:
 		needed = onceSound
+	case isContent(c.Part):
+		needed = ofContent
 	}
 	return c.unexplained >= minUnexplained && slices.ContainsFunc(needed, func(t threshold) bool {
 		return c.Crashes >= t.crashes && c.Requests >= t.requests
@@ -198,24 +211,48 @@
 		explained := q.explained(c)
 		for name, w := range c.waiting {
 			sound := q.parts[name].sound
+			// First events of a whole request are recorded while it is suspected.
+			if isContent(name) && (q.suspects[name] == nil || now-c.at >= contentMemory) {
+				continue
+			}
 			if q.held[name] != nil || c.at <= sound || now-w.heardAt < settleTime {
 				continue
 			}
 			if byPart[name] == nil {
 				byPart[name] = &candidate{Verdict: Verdict{Part: name, Held: true, Sound: sound > 0}}
 			}
-			byPart[name].add(c.at, w, explained)
+			byPart[name].add(c, w, explained)
 		}
 	}
 	var best *candidate
 	for _, c := range byPart {
-		if c.suffices() && (best == nil || compare(c, best) < 0) {
+		if c.suffices() && (c.Crashes >= minOfTwins || !q.hasTwin(c)) && (best == nil || compare(c, best) < 0) {
 			best = c
 		}
 	}
 	return best
 }
 
+// hasTwin reports whether the candidate is a whole request and another one, which has
+// had no first event since either, waited at each of its crashes. The lock is held.
+func (q *Quarantiner) hasTwin(c *candidate) bool {
+	if !isContent(c.Part) {
+		return false
+	}
+	for name := range c.crashes[0].waiting {
+		if name == c.Part || !isContent(name) {
+			continue
+		}
+		together := !slices.ContainsFunc(c.crashes, func(end *crash) bool {
+			return end.waiting[name] == nil || end.at <= q.parts[name].sound
+		})
+		if together {
+			return true
+		}
+	}
+	return false
+}
+
 // explained reports whether a request that waited holds a part that is held. The lock
 // is held.
 func (q *Quarantiner) explained(c *crash) bool {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -30,7 +30,7 @@
 type Quarantiner struct {
 	mu       sync.Mutex
 	crashes  []*crash
-	suspects map[string]*suspect // parts of the crashes
+	suspects map[string]*suspect // parts and whole requests of the crashes
 	parts    map[string]soundness
 	held     map[string]*hold
 	cleared  []Verdict // parts that a first event has cleared since the last decision
@@ -40,7 +40,8 @@
 	sweptAt     clock.Millis // time of the last removal of old parts
 }
 
-// suspect is a part of a prompt that was waiting when an endpoint ended.
+// suspect is a part of a prompt, or a whole request, that was waiting when an endpoint
+// ended.
 type suspect struct {
 	crashAt   clock.Millis // time of the last crash
 	told      clock.Millis // last first event of which the instances have been told
@@ -57,7 +58,7 @@
 // instance, and on this one; 0 if never.
 type soundness struct{ sound, soundHere clock.Millis }
 
-// hold is a part that is held.
+// hold is a part, or a whole request, that is held.
 type hold struct {
 	since, crashAt, lastRequest clock.Millis
 	trials                      int
@@ -74,12 +75,12 @@
 	return h.since + clock.Millis(h.trials-1)*trialInterval
 }
 
-// Verdict is a part that Decide holds or releases.
+// Verdict is a part or a whole request that Decide holds or releases.
 type Verdict struct {
-	Part     string
+	Part     string // or the name of a whole request
 	Held     bool
 	Crashes  int  // number of crashes that are not explained otherwise
-	Requests int  // number of different prompts that waited
+	Requests int  // number of different requests that waited
 	Sound    bool // a request with the part has had a first event
 }
 
@@ -90,18 +91,23 @@
 	}
 }
 
-// RecordFirstEvent records that a request with the given parts has had a first
-// event, which clears them.
-func (q *Quarantiner) RecordFirstEvent(now clock.Millis, parts []string) {
+// RecordFirstEvent records that a request has had a first event, which clears it and
+// its parts.
+func (q *Quarantiner) RecordFirstEvent(now clock.Millis, request Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, name := range parts {
+	for _, name := range request.each {
 		q.recordSound(name, now, true)
 	}
 }
 
-// recordSound records a first event of a part. The lock is held.
+// recordSound records a first event of a part or a whole request. Of requests only
+// those under which an endpoint has ended matter; the others would displace the parts.
+// The lock is held.
 func (q *Quarantiner) recordSound(name string, at clock.Millis, here bool) {
+	if isContent(name) && q.suspects[name] == nil && q.held[name] == nil {
+		return
+	}
 	p, known := q.parts[name]
 	if !known && len(q.parts) >= maxParts {
 		for other := range q.parts {
@@ -124,46 +130,49 @@
 }
 
 // RecordCrash records that an endpoint, given by the hash of its id, has ended while
-// a request waited there for its first event. request is the hash of its prompt, and
-// parts are the parts of it that other requests may share, in order.
-func (q *Quarantiner) RecordCrash(now clock.Millis, endpoint, request uint64, parts []string) {
+// a request waited there for its first event.
+func (q *Quarantiner) RecordCrash(now clock.Millis, endpoint uint64, request Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	c := q.crashOf(endpoint, now)
-	for position, name := range parts {
-		q.addWaiting(now, c, name, position, request, copies)
+	for position, name := range request.each {
+		q.addWaiting(now, c, name, position, request.Content, copies)
 	}
 }
 
 // Suspicious reports whether two endpoints or more have ended while requests with
-// one of the parts waited, without a first event of such a request since.
-func (q *Quarantiner) Suspicious(parts []string) bool {
+// one of the parts of this one waited, without a first event of such a request since,
+// or as many under this very request as are needed to hold it.
+func (q *Quarantiner) Suspicious(request Request) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, name := range parts {
-		count := 0
+	for _, name := range request.each {
+		count, needed := 0, 2
+		if isContent(name) {
+			needed = ofContent[0].crashes
+		}
 		for _, c := range q.crashes {
 			if c.waiting[name] != nil && c.at > q.parts[name].sound {
 				count++
 			}
 		}
-		if count >= 2 {
+		if count >= needed {
 			return true
 		}
 	}
 	return false
 }
 
-// Check returns a part that is held among the given ones, and the time until one
-// request with it is sent nevertheless, 0 if it is due. It returns "" if there is
-// none.
-func (q *Quarantiner) Check(now clock.Millis, parts []string) (part string, left clock.Millis) {
+// Check returns a part of the request that is held, or its name as a whole, and the time
+// until one such request is sent nevertheless, 0 if it is due. It returns "" if there
+// is none.
+func (q *Quarantiner) Check(now clock.Millis, request Request) (part string, left clock.Millis) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.held) == 0 {
 		return "", 0
 	}
-	for _, name := range parts {
+	for _, name := range request.each {
 		h := q.held[name]
 		if h == nil {
 			continue
@@ -176,18 +185,17 @@
 	return part, left
 }
 
-// TakeTrial reports whether a request with the given parts, of which some are held,
-// is sent nevertheless, and counts it if so. One instance of the fleet takes trials
-// at a time.
-func (q *Quarantiner) TakeTrial(now clock.Millis, parts []string) bool {
+// TakeTrial reports whether a request that is held, or of which parts are, is sent
+// nevertheless, and counts it if so. One instance of the fleet takes trials at a time.
+func (q *Quarantiner) TakeTrial(now clock.Millis, request Request) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, name := range parts {
+	for _, name := range request.each {
 		if h := q.held[name]; h != nil && now < h.nextTrial() {
 			return false
 		}
 	}
-	for _, name := range parts {
+	for _, name := range request.each {
 		if h := q.held[name]; h != nil {
 			// Of the trials that were due while no request came, one is made up for.
 			for h.trials++; h.nextTrial() <= now; {
@@ -246,7 +254,7 @@
 	}
 	q.sweptAt = now
 	for name, s := range q.suspects {
-		if now-s.crashAt >= crashMemory {
+		if age := now - s.crashAt; age >= crashMemory || age >= contentMemory && isContent(name) && q.held[name] == nil {
 			delete(q.suspects, name)
 		}
 	}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -45,12 +45,12 @@
 // crash records that an endpoint has ended under a request, as seen by an
 // instance, and lets d pass.
 func (n *network) crash(instance, endpoint, request int, d clock.Millis, parts ...string) {
-	n.instances[instance].RecordCrash(n.now, uint64(endpoint), uint64(request), parts)
+	n.instances[instance].RecordCrash(n.now, uint64(endpoint), Request{uint64(request), parts})
 	n.tick(d)
 }
 
 func (n *network) sound(instance int, parts ...string) {
-	n.instances[instance].RecordFirstEvent(n.now, parts)
+	n.instances[instance].RecordFirstEvent(n.now, Request{Parts: parts})
 }
 
 // held returns the parts that each instance holds, and fails the test if they
@@ -144,13 +144,19 @@
 				n.crash(i, i, 1, 300, "system", "subject")
 				n.sound(8, "system")
 			}
-		}, nil},
+		}, []string{"request:1"}},
 		"one request, repeated": {func(n *network) {
 			for i := range 6 {
 				n.crash(i, i, 1, 300, "system", "deadly")
 				n.sound(8, "system")
 			}
-		}, []string{"deadly"}},
+		}, []string{"request:1"}},
+		"one request, then others with its part": {func(n *network) {
+			for i := range 6 {
+				n.crash(i, i, max(1, i-1), 800, "system", "deadly")
+				n.sound(8, "system")
+			}
+		}, []string{"deadly", "request:1"}},
 		"each session behind the deadly part": {func(n *network) {
 			for i := range 8 {
 				n.crash(i, i, i/2, 800, "system", "deadly", fmt.Sprint("session-", i/4))
@@ -179,6 +185,113 @@
 	checkHeld(t, tests)
 }
 
+// Guards against a request that is sent again and again, at any instance, though each
+// endpoint that begins to run it ends, and against holding requests that waited with it.
+func TestHoldsTheRequestThatCrashesEndpoints(t *testing.T) {
+	tests := map[string]crashTest{
+		"without a prompt": {func(n *network) {
+			for i := range 3 {
+				n.crash(i, i, 1, 900)
+			}
+		}, []string{"request:1"}},
+		"three ends, sound parts": {func(n *network) {
+			for i := range 3 {
+				n.crash(i, i, 1, 900, "system", "subject")
+				n.sound(8, "system", "subject")
+			}
+		}, []string{"request:1"}},
+		"two ends": {func(n *network) {
+			for i := range 2 {
+				n.crash(i, i, 1, 900)
+			}
+		}, nil},
+		"a first event between the ends": {func(n *network) {
+			for i := range 4 {
+				n.crash(i, i, 1, 300)
+				if i == 1 {
+					n.instances[7].RecordFirstEvent(n.now, Request{Content: 1})
+					n.tick(400)
+				}
+			}
+		}, nil},
+		"others wait at each end": {func(n *network) {
+			for i := range 3 {
+				for j := range 20 {
+					n.crash(j%9, i, 100+20*i+j, 0, "system", "subject")
+				}
+				n.crash(i, i, 1, 900, "system", "subject")
+				n.sound(8, "system", "subject")
+			}
+		}, []string{"request:1"}},
+		"another one waits at the first three ends": {func(n *network) {
+			for i := range 4 {
+				if i < 3 {
+					n.crash(4, i, 2, 0)
+				}
+				n.crash(i, i, 1, 900)
+			}
+		}, []string{"request:1"}},
+		"two requests": {func(n *network) {
+			for i := range 8 {
+				n.crash(i, i, 1+i%2, 900)
+			}
+		}, []string{"request:1", "request:2"}},
+		"many requests, each under two ends": {func(n *network) {
+			for i := range 40 {
+				n.crash(i%9, i, i/2, 100)
+			}
+		}, nil},
+		"ends long ago": {func(n *network) {
+			for i := range 3 {
+				n.crash(i, i, 1, 100)
+				n.now += contentMemory - clock.Second
+			}
+		}, nil},
+	}
+	checkHeld(t, tests)
+}
+
+// Guards against a sound request that is held because first events between its crashes
+// were not recorded: it comes often, and endpoints end under it now and then.
+func TestSoundRequestIsNotHeld(t *testing.T) {
+	n := newNetwork(3)
+	for i := range 30 {
+		for range 20 {
+			n.instances[(i+1)%3].RecordFirstEvent(n.now, Request{Content: 1})
+			n.tick(5 * clock.Second)
+		}
+		n.crash(i%3, i, 1, 400)
+	}
+	if got := n.held(t); len(got) > 0 {
+		t.Errorf("held: got %v, want none", got)
+	}
+}
+
+// Guards against a request under which an endpoint ends one last time, since an
+// instance does not know yet what the others have seen, and against a hold that is late
+// when datagrams are lost.
+func TestHoldsRequestInTime(t *testing.T) {
+	tests := map[string]func(from, to int) bool{
+		"no loss":                        func(int, int) bool { return false },
+		"half of the receivers miss all": func(from, to int) bool { return (from+to)%2 == 1 && to != 0 && from != 0 },
+	}
+	for name, lost := range tests {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(9)
+			n.lost = lost
+			for i := range 3 {
+				n.crash(i, i, 1, 1000, "system", "subject")
+			}
+			n.tick(2000)
+			for i, q := range n.instances {
+				if name, _ := q.Check(n.now, Request{Content: 1}); name != "request:1" {
+					t.Errorf("instance %d: got %q held, want the request", i, name)
+				}
+			}
+		})
+	}
+}
+
 // Guards against sound parts that are held, and deadly ones that are not, because
 // many requests wait at endpoints that end.
 func TestManyRequestsWait(t *testing.T) {
@@ -225,7 +338,7 @@
 			}
 			n.tick(2000)
 			for i, q := range n.instances {
-				if part, _ := q.Check(n.now, []string{"system", "deadly", "other"}); part != "deadly" {
+				if part, _ := q.Check(n.now, Request{Parts: []string{"system", "deadly", "other"}}); part != "deadly" {
 					t.Errorf("instance %d: got %q, want the part that crashes endpoints", i, part)
 				}
 			}
@@ -262,7 +375,7 @@
 		}, []string{"deadly"}},
 		"requests go on": {func(n *network) {
 			for range 30 {
-				n.instances[0].Check(n.now, []string{"deadly"})
+				n.instances[0].Check(n.now, Request{Parts: []string{"deadly"}})
 				n.tick(10 * clock.Second)
 			}
 		}, []string{"deadly"}},
@@ -304,12 +417,12 @@
 // sound one stays held.
 func TestTrials(t *testing.T) {
 	n := deadlyFleet(t)
-	parts := []string{"system", "deadly"}
+	request := Request{Parts: []string{"system", "deadly"}}
 	var trials []clock.Millis
 	begin := n.now
 	for n.now < begin+25*clock.Minute {
-		part, left := n.instances[1].Check(n.now, parts)
-		if part == "deadly" && left == 0 && n.instances[1].TakeTrial(n.now, parts) {
+		part, left := n.instances[1].Check(n.now, request)
+		if part == "deadly" && left == 0 && n.instances[1].TakeTrial(n.now, request) {
 			trials = append(trials, (n.now-begin)/clock.Second)
 		}
 		n.tick(clock.Second)
@@ -318,7 +431,7 @@
 		t.Errorf("trials after %v s, want four: after a quarter of a minute, 2, 10 and 20 minutes", trials)
 	}
 	for i, q := range n.instances {
-		if part, left := q.Check(n.now, parts); part != "deadly" || left == 0 {
+		if part, left := q.Check(n.now, request); part != "deadly" || left == 0 {
 			t.Errorf("instance %d: %q held, next trial in %d ms", i, part, left)
 		}
 	}
@@ -332,14 +445,14 @@
 	for i := range maxParts / 4 {
 		now += 20
 		for k := range 5 {
-			q.RecordFirstEvent(now, []string{"system", fmt.Sprint("subject-", i, "-", k)})
+			q.RecordFirstEvent(now, Request{uint64(i), []string{"system", fmt.Sprint("subject-", i, "-", k)}})
 		}
 		var parts []string
 		for k := range 64 {
 			parts = append(parts, fmt.Sprintf("%032d", (i/8)*64+k))
 		}
-		q.RecordCrash(now, uint64(i), uint64(i), parts)
-		q.RecordFirstEvent(now+1, parts[:8])
+		q.RecordCrash(now, uint64(i), Request{uint64(i), parts})
+		q.RecordFirstEvent(now+1, Request{Parts: parts[:8]})
 		q.Decide(now)
 		report := q.Outgoing(now)
 		entries := len(report.Marks)
--- a/quarantiner/report.go
+++ b/quarantiner/report.go
@@ -3,11 +3,11 @@
 import "rosemaryarch.example/rosemaryarch/clock"
 
 // Waiting is a part of the prompts of requests that waited for their first event
-// when an endpoint ended.
+// when an endpoint ended, or one of these requests as a whole.
 type Waiting struct {
 	Part     string   `cbor:"1,keyasint"`
 	Position int      `cbor:"2,keyasint,omitempty"` // the largest among the parts of a prompt
-	Requests []uint64 `cbor:"3,keyasint"`           // hashes of different prompts, at most maxRequests
+	Requests []uint64 `cbor:"3,keyasint"`           // content of different requests, at most maxRequests
 }
 
 // Crash is the end of an endpoint, as seen by one instance.
@@ -23,7 +23,7 @@
 	Age  clock.Millis `cbor:"2,keyasint"`
 }
 
-// Hold tells that requests with a part are not sent.
+// Hold tells that requests with a part, or repetitions of one request, are not sent.
 type Hold struct {
 	Part     string       `cbor:"1,keyasint"`
 	Age      clock.Millis `cbor:"2,keyasint"`           // time since the part was first held
