stager: ends of endpoints under a held request say nothing about their version

Ends under a request that the quarantine holds are now left out, and seven count as evidence, since the request is held only after some.

--- a/launcher/quarantine.go
+++ b/launcher/quarantine.go
@@ -45,7 +45,8 @@
 }
 
 // updateQuarantine tells the other instances of new observations about prompts
-// that crash endpoints and decides which parts are held.
+// that crash endpoints and decides what is held. Endpoints that a held request has ended
+// are no evidence against their version.
 func (l *Launcher) updateQuarantine(ctx context.Context, now clock.Millis) {
 	if report := l.quarantine.Outgoing(now); !report.Empty() {
 		l.heartbeater.Broadcast(heartbeater.Message{Quarantine: &report})
@@ -58,6 +59,9 @@
 		l.logger.LogUnlimited("part_held", logger.Text("part", v.Part), logger.Number("crashes", v.Crashes),
 			logger.Number("requests", v.Requests))
 	}
+	for _, end := range l.quarantine.Explained() {
+		l.stager.Excuse(end.Endpoint, end.At)
+	}
 	holds := l.quarantine.Held(now)
 	l.meter.SetGauge("held_parts", float64(len(holds)))
 	if l.watcher.StoreUp() && l.storingHolds.CompareAndSwap(false, true) {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -232,6 +232,26 @@
 	return verdicts
 }
 
+// End is the end of an endpoint.
+type End struct {
+	Endpoint uint64 // hash of its id
+	At       clock.Millis
+}
+
+// Explained returns the known ends of endpoints under a request that is held, or of which
+// a part is.
+func (q *Quarantiner) Explained() []End {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var list []End
+	for _, c := range q.crashes {
+		if q.explained(c) {
+			list = append(list, End{Endpoint: c.endpoint, At: c.at})
+		}
+	}
+	return list
+}
+
 // hold holds a part. The lock is held.
 func (q *Quarantiner) hold(name string, h *hold) {
 	if len(q.held) < maxHeld {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -292,6 +292,27 @@
 	}
 }
 
+// Guards against ends of endpoints that are taken for faults of a version although a held
+// request has caused them.
+func TestExplainedEnds(t *testing.T) {
+	n := newNetwork(3)
+	n.crash(0, 9, 2, 900)
+	for i := range 4 {
+		n.crash(i%3, i, 1, 900)
+	}
+	n.tick(clock.Second)
+	for i, q := range n.instances {
+		var got []uint64
+		for _, end := range q.Explained() {
+			got = append(got, end.Endpoint)
+		}
+		slices.Sort(got)
+		if want := []uint64{0, 1, 2, 3}; !slices.Equal(got, want) {
+			t.Errorf("instance %d: endpoints %v, want %v", i, got, want)
+		}
+	}
+}
+
 // Guards against sound parts that are held, and deadly ones that are not, because
 // many requests wait at endpoints that end.
 func TestManyRequestsWait(t *testing.T) {
--- a/stager/evidence.go
+++ b/stager/evidence.go
@@ -59,6 +59,7 @@
 type sums struct {
 	target, old Evidence
 	oldInFlight int
+	excused     endSet
 	targetSent  int
 	oldSent     int
 	routes      routeTable
@@ -69,7 +70,7 @@
 // both tables.
 func (r *rolloutState) sums(now clock.Millis, targetLatencies, oldLatencies *latencyTable) sums {
 	t := sums{target: r.report.New, old: r.report.Old, oldInFlight: r.report.OldInFlight, routes: r.routes}
-	t.targetSent, t.oldSent = r.report.NewSent, r.report.OldSent
+	t.targetSent, t.oldSent, t.excused = r.report.NewSent, r.report.OldSent, r.excused
 	r.copyLatencies(now, targetLatencies, oldLatencies)
 	for p := range r.others {
 		t.target, t.old = t.target.add(p.New), t.old.add(p.Old)
@@ -99,11 +100,12 @@
 // The evidence is evaluated about a hundred times in a roll-out, so an immediate
 // verdict requires more of it than the decisions before completion. A bad version
 // fails a third of its requests of one kind at least, or takes several times as
-// long.
+// long. One request that crashes endpoints ends several before it is held, all of one
+// version if its session is.
 var (
-	immediate = strictness{failures: 5, ofRoute: 4, ends: 3, failErrors: 3.5, compared: 10, slow: 5, slowErrors: 3.8}
-	final     = strictness{failures: 4, ofRoute: 3, ends: 3, failErrors: 2.6, compared: 8, slow: 4, slowErrors: 3}
-	doubt     = strictness{failures: 3, ofRoute: 2, ends: 2, failErrors: 2, compared: 5, slow: 3, slowErrors: 1.5}
+	immediate = strictness{failures: 5, ofRoute: 4, ends: 7, failErrors: 3.5, compared: 10, slow: 5, slowErrors: 3.8}
+	final     = strictness{failures: 4, ofRoute: 3, ends: 6, failErrors: 2.6, compared: 8, slow: 4, slowErrors: 3}
+	doubt     = strictness{failures: 3, ofRoute: 2, ends: 4, failErrors: 2, compared: 5, slow: 3, slowErrors: 1.5}
 )
 
 const (
--- a/stager/failures.go
+++ b/stager/failures.go
@@ -20,17 +20,34 @@
 	// at least.
 	minRouteIncrease = 0.15
 	// endSpan is the time within which responses that break off at one endpoint have
-	// one cause. An endpoint takes about that long to start again.
-	endSpan = 4 * clock.Second
+	// one cause. An endpoint takes at least that long to start again.
+	endSpan = 2 * clock.Second
+	// endTolerance is the difference between the times at which two instances see an end.
+	endTolerance = 300 * clock.Millis(1)
 )
 
 // endSet is a set of ends of endpoints by their hashes. Instances that have seen the
 // same end set the same bit.
 type endSet uint64
 
-// endAt returns the set of one end, at a time since the begin of the roll-out.
-func endAt(endpoint string, elapsed clock.Millis) endSet {
-	return 1 << ((matcher.Hash("endpoint", endpoint) + uint64(elapsed/endSpan)) % 64)
+// endAt returns the set of one end of an endpoint, given by the hash of its id, at a time
+// since the begin of the roll-out.
+func endAt(endpoint uint64, elapsed clock.Millis) endSet {
+	return 1 << ((endpoint + uint64(max(0, elapsed)/endSpan)) % 64)
+}
+
+// Excuse tells that an endpoint, given by the hash of its id, has ended at an instant for
+// a reason that no version has.
+func (s *Stager) Excuse(endpoint uint64, at clock.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.rollouts {
+		if r.finished() {
+			continue
+		}
+		// Instances see an end at slightly different times.
+		r.excused |= endAt(endpoint, r.elapsed(at-endTolerance)) | endAt(endpoint, r.elapsed(at+endTolerance))
+	}
 }
 
 // count returns the number of ends, which may be more if hashes collide.
@@ -121,7 +138,7 @@
 // has broken off have one cause, so that the standard errors grow with the root of their
 // mean number (the design effect of cluster sampling).
 func (t sums) breaksMore(level strictness) bool {
-	if t.target.Ends.count() < level.ends {
+	if (t.target.Ends &^ t.excused).count() < level.ends {
 		return false
 	}
 	ends := t.target.Ends.count() + t.old.Ends.count()
--- a/stager/observation.go
+++ b/stager/observation.go
@@ -1,6 +1,9 @@
 package stager
 
-import "rosemaryarch.example/rosemaryarch/clock"
+import (
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/matcher"
+)
 
 // paceEvents is the number of events after the first one over which the pace of
 // a stream is measured. A slow stream shows early, and each stream counts once.
@@ -32,10 +35,10 @@
 type Observation struct {
 	stager   *Stager
 	rollout  *rolloutState
-	old      bool  // the version is not the target
-	slot     uint8 // of the kind
-	route    uint8 // slot of the route
-	endpoint string
+	old      bool   // the version is not the target
+	slot     uint8  // of the kind
+	route    uint8  // slot of the route
+	endpoint uint64 // hash of its id
 	start    clock.Millis
 	expected clock.Millis
 	events   int          // so far; a plain response counts as one
@@ -55,7 +58,8 @@
 	}
 	o := &Observation{
 		stager: s, rollout: r, old: sending.Version != r.rollout.Target, slot: kindSlot(sending.Kind),
-		route: routeSlot(sending.Route), endpoint: sending.Endpoint, start: now, expected: sending.Expected,
+		route: routeSlot(sending.Route), endpoint: matcher.Hash("endpoint", sending.Endpoint),
+		start: now, expected: sending.Expected,
 	}
 	if o.old {
 		r.report.OldInFlight++
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -46,6 +46,7 @@
 	centres map[string]peerReport // sums of other data centres, by name
 
 	routes       routeTable                // responses on this instance
+	excused      endSet                    // ends of endpoints that say nothing about a version
 	newLatencies latencyTable              // of ended requests on this instance
 	oldLatencies latencyTable              // the same for all other versions
 	running      map[*Observation]struct{} // requests in progress on this instance
