dispatcher: requests late in a planned stop get their answer before its end

Here the process served plain requests for 0.8 of the grace and ended at its end, whatever still ran.

A plain request that is taken in a stop now has its deadline 0.5 s before the end of the grace, which its endpoint is told, and gets 504 then at the latest. One that has less than four target latencies left until then is refused at once with 503, for another instance. Streams, which may continue elsewhere, are refused 3 s after SIGTERM as before.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -112,6 +112,7 @@
 	handler         http.Handler // calls serve
 	draining        atomic.Bool  // responses close their connections
 	refusingStreams atomic.Bool  // new streams are refused, since the process is about to stop
+	stopAt          atomic.Int64 // time by which responses must be complete, since the process stops; 0: none
 	active          atomic.Int64 // requests in progress
 
 	mu           sync.Mutex
@@ -187,8 +188,12 @@
 // Active returns the number of requests in progress.
 func (d *Dispatcher) Active() int { return int(d.active.Load()) }
 
-// Drain makes responses close their connections.
-func (d *Dispatcher) Drain() { d.draining.Store(true) }
+// Drain makes responses close their connections. The process stops at the given time:
+// requests that are taken from now on get their final response before, or are refused.
+func (d *Dispatcher) Drain(stopAt clock.Millis) {
+	d.stopAt.Store(int64(stopAt))
+	d.draining.Store(true)
+}
 
 // RefuseStreams refuses new streams, which would outlive the process.
 func (d *Dispatcher) RefuseStreams() { d.refusingStreams.Store(true) }
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -128,7 +128,7 @@
 	if x.route.Kind == matcher.Stream {
 		x.surging = d.observeSurge(x.now(), x.workspace.Name, x.prompt.tokens)
 	}
-	if d.refusingStreams.Load() && x.route.Kind == matcher.Stream {
+	if d.refusingStreams.Load() && x.route.Kind == matcher.Stream || x.endsTooSoon() {
 		return refuser.ErrShuttingDown.WithRetryAfter(shortRetry)
 	}
 	return nil
@@ -241,10 +241,31 @@
 		wait = clock.Millis(ms)
 	}
 	x.clientDeadline = x.start + wait
+	x.limitDeadline()
+}
+
+// limitDeadline sets the time by which the final response must be complete. A plain
+// request that is taken while the process stops must have its response before the end.
+// A stream may continue elsewhere.
+func (x *exchange) limitDeadline() {
 	x.deadline = x.clientDeadline
 	if t := x.route.Timeout; t > 0 {
 		x.deadline = min(x.deadline, x.start+t)
 	}
+	if at := clock.Millis(x.dispatcher.stopAt.Load()); at > 0 && x.route.Kind != matcher.Stream {
+		x.deadline = min(x.deadline, at)
+	}
+}
+
+// minTargetsLeft is the time before the end of the process, in units of the route's
+// target latency, from which a request is refused: another instance has more time.
+const minTargetsLeft = 4
+
+// endsTooSoon reports whether the process stops before the request is likely to have its
+// response.
+func (x *exchange) endsTooSoon() bool {
+	at := clock.Millis(x.dispatcher.stopAt.Load())
+	return at > 0 && x.route.Kind != matcher.Stream && at-x.now() < minTargetsLeft*x.route.Target
 }
 
 // headerBytes returns the approximate size of the request line and the header.
--- a/dispatcher/rules_test.go
+++ b/dispatcher/rules_test.go
@@ -391,7 +391,7 @@
 	f := newFleet(t, route(matcher.Stream, resumable), func(c net.Conn, r *http.Request, _ string) bool {
 		return writeEvents(c, r, 1, 4, true)
 	})
-	f.dispatcher.Drain()
+	f.dispatcher.Drain(f.confirmed() + clock.Minute)
 	got := f.do("POST", "/a/x", "b")
 	if got.status != 200 || got.body != completeStream {
 		t.Errorf("draining: got %d %q, want 200 and the complete stream", got.status, got.body)
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -290,10 +290,7 @@
 	if err := x.authorise(); err != nil {
 		return err
 	}
-	x.deadline = x.clientDeadline
-	if t := x.route.Timeout; t > 0 {
-		x.deadline = min(x.deadline, x.start+t)
-	}
+	x.limitDeadline()
 	for i, name := range x.route.Models {
 		if name == model {
 			x.model = i
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -81,6 +81,8 @@
 	// exitMargin is the time between the shutdown deadline and the end of the
 	// grace period.
 	exitMargin = 300 * clock.Millis(1)
+	// answerMargin is the time between the last responses and the shutdown deadline.
+	answerMargin = 200 * clock.Millis(1)
 	// lingerShare is the part of the grace period during which new requests are
 	// still served, for clients with a cached directory response.
 	lingerShare = 0.8
@@ -310,7 +312,7 @@
 	l.logger.LogUnlimited("stopping", logger.Number("active", l.dispatcher.Active()), logger.Number("grace_ms", grace))
 	l.stopping.Store(true)
 	l.heartbeater.SetReady(false, true)
-	l.dispatcher.Drain()
+	l.dispatcher.Drain(begin + grace - exitMargin - answerMargin)
 	l.heartbeater.Announce()
 	linger := clock.Millis(float64(grace) * lingerShare)
 	for left := linger; left > 0; left = linger - (l.clock.Now() - begin) {
