--- a/dispatcher/crash_test.go
+++ b/dispatcher/crash_test.go
@@ -21,6 +21,20 @@
 	f.quarantine.Decide(clock.Boot().Now() + clock.Second)
 }
 
+// ended returns the number of endpoints whose port refuses connections.
+func (f *fleet) ended() int {
+	n := 0
+	for _, e := range f.endpoints {
+		c, err := net.Dial("tcp", e.listener.Addr().String())
+		if err != nil {
+			n++
+			continue
+		}
+		_ = c.Close()
+	}
+	return n
+}
+
 // deadly answers requests with events, and those with the part "dead" by end. If
 // ends is set, the endpoint then ends: its port refuses connections.
 func deadly(f **fleet, ends bool, begin string) handler {
@@ -78,16 +92,7 @@
 				f.do("POST", "/a/x", own, names.Prefix, "system:3,subject:4,dead:5,"+own+":1")
 				f.settle()
 			}
-			ended := 0
-			for _, e := range f.endpoints {
-				c, err := net.Dial("tcp", e.listener.Addr().String())
-				if err != nil {
-					ended++
-					continue
-				}
-				_ = c.Close()
-			}
-			if ended > tt.wantCrashes {
+			if ended := f.ended(); ended > tt.wantCrashes {
 				t.Errorf("%d endpoints have ended, want at most %d", ended, tt.wantCrashes)
 			}
 			before := f.sent()
@@ -207,16 +212,7 @@
 				do("/a/x", body, "good")
 				f.settle()
 			}
-			ended := 0
-			for _, e := range f.endpoints {
-				c, err := net.Dial("tcp", e.listener.Addr().String())
-				if err != nil {
-					ended++
-					continue
-				}
-				_ = c.Close()
-			}
-			if ended > tt.wantCrashes {
+			if ended := f.ended(); ended > tt.wantCrashes {
 				t.Errorf("%d endpoints have ended, want at most %d", ended, tt.wantCrashes)
 			}
 			before := f.sent()
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -16,6 +16,12 @@
 	lost      func(from, to int) bool
 }
 
+// losses are ways in which reports get lost.
+var losses = map[string]func(from, to int) bool{
+	"no loss":                        func(int, int) bool { return false },
+	"half of the receivers miss all": func(from, to int) bool { return (from+to)%2 == 1 && to != 0 && from != 0 },
+}
+
 func newNetwork(size int) *network {
 	n := &network{now: 1_000_000, lost: func(int, int) bool { return false }}
 	for range size {
@@ -301,11 +307,7 @@
 // instance does not know yet what the others have seen, and against a hold that is late
 // when datagrams are lost.
 func TestHoldsRequestInTime(t *testing.T) {
-	tests := map[string]func(from, to int) bool{
-		"no loss":                        func(int, int) bool { return false },
-		"half of the receivers miss all": func(from, to int) bool { return (from+to)%2 == 1 && to != 0 && from != 0 },
-	}
-	for name, lost := range tests {
+	for name, lost := range losses {
 		t.Run(name, func(t *testing.T) {
 			n := newNetwork(9)
 			n.lost = lost
@@ -375,11 +377,7 @@
 // Guards against a decision that comes later than contactMs, 3 s, after the fifth
 // crash, with lost datagrams too.
 func TestHoldsInTime(t *testing.T) {
-	tests := map[string]func(from, to int) bool{
-		"no loss":                        func(int, int) bool { return false },
-		"half of the receivers miss all": func(from, to int) bool { return (from+to)%2 == 1 && to != 0 && from != 0 },
-	}
-	for name, lost := range tests {
+	for name, lost := range losses {
 		t.Run(name, func(t *testing.T) {
 			n := newNetwork(9)
 			n.lost = lost
