--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -1,5 +1,5 @@
-// Package quarantiner finds the parts of prompts that crash endpoints, and tells
-// which requests must not be sent because they hold such a part.
+// Package quarantiner finds the requests, and the parts of prompts, that crash
+// endpoints, and tells which requests must not be sent because of that.
 //
 // An endpoint that ends while requests wait there for their first event is
 // evidence against every part of their prompts that other requests share. The
@@ -10,6 +10,9 @@
 // then count against another part only beside further ones without it. From time
 // to time one request with a held part is sent: a first event ends the hold.
 //
+// A request as a whole is a suspect like a part. It is known by its content, which
+// all its repetitions have in common, and fewer crashes are enough to hold it.
+//
 // One instance sees only a few of the crashes. Instances exchange their
 // observations, and those of first events of parts that others suspect.
 //
--- a/quarantiner/drop.go
+++ b/quarantiner/drop.go
@@ -45,13 +45,13 @@
 // addDropped adds the requests whose answers have been dropped shortly before a crash.
 // The lock is held.
 func (q *Quarantiner) addDropped(now clock.Millis, c *crash) {
-	for i, d := range q.drops {
+	q.drops = slices.DeleteFunc(q.drops, func(d drop) bool {
 		if d.endpoint != c.endpoint || d.at > c.at || c.at-d.at > dropSpan {
-			continue
+			return false
 		}
 		for position, name := range d.request.each {
 			q.addWaiting(now, c, name, position, d.request.Content, copies)
 		}
-		q.drops[i].endpoint = 0 // counts once
-	}
+		return true
+	})
 }
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -12,9 +12,9 @@
 type threshold struct{ crashes, requests int }
 
 // The thresholds. A part that has never been in a request with a first event needs
-// the evidence of one of neverSound, a whole request that of ofContent. Independent crashes of endpoints, which are
-// frequent on a bad day, hit one new part three or four times in a row too rarely
-// to matter.
+// the evidence of one of neverSound, a whole request that of ofContent. Independent
+// crashes of endpoints, which are frequent on a bad day, hit one new part three or
+// four times in a row too rarely to matter.
 var (
 	neverSound = []threshold{{crashes: 3, requests: 3}, {crashes: 4, requests: 2}, {crashes: 6, requests: 1}}
 	onceSound  = []threshold{{crashes: 5, requests: 3}, {crashes: 8, requests: 1}}
@@ -88,7 +88,8 @@
 }
 
 // isCleared reports whether requests with each of the parts that waited have had a
-// first event since the crash. Whole requests don't count, as few come again. The lock is held.
+// first event since the crash. Whole requests don't count, as few come again. The
+// lock is held.
 func (q *Quarantiner) isCleared(c *crash) bool {
 	for name := range c.waiting {
 		if !isContent(name) && q.parts[name].sound <= c.at {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -33,7 +33,7 @@
 	suspects map[string]*suspect // parts and whole requests of the crashes
 	parts    map[string]soundness
 	held     map[string]*hold
-	drops    []drop
+	drops    []drop    // answers dropped by this instance
 	cleared  []Verdict // parts that a first event has cleared since the last decision
 
 	undecided   bool         // Decide has not seen all evidence, or not settled yet
@@ -254,7 +254,7 @@
 	return list
 }
 
-// hold holds a part. The lock is held.
+// hold holds a part or a whole request. The lock is held.
 func (q *Quarantiner) hold(name string, h *hold) {
 	if len(q.held) < maxHeld {
 		q.held[name] = h
--- a/stager/evidence.go
+++ b/stager/evidence.go
@@ -100,8 +100,8 @@
 // The evidence is evaluated about a hundred times in a roll-out, so an immediate
 // verdict requires more of it than the decisions before completion. A bad version
 // fails a third of its requests of one kind at least, or takes several times as
-// long. One request that crashes endpoints ends several before it is held, all of one
-// version if its session is.
+// long. Ends of endpoints need more evidence: one request that crashes endpoints may end
+// several of the same version before it is held.
 var (
 	immediate = strictness{failures: 5, ofRoute: 4, ends: 7, failErrors: 3.5, compared: 10, slow: 5, slowErrors: 3.8}
 	final     = strictness{failures: 4, ofRoute: 3, ends: 6, failErrors: 2.6, compared: 8, slow: 4, slowErrors: 3}
--- a/stager/failures.go
+++ b/stager/failures.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// count returns the number of ends, which may be more if hashes collide.
+// count returns the number of ends. Ends whose hashes collide count as one.
 func (s endSet) count() int { return bits.OnesCount64(uint64(s)) }
 
 // RouteCounts counts the responses of both versions to requests of one route, without
--- a/stager/schedule.go
+++ b/stager/schedule.go
@@ -9,7 +9,7 @@
 // and only while no instance doubts the target.
 const (
 	maxInitialShare = 0.08
-	minInitialShare = 0.02
+	minInitialShare = 0.02 // a smaller share yields hardly any evidence
 	maxMiddleShare  = 0.2
 	exchangeTime    = 700 * clock.Millis(1) // at the start, without the target, until all instances have the session uses
 	halfwayMargin   = 700 * clock.Millis(1) // after the first half, for instances that saw the roll-out at other times
