--- a/review/standin/evacuation.go
+++ b/review/standin/evacuation.go
@@ -13,6 +13,7 @@
 	orderAfter = 400 * time.Millisecond // from the begin of that time
 	contact    = 3 * time.Second        // contactMs
 	evacuate   = 5 * time.Second        // evacuateMs
+	maxStretch = 5 * time.Second        // maxStretchMs
 	zone       = "fukuoka"
 )
 
@@ -40,7 +41,7 @@
 		if !d.ready(i) {
 			return false, errors.New("a machine is not ready after 10 s")
 		}
-		c.directory = append(c.directory, d.address(firstMachine+i, listPort))
+		c.directory = append(c.directory, node{d.zones[i%len(d.zones)], d.address(firstMachine+i, listPort)})
 	}
 	trafficEnd := make(chan struct{})
 	go func() {
@@ -82,13 +83,17 @@
 	return broken, d.record.save(path)
 }
 
-// judge checks EVAC. The evacuation is not taken back. The bound of evacuateMs runs from
-// the acknowledgement, and anew from stableFrom, contactMs after the disruption, from
-// when on all machines are in touch.
+// judge checks EVAC. The evacuation is not taken back. The bound is evacuateMs from the
+// acknowledgement. After a disruption it is the latest that any reading of the rules
+// allows: it runs anew from stableFrom, contactMs after the disruption, from when on all
+// machines are in touch, and is stretched by maxStretchMs.
 func judge(r *record, ordered, stableFrom time.Time) bool {
 	from := ordered.Add(evacuate)
-	if late := stableFrom.Add(evacuate); late.After(from) {
-		from = late
+	if !stableFrom.IsZero() {
+		from = from.Add(maxStretch)
+		if late := stableFrom.Add(evacuate); late.After(from) {
+			from = late
+		}
 	}
 	before, late := 0, 0
 	var last time.Time
