--- a/stager/evidence.go
+++ b/stager/evidence.go
@@ -100,7 +100,8 @@
 
 // The evidence is evaluated about a hundred times in a roll-out, so an immediate
 // verdict requires more of it than the decisions before completion. The last one, for a
-// plain service about whose target there is still doubt, requires the least. A bad version
+// plain service about whose target there is still doubt, requires the least, and a little
+// less evidence keeps the roll-out undecided. A bad version
 // fails a third of its requests of one kind at least, or takes several times as
 // long. Ends of endpoints need more evidence: one request that crashes endpoints may end
 // several of the same version before it is held.
@@ -114,6 +115,9 @@
 	last = strictness{
 		failures: 4, ofRoute: 3, falseAlarm: 1.5e-2, ends: 6, failErrors: 2.6, compared: 8, slow: 4, slowErrors: 3,
 	}
+	undecided = strictness{
+		failures: 4, ofRoute: 3, falseAlarm: 2.2e-2, ends: 6, failErrors: 2.6, compared: 8, slow: 4, slowErrors: 3,
+	}
 	doubt = strictness{
 		failures: 3, ofRoute: 2, falseAlarm: 3e-2, ends: 4, failErrors: 2, compared: 5, slow: 3, slowErrors: 1.5,
 	}
--- a/stager/failures.go
+++ b/stager/failures.go
@@ -182,17 +182,18 @@
 // there: the versions do not serve the same mix of routes, and a route that the old
 // version has not served may fail on any. The responses of the full share are tested
 // apart as well, since a version that fails under load only has many sound responses from
-// before. The probability of a false alarm is divided among the routes; the samples of
-// one route are strongly correlated.
+// before. The probability of a false alarm is divided among the routes that can cause one
+// (Tarone: A modified Bonferroni method for discrete data, Biometrics 46, 1990); the samples
+// of one route are strongly correlated.
 func (t sums) routesFailMore(level strictness) bool {
 	var all, loaded []comparison
-	testable := 0 // routes with enough responses to fail a test
+	testable := 0 // routes that can fail a test, given the number of their failures
 	for _, c := range t.routes {
 		old := failureCounts{c.OldServed, c.OldFailed}
 		if old.served == 0 {
 			continue
 		}
-		if c.NewServed >= level.ofRoute {
+		if c.NewServed >= level.ofRoute && c.leastFalseAlarm() < level.falseAlarm {
 			testable++
 		}
 		if c.NewServed > 0 {
@@ -259,6 +260,13 @@
 	return probabilities
 }
 
+// leastFalseAlarm returns the probability of a false alarm if all failures of the route
+// that can fall to the target do so. It is 1 for a route that never fails or always does.
+func (c RouteCounts) leastFalseAlarm() float64 {
+	probabilities := hypergeometric(c.NewServed, c.OldServed, c.NewFailed+c.OldFailed)
+	return probabilities[len(probabilities)-1]
+}
+
 // convolve returns the distribution of the sum of two independent numbers.
 func convolve(a, b []float64) []float64 {
 	sum := make([]float64, len(a)+len(b)-1)
--- a/stager/schedule.go
+++ b/stager/schedule.go
@@ -33,12 +33,23 @@
 	completeTime   = 1500 * clock.Millis(1) // duration of the full share before the roll-out may complete
 	completeLoaded = 40                     // responses of the full share before that, for a plain service
 	deadlineMargin = 800 * clock.Millis(1)  // time left at which it completes even with requests on the old version
+	// plainMargin is the same for a plain service. Its full share answers up to twenty
+	// more requests in the time between both.
+	plainMargin = 400 * clock.Millis(1)
 	// settleTime is the time from the final judgement to completion, in which the
 	// verdicts of all instances arrive.
 	settleTime = 1200 * clock.Millis(1)
 	// lateMargin is the time left at which the roll-out no longer waits for late
 	// reports.
 	lateMargin = 500 * clock.Millis(1)
+	// doubtMargin is the time left at which a plain service completes in spite of doubt,
+	// which is just enough to store the phase.
+	doubtMargin = 200 * clock.Millis(1)
+	// undecidedTime is the time after the deadline for which failures that nearly suffice
+	// for a verdict delay the completion of a plain service. By then, the full share has
+	// answered several times as many requests as at the deadline. A good version that
+	// completes late costs less than a bad one that stays.
+	undecidedTime = 5 * clock.Second
 	// freshTime is the age from which a report is late, and silentTime the age from
 	// which its instance counts as gone.
 	freshTime  = 2 * clock.Second
@@ -107,6 +118,7 @@
 // assess updates what the stage depends on.
 func (r *rolloutState) assess(now clock.Millis, t sums) {
 	r.doubtful = t.isWorse(doubt)
+	r.undecided = t.failsMore(undecided)
 	r.loaded, _ = t.routes.loaded()
 	elapsed := r.elapsed(now)
 	if r.doubtful || r.peersDoubt(now) {
@@ -146,16 +158,33 @@
 
 // completeFrom returns the elapsed time from which the roll-out completes even
 // with requests on the old version.
-func (r *rolloutState) completeFrom() clock.Millis { return r.rollout.Duration - deadlineMargin }
+func (r *rolloutState) completeFrom() clock.Millis {
+	if r.plain {
+		return r.rollout.Duration - plainMargin
+	}
+	return r.rollout.Duration - deadlineMargin
+}
 
 // finalJudgement returns the elapsed time from which less evidence against the
 // target is enough.
 func (r *rolloutState) finalJudgement() clock.Millis { return r.completeFrom() - settleTime }
 
-// lastJudgement returns the elapsed time until which doubt delays the completion of a
-// plain service.
+// lastJudgement returns the elapsed time from which the least evidence against the
+// target of a plain service is enough.
 func (r *rolloutState) lastJudgement() clock.Millis { return r.rollout.Duration - lateMargin }
 
+// lastMoment returns the elapsed time from which the roll-out completes in spite of doubt.
+// Failures of a plain service that nearly suffice for a verdict delay it.
+func (r *rolloutState) lastMoment() clock.Millis {
+	switch {
+	case !r.plain:
+		return r.completeFrom()
+	case r.undecided:
+		return r.rollout.Duration + undecidedTime
+	}
+	return r.rollout.Duration - doubtMargin
+}
+
 // requiredEvidence returns the evidence that is required against the target now.
 func (r *rolloutState) requiredEvidence(elapsed clock.Millis) strictness {
 	switch {
@@ -177,7 +206,7 @@
 		return false
 	}
 	doubtful := r.doubtful || r.peersDoubt(now)
-	if elapsed >= r.completeFrom() && (!r.plain || !doubtful) || elapsed >= r.lastJudgement() {
+	if elapsed >= r.completeFrom() && (!r.plain || !doubtful) || elapsed >= r.lastMoment() {
 		return true
 	}
 	if oldInFlight > 0 || r.plain && r.loaded < completeLoaded || doubtful {
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -65,6 +65,7 @@
 	stage      stage
 	fullSince  clock.Millis // elapsed time at which the full share began
 	doubtful   bool         // by the evidence of all instances
+	undecided  bool         // failures nearly suffice to judge the target bad
 	clearFrom  clock.Millis // elapsed time since which no instance doubts
 	enough     bool         // the target has served enough to judge it
 	enoughFrom clock.Millis // elapsed time since which enough is set
