stager: a plain service completes half a second before its deadline

It counts from the order, which instances see 0.1 s later, and they decide every 0.2 s; margins of 0.4 and 0.2 s were too short.

Change: both are lateMargin, 0.5 s. Doubt about latencies no longer delays the completion at the end, failures that nearly suffice do, as before.

--- a/stager/schedule.go
+++ b/stager/schedule.go
@@ -33,18 +33,14 @@
 	completeTime   = 1500 * clock.Millis(1) // duration of the full share before the roll-out may complete
 	completeLoaded = 40                     // responses of the full share before that, for a plain service
 	deadlineMargin = 800 * clock.Millis(1)  // time left at which it completes even with requests on the old version
-	// plainMargin is the same for a plain service. Its full share answers up to twenty
-	// more requests in the time between both.
-	plainMargin = 400 * clock.Millis(1)
 	// settleTime is the time from the final judgement to completion, in which the
 	// verdicts of all instances arrive.
 	settleTime = 1200 * clock.Millis(1)
 	// lateMargin is the time left at which the roll-out no longer waits for late
-	// reports.
+	// reports, and at which a plain service completes, whose full share answers a few more
+	// requests in the time between both. The deadline counts from the order, which is seen
+	// 0.1 s later, and decisions are 0.2 s apart.
 	lateMargin = 500 * clock.Millis(1)
-	// doubtMargin is the time left at which a plain service completes in spite of doubt,
-	// which is just enough to store the phase.
-	doubtMargin = 200 * clock.Millis(1)
 	// undecidedTime is the time after the deadline for which failures that nearly suffice
 	// for a verdict delay the completion of a plain service. By then, the full share has
 	// answered several times as many requests as at the deadline. A good version that
@@ -160,7 +156,7 @@
 // with requests on the old version.
 func (r *rolloutState) completeFrom() clock.Millis {
 	if r.plain {
-		return r.rollout.Duration - plainMargin
+		return r.rollout.Duration - lateMargin
 	}
 	return r.rollout.Duration - deadlineMargin
 }
@@ -173,16 +169,9 @@
 // target of a plain service is enough.
 func (r *rolloutState) lastJudgement() clock.Millis { return r.rollout.Duration - lateMargin }
 
-// lastMoment returns the elapsed time from which the roll-out completes in spite of doubt.
-// Failures of a plain service that nearly suffice for a verdict delay it.
-func (r *rolloutState) lastMoment() clock.Millis {
-	switch {
-	case !r.plain:
-		return r.completeFrom()
-	case r.undecided:
-		return r.rollout.Duration + undecidedTime
-	}
-	return r.rollout.Duration - doubtMargin
+// isUndecided reports whether the completion of a plain service waits past the deadline.
+func (r *rolloutState) isUndecided(elapsed clock.Millis) bool {
+	return r.plain && r.undecided && elapsed < r.rollout.Duration+undecidedTime
 }
 
 // requiredEvidence returns the evidence that is required against the target now.
@@ -205,11 +194,10 @@
 	if r.reportsAreLate(now) && elapsed < r.rollout.Duration-lateMargin {
 		return false
 	}
-	doubtful := r.doubtful || r.peersDoubt(now)
-	if elapsed >= r.completeFrom() && (!r.plain || !doubtful) || elapsed >= r.lastMoment() {
-		return true
+	if elapsed >= r.completeFrom() {
+		return !r.isUndecided(elapsed)
 	}
-	if oldInFlight > 0 || r.plain && r.loaded < completeLoaded || doubtful {
+	if oldInFlight > 0 || r.plain && r.loaded < completeLoaded || r.doubtful || r.peersDoubt(now) {
 		return false
 	}
 	return r.currentStage(now) == fullStage && elapsed >= r.fullSince+completeTime
