dispatcher: do not give up a silent stream that cannot be requested elsewhere

Cause: a stream that is silent for 2.3 s was abandoned once an endpoint and the retry budget for another send were there.

Change: it is abandoned only if the configuration in force, its confirmation and the quarantine allow another send.

Result: TestSilentStreamWithoutRetryBudget has the case; it failed before.

--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -302,6 +302,26 @@
 	return nil
 }
 
+// canResend reports whether the current configuration, its confirmation and the
+// quarantine allow another send of the request. A client whose key has been revoked may
+// still receive the rest of an answer that began before.
+func (x *exchange) canResend() bool {
+	d := x.dispatcher
+	t := d.options.Table()
+	path, _, _ := strings.Cut(x.request.RequestURI, "?")
+	route := t.Match(x.request.Host, path)
+	if route == nil || !route.Retryable() {
+		return false
+	}
+	if !route.Public {
+		if _, ok := t.Workspace(x.key); !ok || x.now()-d.options.Confirmed() > d.options.Bounds().KeyAge {
+			return false
+		}
+	}
+	part, _ := d.options.Quarantine.Check(x.now(), x.quarantined())
+	return (x.trial || part == "") && !x.mayCrashEndpoints()
+}
+
 // criteria returns the criteria of the next send.
 func (x *exchange) criteria() *criteria {
 	q := &criteria{
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -128,6 +128,9 @@
 	if x.budgetedService != "" {
 		return true
 	}
+	if !x.canResend() {
+		return false
+	}
 	q := x.criteria()
 	if first, rest := d.eligible(x.now(), q); len(first)+len(rest) == 0 || !x.withdrawRetry(q) {
 		return false
--- a/dispatcher/stream_test.go
+++ b/dispatcher/stream_test.go
@@ -182,7 +182,8 @@
 // Guards against cutting off a stream whose endpoint is silent for a while if
 // the retry budget does not allow another endpoint. A stream was cut off after
 // four seconds during a change of the configuration. Seen on
-// thekkedath-tabs-grown, hunt-2d10-7.
+// thekkedath-tabs-grown, hunt-2d10-7. The same if the client's key has been revoked, so
+// that the rest cannot be requested elsewhere. Seen on npca-collect-grown, trouble-2.
 func TestSilentStreamWithoutRetryBudget(t *testing.T) {
 	pauses := func(c net.Conn, r *http.Request, _ string) bool {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+
@@ -198,21 +199,31 @@
 		_, err := io.WriteString(c, "0\r\n\r\n")
 		return err == nil
 	}
+	budget := budgeter.Options{Window: 10 * clock.Second, Ratio: 0.9, Slack: 50}
 	tests := map[string]struct {
-		budget budgeter.Options
-		sends  int
+		budget  budgeter.Options
+		revoked bool // the client's key, while the stream is silent
+		sends   int
 	}{
-		"no budget": {budgeter.Options{Window: 10 * clock.Second}, 1},
-		"budget":    {budgeter.Options{Window: 10 * clock.Second, Ratio: 0.9, Slack: 50}, 2},
+		"no budget":   {budgeter.Options{Window: 10 * clock.Second}, false, 1},
+		"budget":      {budget, false, 2},
+		"revoked key": {budget, true, 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			rest := func(c net.Conn, r *http.Request, _ string) bool { return writeEvents(c, r, 3, 4, true) }
 			f := newFleet(t, route(matcher.Stream, func(r *matcher.Route) {
-				r.Resumable, r.Timeout = true, 8000
+				r.Resumable, r.Timeout, r.Public = true, 8000, false
 			}), firstThen(pauses, rest)...)
 			f.dispatcher.options.Budget = budgeter.New(tt.budget)
-			got := f.do("POST", "/a/x", "prompt", names.Deadline, "8000")
+			if tt.revoked {
+				time.AfterFunc(500*time.Millisecond, func() {
+					c := f.config
+					c.Version, c.Workspaces = 2, nil
+					f.setConfig(c)
+				})
+			}
+			got := f.do("POST", "/a/x", "prompt", names.Deadline, "8000", names.Key, "good")
 			if got.err != nil || got.body != completeStream {
 				t.Errorf("got %q %v, want the complete stream", got.body, got.err)
 			}
