--- a/stager/schedule.go
+++ b/stager/schedule.go
@@ -129,6 +129,10 @@
 		r.load = r.demand.rate() * math.Exp(latency)
 	}
 	r.fullTime = r.exposure.fullTime(r.rollout.Duration-elapsed, t.targetSent, t.oldSent, r.demand.rate())
+	if r.plain && r.exposure.Fraction > 0 {
+		// A target that is judged bad gets no requests between the verdict and the deadline.
+		r.fullTime += lateMargin
+	}
 }
 
 // peersDoubt reports whether another instance has doubts about the target.
