dispatcher: wait longer for a silent stream before it is requested elsewhere

Cause: a stream that has begun was given up after the route's gap and 0.3 s without an event.

Change: two gaps and one second. A lost host is still found by its connection.

--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -118,6 +118,17 @@
 	return id
 }
 
+const (
+	// silentGaps is the time without an event after which a stream that has begun
+	// counts as failed, in units of the longest gap of a timely one. An engine that reads
+	// long prompts for other requests is silent for more than one. To read the prompt
+	// again elsewhere adds work when engines are busiest, and the stream is late anyway.
+	// The connection shows a lost host sooner.
+	silentGaps = 2
+	// silentMargin is added to that time.
+	silentMargin = clock.Second
+)
+
 // eventTimeout returns the longest wait for the next event; 0 means until the
 // deadline.
 func (s *send) eventTimeout(first bool) clock.Millis {
@@ -128,7 +139,7 @@
 	if first {
 		return s.firstEventTimeout()
 	}
-	return max(silenceTimeout, x.route.EventGap) + 300
+	return silentGaps*max(silenceTimeout, x.route.EventGap) + silentMargin
 }
 
 // writeStreamHeader sends the response header to the client.
