--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -162,10 +162,7 @@
 	c.rememberID(call.Request.Header.Get(f.options.IDHeader))
 	response := &Response{forwarder: f, conn: c, address: call.Address, alive: call.Alive, trace: trace}
 	c.response = response
-	response.stop = context.AfterFunc(ctx, func() {
-		response.cancelled.Store(true)
-		_ = c.SetDeadline(pastDeadline)
-	})
+	response.stop = context.AfterFunc(ctx, response.Interrupt)
 	response.SetReadTimeout(call.HeaderTimeout)
 	head := encodeHead(&call.Request)
 	if len(call.Request.Body) <= maxInlineBody {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -18,7 +18,7 @@
 // pastDeadline is a deadline in the past, which ends reads and writes at once.
 var pastDeadline = time.Unix(1, 0)
 
-// Response is an endpoint's response. It is not safe for concurrent use.
+// Response is an endpoint's response. It is not safe for concurrent use, except for Interrupt.
 type Response struct {
 	Status int
 	Header http.Header
@@ -197,6 +197,13 @@
 	}
 }
 
+// Interrupt ends a read of the body that is in progress, and all later ones, with an error.
+// Unlike all other methods it may be called at any time.
+func (r *Response) Interrupt() {
+	r.cancelled.Store(true)
+	_ = r.conn.SetDeadline(pastDeadline)
+}
+
 // Close ends the exchange by closing its connection, which also tells an
 // endpoint that is still working on the request to stop. A second call does
 // nothing.
--- a/splitter/splitter.go
+++ b/splitter/splitter.go
@@ -88,6 +88,12 @@
 	}
 }
 
+// Detach leaves the bytes that Next returned last to the caller: they stay valid, and may
+// be read by another goroutine, while the splitter continues with a buffer of its own.
+func (s *Splitter) Detach() {
+	s.data, s.from = bytes.Clone(s.data[s.from:]), 0
+}
+
 // fill drops the returned events from the buffer and reads once.
 func (s *Splitter) fill() {
 	rest := copy(s.data, s.data[s.from:])
--- a/splitter/splitter_test.go
+++ b/splitter/splitter_test.go
@@ -156,3 +156,19 @@
 		}
 	}
 }
+
+// Guards against events that change while another goroutine writes them, and against bytes
+// lost between them and the next ones.
+func TestDetach(t *testing.T) {
+	const first, second, third = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	s := New(io.MultiReader(strings.NewReader(first+second+"id: 3"), strings.NewReader(third[5:])))
+	kept, _, _, err := s.Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Detach()
+	next, id, _, err := s.Next()
+	if string(kept) != first+second || string(next) != third || id != 3 || err != nil {
+		t.Errorf("got %q, then %q with id %d, %v", kept, next, id, err)
+	}
+}
