dispatcher: read on while a caller reads slowly

Cause: a stream was read from the endpoint as the caller took it, and an endpoint cuts off a response that stays unread for some seconds. Complete plain responses that wait for slow callers were not counted anywhere. Change: if a write takes more than 50 ms, the goroutine of a timer reads from the endpoint and the serving goroutine writes what has been read. What is held is counted by package spooler (an eighth of the memory limit, 16 MB without one), as are plain responses whose write takes that long. New drop reason client_too_slow, gauge slow_caller_bytes, field held_max in the request log.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -23,6 +23,7 @@
 	"rosemaryarch.example/rosemaryarch/pauser"
 	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
+	"rosemaryarch.example/rosemaryarch/spooler"
 	"rosemaryarch.example/rosemaryarch/stager"
 	"rosemaryarch.example/rosemaryarch/surgedetector"
 	"rosemaryarch.example/rosemaryarch/throttler"
@@ -75,8 +76,10 @@
 	// the quarantine lets through to learn whether a part still crashes endpoints.
 	TakesTrials func() bool
 	Breaker     breaker.Options
-	Meter       *meter.Meter
-	Logger      *logger.Logger
+	// Spooler counts what is held for callers that read slowly.
+	Spooler *spooler.Spooler
+	Meter   *meter.Meter
+	Logger  *logger.Logger
 	// Members returns the number of instances that share the retry budget.
 	Members func() int
 	// ColdSenders returns how many instances may send to cold endpoints of this data
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -68,6 +68,7 @@
 	// on, and threshold the confidence that it required.
 	cascadeInput cascader.Answer
 	threshold    float64
+	heldMax      int    // largest number of bytes held because the client read slowly
 	fallback     func() // forwards a failed response, if no retry yields another
 }
 
@@ -295,7 +296,9 @@
 
 // writeBody writes the whole body of the response, which it completes.
 func (x *exchange) writeBody(body []byte) {
-	if _, err := x.writer.Write(body); err == nil {
+	watch := x.watchBody(len(body))
+	_, err := x.writer.Write(body)
+	if watch.stop() && err == nil {
 		completer.Complete(x.writer)
 	}
 }
@@ -340,6 +343,7 @@
 		logger.Text("endpoint", x.endpoint), logger.Number("model", x.model), logger.Number("confidence", x.confidence),
 		logger.Number("threshold", x.threshold), logger.Number("room", x.cascadeInput.Capacity),
 		logger.Number("pressure", x.cascadeInput.Pressure), logger.Number("tokens", x.prompt.tokens),
+		logger.Number("held_max", x.heldMax),
 		logger.Number("first_ms", x.firstEventMs), logger.Number("ms", x.now()-x.start),
 		logger.Number("config", configVersion), logger.Number("config_age_ms", x.now()-options.Confirmed()))
 	options.Meter.ObserveLatency(service, kind, statusClass(x.status), x.now()-x.start)
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -28,6 +28,7 @@
 	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/reserver"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
+	"rosemaryarch.example/rosemaryarch/spooler"
 	"rosemaryarch.example/rosemaryarch/stager"
 	"rosemaryarch.example/rosemaryarch/throttler"
 )
@@ -219,8 +220,8 @@
 		Capper:      capper.New(),
 		Pauser:      pauser.New(),
 		Quarantine:  f.quarantine, TakesTrials: func() bool { return true },
-		Forwarder: f.forwarder,
-		Balancer:  balancer.Default(), Cascader: cascader.Default(),
+		Forwarder: f.forwarder, Spooler: spooler.New(smallestMemory / 8),
+		Balancer: balancer.Default(), Cascader: cascader.Default(),
 		Breaker: breaker.Options{
 			Window: 5000, MinRequests: 6, ErrorRate: 0.45, ConsecutiveErrors: 3, OpenFor: 700, OpenMax: 4000, MaxProbes: 1,
 			ProbeSuccesses: 2, ProbeTimeout: 3000, MaxOpenShare: 0.5,
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -52,41 +52,53 @@
 // serveStream forwards events as they arrive. It discards the answer instead if
 // the request is escalated to the largest model.
 func (s *send) serveStream(ctx context.Context) (sendResult, error) {
-	x, response := s.exchange, s.response
+	x := s.exchange
 	if !x.headerSent && !s.accept() && x.escalate() {
 		s.outcome, s.result = "less_confident", stager.Served
 		s.recordDrop()
 		return resultEscalate, nil
 	}
-	events := splitter.NewAfter(response, x.resumePosition())
-	events.SetHold(response.Hold)
-	first := true
-	waited := clock.Millis(0) // for the endpoint, since its last event
+	r := s.newRelay(ctx)
+	for {
+		event, err := r.next()
+		for err == nil && event != nil {
+			event, err = r.write(event)
+		}
+		if err != nil {
+			return s.relayStopped(ctx, err, r.first)
+		}
+	}
+}
+
+// next reads the next events, or comments, that are to be forwarded. They are valid until
+// the next call.
+func (r *relay) next() ([]byte, error) {
+	s := r.send
+	x, response := s.exchange, s.response
 	for {
 		begin := x.now()
-		response.SetReadTimeoutSince(s.eventTimeout(first), waited)
-		event, id, count, err := events.Next()
+		response.SetReadTimeoutSince(s.eventTimeout(r.first), r.waited)
+		event, id, count, err := r.splitter.Next()
 		now := x.now()
-		waited += now - begin
+		r.waited += now - begin
 		if err == nil && response.HoldsResponse(event) {
 			err = splitter.ErrStatusLine
 		}
 		if err != nil {
-			return s.streamStopped(ctx, err, first)
+			return nil, err
 		}
 		if count == 0 {
 			// A comment is forwarded, but is no sign that the answer advances.
-			if x.headerSent && !x.writeEvent(event) {
-				s.outcome, x.reason = reasonClientLeft, reasonClientLeft
-				return resultDone, nil
+			if x.headerSent {
+				return event, nil
 			}
 			continue
 		}
-		waited = 0
+		r.waited = 0
 		x.dispatcher.recordReceived(now, x.endpoint)
 		s.observation.Receive(now, count)
-		if first {
-			first = false
+		if r.first {
+			r.first = false
 			s.answered = true
 			x.dispatcher.options.Quarantine.RecordFirstEvent(now, x.quarantined())
 			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, now-s.begin)
@@ -98,11 +110,25 @@
 		if id >= 0 {
 			x.lastEventID = id
 		}
-		if !x.writeEvent(event) {
-			s.outcome, x.reason = reasonClientLeft, reasonClientLeft
-			return resultDone, nil // without the end of the response
-		}
+		return event, nil
+	}
+}
+
+// relayStopped handles the end of a stream on the side of the client or of the endpoint.
+func (s *send) relayStopped(ctx context.Context, err error, empty bool) (sendResult, error) {
+	x := s.exchange
+	switch {
+	case errors.Is(err, errTooSlow):
+		s.outcome, x.reason, x.status = reasonTooSlow, reasonTooSlow, 0
+		s.drop(refuser.DropClientTooSlow)
+		return resultDone, nil // without the end of the response
+	case errors.Is(err, errNotWritten) && ctx.Err() != nil && !clientLeft(ctx):
+		return s.streamBroke(ctx, err)
+	case errors.Is(err, errNotWritten):
+		s.outcome, x.reason = reasonClientLeft, reasonClientLeft
+		return resultDone, nil // without the end of the response
 	}
+	return s.streamStopped(ctx, err, empty)
 }
 
 // resumePosition returns the id of the last event that the client has, or -1 if it has
--- a/launcher/directory.go
+++ b/launcher/directory.go
@@ -123,6 +123,7 @@
 		l.meter.SetGauge("members_alive", float64(len(l.heartbeater.Members())))
 		l.meter.SetGauge("requests_active", float64(l.dispatcher.Active()))
 		l.meter.SetGauge("log_lines_left_out", float64(l.logger.Dropped()))
+		l.meter.SetGauge("slow_caller_bytes", float64(l.spooler.Held()))
 		h.ServeHTTP(w, r)
 	})
 }
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -37,6 +37,7 @@
 	"rosemaryarch.example/rosemaryarch/reserver"
 	"rosemaryarch.example/rosemaryarch/retainer"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
+	"rosemaryarch.example/rosemaryarch/spooler"
 	"rosemaryarch.example/rosemaryarch/stager"
 	"rosemaryarch.example/rosemaryarch/watcher"
 )
@@ -80,6 +81,10 @@
 	// and defaultResponseMemory that number of bytes in a process without a limit.
 	responseMemoryShare   = 0.125
 	defaultResponseMemory = 64 << 20
+	// spoolMemoryShare is the part that may be held for callers that read slowly, and
+	// defaultSpoolMemory that number of bytes in a process without a limit.
+	spoolMemoryShare   = 0.125
+	defaultSpoolMemory = 16 << 20
 	// acceptStreamsFor is the time after SIGTERM during which new streams are
 	// accepted.
 	acceptStreamsFor = 3 * clock.Second
@@ -126,6 +131,7 @@
 	republish       chan struct{}                 // receives when this instance's object may be missing in the store
 	hub             *relayer.Hub
 	startedAt       clock.Millis
+	spooler         *spooler.Spooler
 	dispatcher      *dispatcher.Dispatcher
 	servers         []*http.Server
 
@@ -189,6 +195,7 @@
 		Backoff: l.backoff, EraChanged: l.eraChanged,
 		Current: func() bool { return !l.retainers[platform.ConfigKind].Behind() },
 	})
+	l.spooler = spooler.New(l.spoolMemory())
 	l.dispatcher = dispatcher.New(l.dispatcherOptions())
 	return l, nil
 }
@@ -212,7 +219,8 @@
 			Window: 5 * clock.Second, MinRequests: 6, ErrorRate: 0.45, ConsecutiveErrors: 3, OpenFor: 700,
 			OpenMax: 4 * clock.Second, MaxProbes: 1, ProbeSuccesses: 2, ProbeTimeout: 3 * clock.Second, MaxOpenShare: 0.5,
 		},
-		Meter: l.meter, Logger: l.logger, Members: l.heartbeater.KnownCount, ColdSenders: l.coldSenders,
+		Spooler: l.spooler,
+		Meter:   l.meter, Logger: l.logger, Members: l.heartbeater.KnownCount, ColdSenders: l.coldSenders,
 		Sharers:   l.sharers,
 		PeerLoad:  l.heartbeater.Load,
 		PeerReady: l.peerReady, Ready: l.readyCount, PeerRates: l.peerRates, PeerRetries: l.peerRetries,
@@ -274,6 +282,14 @@
 	return reserver.New(bytes, func() { l.meter.CountDrop(refuser.DropNoMemory) })
 }
 
+// spoolMemory returns the bound on what is held for callers that read slowly.
+func (l *Launcher) spoolMemory() int64 {
+	if mb := l.settings.Limits.MemoryMB; mb > 0 {
+		return int64(float64(mb<<20) * spoolMemoryShare)
+	}
+	return defaultSpoolMemory
+}
+
 // serve runs all parts until a stop signal arrives or a server fails.
 func (l *Launcher) serve(signals chan os.Signal) error {
 	defer close(l.done)
--- a/refuser/drop.go
+++ b/refuser/drop.go
@@ -16,13 +16,14 @@
 	DropStrayBytes     DropReason = "stray_bytes"
 	DropSecondResponse DropReason = "second_response"
 	DropOutOfOrder     DropReason = "out_of_order"
-	DropNoMemory       DropReason = "no_memory" // what may be held for all responses is used up
+	DropNoMemory       DropReason = "no_memory"       // what may be held for all responses is used up
+	DropClientTooSlow  DropReason = "client_too_slow" // what may be held for slow clients is used up
 )
 
 // DropReasons returns every drop reason.
 func DropReasons() []DropReason {
 	return []DropReason{
 		DropOtherID, DropWithoutID, DropUnsigned, DropEncoded, DropIncomplete, DropNotResumed, DropFalseRefusal,
-		DropStrayBytes, DropSecondResponse, DropOutOfOrder, DropNoMemory,
+		DropStrayBytes, DropSecondResponse, DropOutOfOrder, DropNoMemory, DropClientTooSlow,
 	}
 }
