--- a/dispatcher/spool.go
+++ b/dispatcher/spool.go
@@ -131,12 +131,19 @@
 	if !r.role.CompareAndSwap(roleWriting, roleDraining) {
 		return
 	}
+	b := &r.backlog
+	b.open(r)
+	defer func() {
+		if cause := recover(); cause != nil {
+			b.panicked = cause // close passes it on to the serving goroutine
+			b.end(errNotWritten)
+		}
+	}()
 	r.splitter.Detach() // the serving goroutine still writes the last event
-	r.backlog.open(r)
 	for {
 		event, err := r.next()
 		if err != nil {
-			r.backlog.end(err)
+			b.end(err)
 			return
 		}
 		if !r.spool(event) {
@@ -185,6 +192,7 @@
 	ended    bool   // the reader has ended
 	next     []byte // event that the reader leaves to the writer, valid until the next read
 	err      error  // with which the reader ended
+	panicked any    // cause of a panic of the reader; net/http recovers only in the serving goroutine
 }
 
 // open begins the use of the backlog, while an event is being written. The first of both
@@ -273,6 +281,9 @@
 		b.changed.Wait()
 	}
 	b.account.Close()
+	if b.panicked != nil {
+		panic(b.panicked)
+	}
 	x.heldMax = max(x.heldMax, b.account.Most())
 	next, aborted, err = b.next, !b.stop(), b.err
 	b.account, b.chunks, b.next, b.err = nil, nil, nil, nil
