--- a/dispatcher/spool_test.go
+++ b/dispatcher/spool_test.go
@@ -130,27 +130,30 @@
 // that looks complete, or lacks events, if it ends badly while a backlog is held. The stop
 // of the process must leave the time to write a backlog.
 func TestSlowCallers(t *testing.T) {
+	const account = smallestMemory / 8
 	tests := map[string]struct {
-		slow   int    // callers that read nothing for the time of pause
+		limit  int64  // of the account
+		slow   int    // callers that read nothing for 5 s
 		first  string // end of the first stream
 		change func(*matcher.Route)
 		stop   bool
 		events int // that each caller receives
 		sends  int // for each caller
 	}{
-		"one":                     {1, chunkEnd, longRoute, false, spoolEvents, 1},
-		"ten beside a fast one":   {10, chunkEnd, longRoute, false, spoolEvents, 1},
-		"stop of the process":     {1, chunkEnd, longRoute, true, spoolEvents, 1},
-		"broken":                  {1, "5\r\nid: ", longRoute, false, -spoolEvents / 2, 1},
-		"out of order":            {1, "8\r\nid: 1\n\n\n\r\n", longRoute, false, -spoolEvents / 2, 1},
-		"broken, resumed":         {1, "5\r\nid: ", longResumable, false, spoolEvents, 2},
-		"out of order, continued": {1, "8\r\nid: 1\n\n\n\r\n", longResumable, false, spoolEvents, 2},
+		"one":                     {account, 1, chunkEnd, longRoute, false, spoolEvents, 1},
+		"ten beside a fast one":   {account, 10, chunkEnd, longRoute, false, spoolEvents, 1},
+		"stop of the process":     {account, 1, chunkEnd, longRoute, true, spoolEvents, 1},
+		"broken":                  {account, 1, "5\r\nid: ", longRoute, false, -spoolEvents / 2, 1},
+		"out of order":            {account, 1, "8\r\nid: 1\n\n\n\r\n", longRoute, false, -spoolEvents / 2, 1},
+		"broken, resumed":         {account, 1, "5\r\nid: ", longResumable, false, spoolEvents, 2},
+		"cut off unread, resumed": {0, 1, chunkEnd, longResumable, false, spoolEvents, 2},
+		"out of order, continued": {account, 1, "8\r\nid: 1\n\n\n\r\n", longResumable, false, spoolEvents, 2},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			handle := impatient(2*time.Second, tt.first)
-			f := slowFleet(t, smallestMemory/8, route(matcher.Stream, tt.change), io.Discard, handle, handle)
+			f := slowFleet(t, tt.limit, route(matcher.Stream, tt.change), io.Discard, handle, handle)
 			check := func(body string, err error) {
 				want := max(tt.events, -tt.events)
 				complete := tt.events > 0
