dispatcher: bad ends of streams come while a backlog is held

Cause: 150 events of 1 KB before a bad end fitted into the buffers of the sockets, so that the tests of broken streams passed without a backlog. Change: 350 events before it, 400 in all.

--- a/dispatcher/spool_test.go
+++ b/dispatcher/spool_test.go
@@ -24,7 +24,8 @@
 
 const (
 	smallBuffer   = 32 << 10 // of sockets
-	spoolEvents   = 300
+	spoolEvents   = 400
+	spoolCut      = 350 // events before a bad end; more than the buffers of the sockets hold
 	spoolEventLen = 1 << 10
 	chunkEnd      = "0\r\n\r\n"
 )
@@ -34,7 +35,7 @@
 }
 
 // impatient sends a chunked stream, from the requested position on, and cuts it off once it
-// stays unread for the given time. A request without a position gets half of the events and
+// stays unread for the given time. A request without a position gets spoolCut events and
 // first; the others get the rest and a regular end.
 func impatient(patience time.Duration, first string) handler {
 	return func(c net.Conn, r *http.Request, _ string) bool {
@@ -43,7 +44,7 @@
 		if last, err := strconv.Atoi(r.Header.Get(names.LastEvent)); err == nil {
 			from = last + 1
 		} else if first != chunkEnd {
-			to, end = spoolEvents/2, first
+			to, end = spoolCut, first
 		}
 		head := strings.ReplaceAll(streamHead, "ID", r.Header.Get("X-Id"))
 		_, err := io.WriteString(c, strings.Replace(head, "\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n", 1))
@@ -143,8 +144,8 @@
 		"one":                     {account, 1, chunkEnd, longRoute, false, spoolEvents, 1},
 		"ten beside a fast one":   {account, 10, chunkEnd, longRoute, false, spoolEvents, 1},
 		"stop of the process":     {account, 1, chunkEnd, longRoute, true, spoolEvents, 1},
-		"broken":                  {account, 1, "5\r\nid: ", longRoute, false, -spoolEvents / 2, 1},
-		"out of order":            {account, 1, "8\r\nid: 1\n\n\n\r\n", longRoute, false, -spoolEvents / 2, 1},
+		"broken":                  {account, 1, "5\r\nid: ", longRoute, false, -spoolCut, 1},
+		"out of order":            {account, 1, "8\r\nid: 1\n\n\n\r\n", longRoute, false, -spoolCut, 1},
 		"broken, resumed":         {account, 1, "5\r\nid: ", longResumable, false, spoolEvents, 2},
 		"cut off unread, resumed": {0, 1, chunkEnd, longResumable, false, spoolEvents, 2},
 		"out of order, continued": {account, 1, "8\r\nid: 1\n\n\n\r\n", longResumable, false, spoolEvents, 2},
