decoder: limit size, depth, keys and alias expansion of a document

Cause: a text of any size was read and decoded. Package yaml compares all keys of a mapping with each other and records each repetition: a text of 2 MiB with one million equal keys ended in "out of memory" under a limit of 6 GB of address space (trial). Texts of 10,000 levels and of 64 MB were decoded in full.

Change: Decode rejects texts above 2 MiB, 32 levels, 1,000 keys of a mapping and 500,000 values after the expansion of aliases, before values are decoded. Messages are cut to 500 bytes. Errors have a Fault with line, path and message.

Aliases that contain themselves and many documents were already rejected.

--- a/decoder/document.go
+++ b/decoder/document.go
@@ -15,6 +15,22 @@
 // ErrInvalid marks every error about the content of a document.
 var ErrInvalid = errors.New("invalid document")
 
+// Fault is the error in the content of a document. All errors marked with
+// ErrInvalid have one in their chain.
+type Fault struct {
+	File    string
+	Line    int
+	Path    string // of the field, or empty
+	Message string
+}
+
+func (f *Fault) Error() string {
+	if f.Path == "" {
+		return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Message)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Path, f.Message)
+}
+
 // Document is a decoded YAML text with the line numbers of its fields.
 type Document struct {
 	file   string
@@ -35,12 +51,18 @@
 }
 
 func decode(d Document, text []byte, out any) (Document, error) {
+	if len(text) > MaxBytes {
+		return d, d.invalid(1, ErrTooLarge.Error())
+	}
 	if err := yaml.Unmarshal(text, d.root); err != nil {
 		return d, d.yamlError(err)
 	}
 	if len(d.root.Content) == 0 {
 		return d, d.invalid(1, "the document is empty")
 	}
+	if n, message := newMeasurer().check(d.root); message != "" {
+		return d, d.invalid(n.Line, message)
+	}
 	strict := yaml.NewDecoder(bytes.NewReader(text))
 	strict.KnownFields(true)
 	if err := strict.Decode(out); err != nil {
@@ -54,7 +76,7 @@
 }
 
 func (d Document) invalid(line int, message string) error {
-	return errors.Mark(fmt.Errorf("%s:%d: %s", d.file, line, message), ErrInvalid)
+	return errors.Mark(&Fault{File: d.file, Line: line, Message: shorten(message)}, ErrInvalid)
 }
 
 // Patterns of error messages of package yaml. The package quotes the start of an
@@ -121,12 +143,12 @@
 // Errorf returns an error about the field at path, which consists of field names
 // and list indices. A missing field is reported with the line of its parent.
 func (d Document) Errorf(path []any, format string, args ...any) error {
-	message := fmt.Sprintf(format, args...)
-	return errors.Mark(fmt.Errorf("%s:%d: %s: %s", d.file, d.line(path), pathText(path), message), ErrInvalid)
+	message := shorten(fmt.Sprintf(format, args...))
+	return errors.Mark(&Fault{File: d.file, Line: d.Line(path), Path: PathText(path), Message: message}, ErrInvalid)
 }
 
-// line returns the line of the field at path, or of its last existing parent.
-func (d Document) line(path []any) int {
+// Line returns the line of the field at path, or of its last existing parent.
+func (d Document) Line(path []any) int {
 	if len(d.root.Content) == 0 {
 		return 1
 	}
@@ -163,8 +185,8 @@
 	return nil, 0
 }
 
-// pathText formats a path, for example "models[0].name".
-func pathText(path []any) string {
+// PathText formats a path, for example "models[0].name".
+func PathText(path []any) string {
 	var b strings.Builder
 	for _, step := range path {
 		switch s := step.(type) {
