parser: Inspect returns the errors of all entries

Cause: Parse ends at the first error, so an operator with three wrong entries needs three runs. Finding a model by name was a search for each use.

Change: one checker collects at most one error for each entry, at most 1,000. Parse returns the first of them, which is the same as before. Names of faulty entries stay known, so that an error causes no others.

--- a/parser/parse.go
+++ b/parser/parse.go
@@ -16,6 +16,9 @@
 	defaultMaxConcurrent = 32
 	concurrentLimit      = 10_000
 
+	// maxErrors bounds the memory for the errors of a hostile text.
+	maxErrors = 1_000
+
 	maxWeight = 1_000_000.0
 	maxCost   = 1_000_000_000 // micro-units; keeps the cost of a request within an int64
 )
@@ -26,28 +29,55 @@
 
 var hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
+// Inspection is the full result of parsing a text.
+type Inspection struct {
+	Fleet    *Fleet           // nil if there are errors
+	Document decoder.Document // for the lines of fields
+	Errors   []error          // the first maxErrors, one for each entry, marked with decoder.ErrInvalid
+}
+
 // Parse parses and validates a configuration text. The file name is used in error
 // messages only. Errors are marked with decoder.ErrInvalid.
 func Parse(file string, text []byte) (*Fleet, error) {
+	r := Inspect(file, text)
+	if len(r.Errors) > 0 {
+		return nil, r.Errors[0]
+	}
+	return r.Fleet, nil
+}
+
+// Inspect is like Parse and returns the errors of all entries. A text that is not
+// a valid document has one error.
+func Inspect(file string, text []byte) Inspection {
 	f := &Fleet{}
 	d, err := decoder.Decode(file, text, f)
 	if err != nil {
-		return nil, err
+		return Inspection{Errors: []error{err}}
 	}
 	c := checker{document: d, fleet: f}
-	for _, check := range []func() error{
-		c.checkGeneral, c.checkDataCentres, c.checkModels, c.checkServices, c.checkWorkspaces,
-	} {
-		if err := check(); err != nil {
-			return nil, err
-		}
+	c.add(c.checkGeneral())
+	c.checkDataCentres()
+	c.checkModels()
+	c.checkServices()
+	c.checkWorkspaces()
+	if len(c.errors) > 0 {
+		return Inspection{Document: d, Errors: c.errors}
 	}
-	return f, nil
+	return Inspection{Fleet: f, Document: d}
 }
 
 type checker struct {
 	document decoder.Document
 	fleet    *Fleet
+	models   map[string]bool // names, also of models with errors
+	errors   []error
+}
+
+// add records the error of one entry, unless it is nil or maxErrors are recorded.
+func (c *checker) add(err error) {
+	if err != nil && len(c.errors) < maxErrors {
+		c.errors = append(c.errors, err)
+	}
 }
 
 // inRange reports whether x is in [low, high]. It is false for NaN.
@@ -56,7 +86,7 @@
 // fieldPath returns a path for decoder.Document.Errorf.
 func fieldPath(path ...any) []any { return path }
 
-func (c checker) checkName(name string, seen map[string]bool, path []any) error {
+func (c *checker) checkName(name string, seen map[string]bool, path []any) error {
 	if !namePattern.MatchString(name) {
 		return c.document.Errorf(path, "%q is not a name (lower-case letters, digits, '.', '_', '-')", name)
 	}
@@ -67,7 +97,7 @@
 	return nil
 }
 
-func (c checker) checkGeneral() error {
+func (c *checker) checkGeneral() error {
 	f := c.fleet
 	if !namePattern.MatchString(f.Name) {
 		return c.document.Errorf(fieldPath("fleet"), "%q is not a name", f.Name)
@@ -81,54 +111,55 @@
 	return nil
 }
 
-func (c checker) checkDataCentres() error {
+func (c *checker) checkDataCentres() {
 	if len(c.fleet.DataCentres) == 0 {
-		return c.document.Errorf(fieldPath("data_centres"), "at least one data centre is needed")
+		c.add(c.document.Errorf(fieldPath("data_centres"), "at least one data centre is needed"))
 	}
 	seen := map[string]bool{}
 	for i, d := range c.fleet.DataCentres {
-		if err := c.checkName(d.Name, seen, fieldPath("data_centres", i, "name")); err != nil {
-			return err
-		}
-		if d.Region == "" {
-			return c.document.Errorf(fieldPath("data_centres", i, "region"), "data centre %q needs a region", d.Name)
+		err := c.checkName(d.Name, seen, fieldPath("data_centres", i, "name"))
+		if err == nil && d.Region == "" {
+			err = c.document.Errorf(fieldPath("data_centres", i, "region"), "data centre %q needs a region", d.Name)
 		}
+		c.add(err)
 	}
-	return nil
 }
 
-func (c checker) checkModels() error {
+// checkModels registers the names and versions of models with errors too, so that
+// an error causes no further ones where the model is used.
+func (c *checker) checkModels() {
 	f := c.fleet
-	f.versions = map[string]Version{}
+	f.versions, c.models = map[string]Version{}, map[string]bool{}
 	seen := map[string]bool{}
 	for i := range f.Models {
 		m := &f.Models[i]
-		if err := c.checkName(m.Name, seen, fieldPath("models", i, "name")); err != nil {
-			return err
-		}
-		if m.InputCost < 0 || m.OutputCost < 0 || m.InputCost+m.OutputCost == 0 {
-			return c.document.Errorf(fieldPath("models", i), "model %q needs costs above zero", m.Name)
-		}
-		if m.FirstTokenMS <= 0 {
-			return c.document.Errorf(fieldPath("models", i, "first_token_ms"), "model %q needs a time above zero", m.Name)
-		}
-		if m.InputCost > maxCost || m.OutputCost > maxCost {
-			return c.document.Errorf(fieldPath("models", i), "model %q has a cost above %d", m.Name, maxCost)
-		}
-		if !inRange(m.PriorQuality, 0, 1) {
-			return c.document.Errorf(fieldPath("models", i, "prior_quality"), "must be between 0 and 1")
-		}
-		if err := c.checkMaxConcurrent(&m.MaxConcurrent, fieldPath("models", i, "max_concurrent")); err != nil {
-			return err
-		}
-		if err := c.checkVersions(i, m); err != nil {
-			return err
+		c.models[m.Name] = true
+		err := c.checkName(m.Name, seen, fieldPath("models", i, "name"))
+		if err == nil {
+			err = c.checkModel(i, m)
 		}
+		c.add(err)
+		c.checkVersions(i, m)
 	}
-	return nil
 }
 
-func (c checker) checkMaxConcurrent(n *int, path []any) error {
+func (c *checker) checkModel(i int, m *Model) error {
+	if m.InputCost < 0 || m.OutputCost < 0 || m.InputCost+m.OutputCost == 0 {
+		return c.document.Errorf(fieldPath("models", i), "model %q needs costs above zero", m.Name)
+	}
+	if m.FirstTokenMS <= 0 {
+		return c.document.Errorf(fieldPath("models", i, "first_token_ms"), "model %q needs a time above zero", m.Name)
+	}
+	if m.InputCost > maxCost || m.OutputCost > maxCost {
+		return c.document.Errorf(fieldPath("models", i), "model %q has a cost above %d", m.Name, maxCost)
+	}
+	if !inRange(m.PriorQuality, 0, 1) {
+		return c.document.Errorf(fieldPath("models", i, "prior_quality"), "must be between 0 and 1")
+	}
+	return c.checkMaxConcurrent(&m.MaxConcurrent, fieldPath("models", i, "max_concurrent"))
+}
+
+func (c *checker) checkMaxConcurrent(n *int, path []any) error {
 	if *n < 0 || *n > concurrentLimit {
 		return c.document.Errorf(path, "must be between 1 and %d, or left out", concurrentLimit)
 	}
@@ -138,51 +169,54 @@
 	return nil
 }
 
-func (c checker) checkVersions(i int, m *Model) error {
+func (c *checker) checkVersions(i int, m *Model) {
 	if len(m.Versions) == 0 {
-		return c.document.Errorf(fieldPath("models", i, "versions"), "model %q needs a version", m.Name)
+		c.add(c.document.Errorf(fieldPath("models", i, "versions"), "model %q needs a version", m.Name))
 	}
 	seen := map[string]bool{}
 	for j := range m.Versions {
 		v := &m.Versions[j]
 		path := fieldPath("models", i, "versions", j)
-		if err := c.checkName(v.Name, seen, append(path, "name")); err != nil {
-			return err
-		}
-		switch v.State {
-		case StateServing, StateWithdrawn:
-		case StateCanary:
-			if v.SharePercent == 0 || !inRange(v.SharePercent, 0, 100) {
-				return c.document.Errorf(append(path, "share_percent"), "a canary needs a share above 0 and up to 100")
-			}
-		default:
-			return c.document.Errorf(append(path, "state"), "%q is not one of %s, %s, %s",
-				v.State, StateServing, StateCanary, StateWithdrawn)
+		err := c.checkName(v.Name, seen, append(path, "name"))
+		if err == nil {
+			err = c.checkState(v, path)
 		}
+		c.add(err)
 		v.Key, v.ModelIndex = m.Name+"@"+v.Name, i
 		c.fleet.versions[v.Key] = *v
 	}
+}
+
+func (c *checker) checkState(v *Version, path []any) error {
+	switch v.State {
+	case StateServing, StateWithdrawn:
+	case StateCanary:
+		if v.SharePercent == 0 || !inRange(v.SharePercent, 0, 100) {
+			return c.document.Errorf(append(path, "share_percent"), "a canary needs a share above 0 and up to 100")
+		}
+	default:
+		return c.document.Errorf(append(path, "state"), "%q is not one of %s, %s, %s",
+			v.State, StateServing, StateCanary, StateWithdrawn)
+	}
 	return nil
 }
 
-func (c checker) checkServices() error {
+func (c *checker) checkServices() {
 	f := c.fleet
 	f.services = map[string]*Service{}
 	seen := map[string]bool{}
 	for i := range f.Services {
 		s := &f.Services[i]
-		if err := c.checkName(s.Name, seen, fieldPath("services", i, "name")); err != nil {
-			return err
-		}
-		if err := c.checkService(i, s); err != nil {
-			return err
+		err := c.checkName(s.Name, seen, fieldPath("services", i, "name"))
+		if err == nil {
+			err = c.checkService(i, s)
 		}
+		c.add(err)
 		f.services[s.Name] = s
 	}
-	return nil
 }
 
-func (c checker) checkService(i int, s *Service) error {
+func (c *checker) checkService(i int, s *Service) error {
 	path := fieldPath("services", i)
 	switch {
 	case s.Kind != KindModel && s.Kind != KindPlain:
@@ -205,40 +239,29 @@
 		return err
 	}
 	for j, m := range s.Models {
-		if !c.knownModel(m) {
+		if !c.models[m] {
 			return c.document.Errorf(append(path, "models", j), "model %q is not listed under models", m)
 		}
 	}
 	return nil
 }
 
-func (c checker) knownModel(name string) bool {
-	for _, m := range c.fleet.Models {
-		if m.Name == name {
-			return true
-		}
-	}
-	return false
-}
-
-func (c checker) checkWorkspaces() error {
+func (c *checker) checkWorkspaces() {
 	f := c.fleet
 	f.workspaces, f.keyOwners = map[string]*Workspace{}, map[string]string{}
 	seen := map[string]bool{}
 	for i := range f.Workspaces {
 		w := &f.Workspaces[i]
-		if err := c.checkName(w.Name, seen, fieldPath("workspaces", i, "name")); err != nil {
-			return err
-		}
-		if err := c.checkWorkspace(i, w); err != nil {
-			return err
+		err := c.checkName(w.Name, seen, fieldPath("workspaces", i, "name"))
+		if err == nil {
+			err = c.checkWorkspace(i, w)
 		}
+		c.add(err)
 		f.workspaces[w.Name] = w
 	}
-	return nil
 }
 
-func (c checker) checkWorkspace(i int, w *Workspace) error {
+func (c *checker) checkWorkspace(i int, w *Workspace) error {
 	path := fieldPath("workspaces", i)
 	if !inRange(w.TargetQuality, 0, 1) || w.TargetQuality == 1 {
 		return c.document.Errorf(append(path, "quality"), "must be at least 0 and below 1")
@@ -258,7 +281,7 @@
 		}
 	}
 	for j, m := range w.Models {
-		if _, ok := c.fleet.versions[m]; !ok && (strings.Contains(m, "@") || !c.knownModel(m)) {
+		if _, ok := c.fleet.versions[m]; !ok && (strings.Contains(m, "@") || !c.models[m]) {
 			return c.document.Errorf(append(path, "models", j), "%q is neither a model nor a version", m)
 		}
 	}
--- a/parser/parse_test.go
+++ b/parser/parse_test.go
@@ -132,6 +132,27 @@
 	}
 }
 
+// TestInspect guards against a text of which only the first error is reported, and
+// against an error that causes others where the entry is used.
+func TestInspect(t *testing.T) {
+	invalid := strings.NewReplacer("oita", "OITA", "input_cost: 20", "input_cost: -1", "serving", "on", "[tags]", "[tag]")
+	var got []string
+	for _, err := range parser.Inspect("f", []byte(invalid.Replace(text()))).Errors {
+		var f *decoder.Fault
+		if !errors.As(err, &f) || !errors.Is(err, decoder.ErrInvalid) {
+			t.Fatalf("got %v, want a decoder.Fault", err)
+		}
+		got = append(got, fmt.Sprint(f.Line, " ", f.Path))
+	}
+	want := []string{
+		"3 data_centres[0].name", "5 models[0]", "10 models[0].versions[0].state",
+		"15 workspaces[0].services[0]", "19 workspaces[1].services[0]",
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
 // FuzzParse guards against a text that makes Parse panic, and against an accepted
 // fleet that is rejected or changes when it is encoded and parsed again.
 func FuzzParse(f *testing.F) {
