configchecker: findings and differences of a text before it is sent

Cause: config check told only the first error. A text with a workspace that may use nothing, a withdrawn model or limits that exclude each other was accepted and failed for callers.

Change: config check FILE [--against IN-FORCE] [--json] reports errors (those of package parser), unreachable entries (by parser.Fleet.Permits, as at run time), contradictions and differences. Exit codes: 0, 1 for findings, 2 if a file or the arguments cannot be used. Key hashes are cut to 8 digits, control characters are escaped.

--- a/cmd/rosemaryarch/main.go
+++ b/cmd/rosemaryarch/main.go
@@ -56,7 +56,7 @@
 // Exit codes.
 const (
 	exitFailed = 1
-	exitUsage  = 2 // after a usageError
+	exitUsage  = 2 // after a usageError or errUnusable
 )
 
 func main() {
@@ -86,8 +86,11 @@
 		defer stop()
 		err = chosen.run(ctx)
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		return 0
+	case errors.Is(err, errFindings):
+		return exitFailed
 	}
 	klog.Flush()
 	var usage usageError
@@ -100,6 +103,9 @@
 	if j, ok := chosen.(interface{ wantsJSON() bool }); ok && j.wantsJSON() {
 		printError(stdout, err)
 	}
+	if errors.Is(err, errUnusable) {
+		return exitUsage
+	}
 	return exitFailed
 }
 
--- a/cmd/rosemaryarch/operate.go
+++ b/cmd/rosemaryarch/operate.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rosemaryarch.example/rosemaryarch/administrator"
+	"rosemaryarch.example/rosemaryarch/decoder"
 	"rosemaryarch.example/rosemaryarch/parser"
 	"rosemaryarch.example/rosemaryarch/refuser"
 )
@@ -72,24 +73,6 @@
 	return usageError("config needs check, apply, show or status")
 }
 
-type configCheck struct {
-	File string `arg:"positional,required" help:"configuration text"`
-}
-
-func (c *configCheck) run(context.Context) error {
-	text, err := os.ReadFile(c.File)
-	if err != nil {
-		return errors.Wrap(err, "read configuration")
-	}
-	f, err := parser.Parse(c.File, text)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("%s: fleet %s: %d data centres, %d versions, %d services, %d workspaces\n", c.File, f.Name,
-		len(f.DataCentres), len(f.VersionKeys()), len(f.Services), len(f.Workspaces))
-	return nil
-}
-
 type configApply struct {
 	instanceFlags
 	File string `arg:"positional,required" help:"configuration text"`
@@ -98,7 +81,7 @@
 }
 
 func (c *configApply) run(ctx context.Context) error {
-	text, err := os.ReadFile(c.File)
+	text, err := decoder.ReadFile(c.File)
 	if err != nil {
 		return errors.Wrap(err, "read configuration")
 	}
