forecaster: predict prefill times with a square term

Cause: the estimated prefill time was linear in the number of tokens, while attention makes it grow with their square. 54,600 tokens take 4.3 s instead of the estimated 2.65 s, so queues behind such prompts were underestimated, and the cascade asked larger models for answers that had to be late.

Change: package forecaster replaces the estimate of the dispatcher. Prompts from 8,000 tokens adjust a square term by bounded steps, shorter ones the linear term. The linear term starts as the third smallest of the first eight samples instead of the smallest, which one endpoint that failed fast could set. The choice of an endpoint and the cascade use the same prediction; a sample counts its own tokens instead of those inferred from the estimate at its end.

--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -46,6 +46,7 @@
 	endpoint *cataloger.State
 	ticket   breaker.Ticket
 	work     float64      // estimated prefill time of the request
+	cached   float64      // prompt tokens that the endpoint's cache probably holds
 	ahead    float64      // work queued at the endpoint before it
 	cold     bool         // the endpoint was cold when it was chosen
 	due      clock.Millis // time at which the first event is expected
@@ -257,14 +258,11 @@
 // pick returns the index of the endpoint that the balancer picks, with the work
 // of the request there, or -1 and nil if list is empty. The lock must be held.
 func (d *Dispatcher) pick(now clock.Millis, q *criteria, list []*cataloger.State) (int, *choice) {
-	engine := q.isEngine()
 	query := balancer.Query{RemoteCost: remotePlainCost, Prompt: plainRequestWork}
-	msPerToken := 0.0
-	if engine {
-		msPerToken = d.prefillMsPerToken(q.model, q.largerModels)
+	if q.isEngine() {
 		query = balancer.Query{
 			RemoteCost: q.remoteCost(), PrefixID: q.prompt.prefix,
-			Prompt: q.prompt.tokens * msPerToken, Shared: q.prompt.shared * msPerToken,
+			Prompt: d.prefillTime(q, q.prompt.tokens, 0), Shared: d.prefillTime(q, q.prompt.shared, 0),
 		}
 	}
 	candidates := make([]balancer.Candidate, len(list))
@@ -275,11 +273,18 @@
 	if i < 0 {
 		return -1, nil
 	}
-	work := query.Prompt
+	c := &choice{work: query.Prompt, ahead: candidates[i].Work}
 	if candidates[i].Cached {
-		work -= d.options.Balancer.HitCached * query.Shared
+		c.cached = d.options.Balancer.HitCached * q.prompt.shared
+		c.work = d.prefillTime(q, q.prompt.tokens, c.cached)
 	}
-	return i, &choice{work: work, ahead: candidates[i].Work}
+	return i, c
+}
+
+// prefillTime returns the predicted prefill time in ms of so many tokens, of which
+// some are cached, for the request's model. The lock must be held.
+func (d *Dispatcher) prefillTime(q *criteria, tokens, cached float64) float64 {
+	return d.forecaster.Predict(q.model, q.largerModels, tokens, cached)
 }
 
 // candidate returns an endpoint with the load of all instances on it. The lock
@@ -350,8 +355,7 @@
 	l.excessDelay, l.delayAt = max(0, float64(took)-c.work-firstEventOverhead), now
 	l.work = max(0, l.work-c.work)
 	if c.ahead == 0 && took > 0 && c.work > 0 {
-		tokens := c.work / d.prefillMsPerToken(q.model, q.largerModels)
-		d.recordPrefill(q.model, tokens, float64(took))
+		d.forecaster.Record(q.model, q.prompt.tokens, c.cached, float64(took))
 	}
 	c.work = 0
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/completer"
+	"rosemaryarch.example/rosemaryarch/forecaster"
 	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
@@ -115,13 +116,13 @@
 	stopAt          atomic.Int64 // time by which responses must be complete, since the process stops; 0: none
 	active          atomic.Int64 // requests in progress
 
-	mu           sync.Mutex
-	loads        map[string]*load                // by endpoint
-	prefixSent   map[prefixKey]clock.Millis      // last send of a prompt prefix to an endpoint
-	prefillTimes map[string]*prefillTime         // by model
-	throttlers   map[string]*throttler.Throttler // by service
-	surges       *surgedetector.Detector
-	breakers     *breaker.Breaker
+	mu         sync.Mutex
+	loads      map[string]*load           // by endpoint
+	prefixSent map[prefixKey]clock.Millis // last send of a prompt prefix to an endpoint
+	forecaster *forecaster.Forecaster
+	throttlers map[string]*throttler.Throttler // by service
+	surges     *surgedetector.Detector
+	breakers   *breaker.Breaker
 }
 
 // prefixKey identifies a shared prompt prefix that was sent to a model on an
@@ -165,10 +166,10 @@
 	d := &Dispatcher{
 		options: o,
 		loads:   make(map[string]*load), prefixSent: make(map[prefixKey]clock.Millis),
-		prefillTimes: make(map[string]*prefillTime),
-		throttlers:   make(map[string]*throttler.Throttler),
-		surges:       surgedetector.New(surgedetector.Default()),
-		breakers:     breaker.New(o.Breaker, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		forecaster: forecaster.New(forecaster.Default()),
+		throttlers: make(map[string]*throttler.Throttler),
+		surges:     surgedetector.New(surgedetector.Default()),
+		breakers:   breaker.New(o.Breaker, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	d.handler = completer.Handler(http.HandlerFunc(d.serve))
 	return d
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -33,7 +33,7 @@
 	}
 	d := x.dispatcher
 	d.mu.Lock()
-	largeWork := (x.prompt.tokens - meanCacheHit*x.prompt.shared) * d.prefillMsPerToken(models[len(models)-1], 0)
+	largeWork := d.forecaster.Predict(models[len(models)-1], 0, x.prompt.tokens, meanCacheHit*x.prompt.shared)
 	d.mu.Unlock()
 	capacity := 1.0
 	if x.confidence >= 0 && x.confidence < d.options.Cascader.MinConfidence {
