dispatcher: tests of long prompts beside mixed builds, models and routes

Cause: the choice between the groups, the expiry of the rate of long prompts, rates of the previous build and the cascade's use of the square term had no tests of their own, and the reserved endpoints of a service without requests stayed.

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -169,3 +169,63 @@
 		d.Pick(prompt, list, "")
 	}
 }
+
+// Guards against long prompts beside streams while reserved endpoints have room,
+// against requests that wait for their group's endpoints while others are free, and
+// against cold caches: without load the choice is the preferred endpoint of the group.
+func TestGroups(t *testing.T) {
+	b := Default()
+	tests := map[string]struct {
+		long           bool
+		reserved, rest float64 // work queued at the endpoints of both groups
+		wantReserved   bool
+	}{
+		"long, idle":                   {true, 0, 0, true},
+		"long, group behind":           {true, 1400, 0, true},
+		"long, group far behind":       {true, 1600, 0, false},
+		"other, idle":                  {false, 0, 0, false},
+		"other, group behind":          {false, 0, 1400, false},
+		"other, group far behind":      {false, 0, 1800, true},
+		"long, both groups far behind": {true, 4000, 4000, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			counts := make(map[string]int)
+			for salt := range 40 {
+				list := candidates(12)
+				for i := range list {
+					list[i].Reserved, list[i].Work = i%3 == 0, tt.rest
+					if list[i].Reserved {
+						list[i].Work = tt.reserved
+					}
+				}
+				q := Query{PrefixID: "topic", Prompt: 40, Gap: 1500, GroupCost: 1500, Long: tt.long}
+				got := list[b.Pick(q, list, fmt.Sprint(salt))]
+				if got.Reserved != tt.wantReserved {
+					t.Errorf("got %+v, want reserved %v", got, tt.wantReserved)
+				}
+				counts[got.ID]++
+			}
+			if tt.reserved == tt.rest && len(counts) != 1 {
+				t.Errorf("same prefix and load: got %v, want one endpoint", counts)
+			}
+		})
+	}
+}
+
+// Guards against a prompt that makes the streams of an endpoint late while another
+// endpoint, with little more work, runs none.
+func TestRunningStreamsStayOnTime(t *testing.T) {
+	list := candidates(2)
+	list[0].Work, list[0].Running = 600, 20
+	list[1].Work = 700
+	for name, tt := range map[string]struct {
+		gap  float64
+		want int
+	}{"no gap known": {0, 0}, "within the gap": {4000, 0}, "gap exceeded": {1000, 1}} {
+		q := Query{Prompt: 1300, Gap: tt.gap}
+		if got := Default().Pick(q, list, ""); got != tt.want {
+			t.Errorf("%s: got endpoint %d, want %d", name, got, tt.want)
+		}
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -259,6 +259,9 @@
 		}
 	}
 	d.surges.Sweep(now)
+	for service, p := range d.partitions {
+		d.updatePartition(now, service, p)
+	}
 	d.mu.Unlock()
 	addresses := make(map[string]bool, s.Len())
 	s.Each(func(e *cataloger.State) { addresses[e.Address] = true })
--- a/dispatcher/partition_test.go
+++ b/dispatcher/partition_test.go
@@ -221,3 +221,49 @@
 		})
 	}
 }
+
+// Guards against prompts that count as long for a smaller model or on a route without
+// EventGap, against requests of such routes at reserved endpoints, and against
+// reserved endpoints for a service of which no route has one.
+func TestWhichPromptsAreLong(t *testing.T) {
+	tests := map[string]struct {
+		tokens           float64
+		larger           int
+		gap, other       clock.Millis // EventGap of the route, and of another one of the service
+		long, atReserved bool
+	}{
+		"long":                       {20000, 0, 1500, 1500, true, true},
+		"short":                      {10000, 0, 1500, 1500, false, false},
+		"smaller model":              {20000, 1, 1500, 1500, false, false},
+		"larger gap":                 {20000, 0, 2000, 1500, false, false},
+		"route without gap":          {20000, 0, 0, 1500, false, false},
+		"service without any gap":    {20000, 0, 0, 0, false, false},
+		"longest, for smaller model": {70000, 1, 1500, 1500, true, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newLongLoad(t, 0, 1)
+			s.long[1] = 0.5
+			d, now := s.instances[0], s.clock.Now()
+			request := func(tokens float64, larger int, gap clock.Millis) (*criteria, *choice) {
+				q := &criteria{
+					service: "s", model: fmt.Sprint(larger), largerModels: larger, salt: "x", prompt: prompt{tokens: tokens},
+					eventGap: gap, config: &matcher.Service{Name: "s", CacheTokens: 1},
+				}
+				c := d.choose(now, q)
+				d.cancel(c)
+				return q, c
+			}
+			request(10, 0, tt.other)
+			q, c := request(tt.tokens, tt.larger, tt.gap)
+			p := d.partitions["s"]
+			reserved := p != nil && p.Reserved(c.endpoint.ID)
+			if q.long != tt.long || reserved != tt.atReserved {
+				t.Errorf("got long %v, at reserved endpoint %v, want %v, %v", q.long, reserved, tt.long, tt.atReserved)
+			}
+			if exists := p != nil; exists != (tt.other > 0) {
+				t.Errorf("partition of the service: got %v, want %v", exists, tt.other > 0)
+			}
+		})
+	}
+}
--- a/dispatcher/stream_test.go
+++ b/dispatcher/stream_test.go
@@ -138,6 +138,28 @@
 	}
 }
 
+// Guards against a larger model's answer that must be late: the square part of the
+// prefill time was left out, and a long prompt was escalated for an answer that came
+// after the target.
+func TestCascadeRecognisesLongPrompts(t *testing.T) {
+	for tokens, want := range map[string]int{"10000": 2, "50000": 1} {
+		handle := func(c net.Conn, r *http.Request, _ string) bool {
+			return writeEvents(c, r, 1, 4, true, "X-Confidence: 30")
+		}
+		f := newFleet(t, route(matcher.Stream, func(r *matcher.Route) {
+			r.Resumable, r.Models, r.Target = true, []string{"m0", "m1"}, 3500
+		}), handle, handle, handle)
+		for range 50 {
+			f.dispatcher.forecaster.Record("m1", 5000, 0, 250)
+			f.dispatcher.forecaster.Record("m1", 50000, 0, 4000)
+		}
+		f.do("POST", "/a/x", "prompt", "X-Model", "*", names.Tokens, tokens+",10")
+		if got := f.sent(); got != want {
+			t.Errorf("%s tokens: got %d sends, want %d", tokens, got, want)
+		}
+	}
+}
+
 // Guards against dropping the small model's answer if the retry budget or the
 // endpoints leave no capacity for the larger model. The client received status
 // 502 instead. On kseal-router-grown this affected one stream in twenty-five.
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"rosemaryarch.example/rosemaryarch/clock"
 )
 
@@ -243,7 +245,7 @@
 			From:          Member{Name: fmt.Sprint("a", i+1), DataCentre: "a", Incarnation: 1},
 			LoadsComplete: true,
 			Loads:         []Load{{Endpoint: 7, Work: 100, Running: 2, Delay: 40}},
-			Rates:         []Rate{{Service: 9, Base: 0.5, Requests: 10, Borrowed: 1}},
+			Rates:         []Rate{{Service: 9, Base: 0.5, Requests: 10, Borrowed: 1, Long: 0.2}},
 		})
 	}
 	own := &Message{Loads: []Load{{Endpoint: 7, Work: 50, Running: 1}}, Rates: []Rate{{Service: 9, Requests: 5}}}
@@ -263,8 +265,8 @@
 		t.Errorf("load: got %v, %d, %v, want 250 (350 minus 100 ms), 7, about 35", work, running, delay)
 	}
 	sum, instances, _ := receiver.Rates(9)
-	if instances != 4 || sum.Requests != 35 || sum.Borrowed != 3 || sum.Base != 1.5 {
-		t.Errorf("rates: got %+v of %d instances, want 35 requests, 3 borrowed, base 1.5 of 4", sum, instances)
+	if instances != 4 || sum.Requests != 35 || sum.Borrowed != 3 || sum.Base != 1.5 || sum.Long < 0.59 || sum.Long > 0.61 {
+		t.Errorf("rates: got %+v of %d instances, want 35 requests, 3 borrowed, base 1.5, long 0.6 of 4", sum, instances)
 	}
 	alone := &Message{From: Member{Name: "a9", DataCentre: "a", Incarnation: 1}, Summary: &Summary{Instances: 1}}
 	receiver.handleMessage(alone)
@@ -363,3 +365,31 @@
 		}
 	})
 }
+
+// Guards against instances of the previous build that cannot read this build's rates,
+// and against sums that count them as anything but 0.
+func TestRatesOfPreviousBuild(t *testing.T) {
+	type previousRate struct {
+		Service uint64  `cbor:"1,keyasint"`
+		Base    float32 `cbor:"2,keyasint"`
+		Demand  float32 `cbor:"3,keyasint"`
+	}
+	data, err := cbor.Marshal(Rate{Service: 9, Base: 1, Long: 0.5})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read previousRate
+	if err := cbor.Unmarshal(data, &read); err != nil || read != (previousRate{Service: 9, Base: 1}) {
+		t.Errorf("previous build: got %+v, %v", read, err)
+	}
+	if data, err = cbor.Marshal(previousRate{Service: 9, Base: 2}); err != nil {
+		t.Fatal(err)
+	}
+	var old Rate
+	if err := cbor.Unmarshal(data, &old); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := old.add(Rate{Long: 0.5}).Long, float32(0.5); got != want {
+		t.Errorf("sum with the previous build: got %v, want %v", got, want)
+	}
+}
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -90,3 +90,26 @@
 		t.Errorf("rank without requests: got %.2f, want about 0.5", got)
 	}
 }
+
+// Guards against reserved endpoints that stay without long prompts: an average alone
+// never becomes 0.
+func TestLongExpires(t *testing.T) {
+	throttler := New(Options{Span: 3000, Share: 0.55})
+	now := clock.Minute
+	for ; now < 2*clock.Minute; now += 100 {
+		throttler.RecordLong(now, 50)
+	}
+	for name, tt := range map[string]struct {
+		after    clock.Millis
+		min, max float64
+	}{
+		"under load":    {0, 0.45, 0.55},
+		"after 9 s":     {9000, 0.001, 0.1},
+		"after 10 s":    {10000, 0, 0},
+		"much later on": {clock.Hour, 0, 0},
+	} {
+		if got := throttler.Long(now - 100 + tt.after); got < tt.min || got > tt.max {
+			t.Errorf("%s: got %v, want %v to %v", name, got, tt.min, tt.max)
+		}
+	}
+}
