--- a/throttler/doc.go
+++ b/throttler/doc.go
@@ -4,5 +4,8 @@
 // before requests queue. Most of the capacity goes to requests of higher
 // priority ranks first.
 //
+// It also holds the rate of long prompts, from which package partitioner derives
+// the number of endpoints that read them.
+//
 // Rates of work are in ms of endpoint time per ms.
 package throttler
