--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -18,8 +18,8 @@
 	// fadeFrom and fadeTo bound the range of mean queued work, in gaps, in which the
 	// groups cease to matter. In an overload streams are late with long prompts or
 	// without, and two separate groups queue more than one: with half of the engines
-	// lost, three times as many streams were late in the simulation with a constant
-	// cost as without reserved endpoints (16% and 5%).
+	// lost, 13.7% of the streams were late in the simulation with a constant cost,
+	// 10.8% without reserved endpoints and 9.7% with this range.
 	fadeFrom, fadeTo = 0.25, 0.5
 )
 
