--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -6,11 +6,9 @@
 
 	"rosemaryarch.example/rosemaryarch/balancer"
 	"rosemaryarch.example/rosemaryarch/breaker"
-	"rosemaryarch.example/rosemaryarch/capper"
 	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
-	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/stager"
 	"rosemaryarch.example/rosemaryarch/throttler"
 )
@@ -46,6 +44,7 @@
 	endpoint *cataloger.State
 	ticket   breaker.Ticket
 	work     float64      // estimated prefill time of the request
+	cached   float64      // prompt tokens that the endpoint's cache probably holds
 	ahead    float64      // work queued at the endpoint before it
 	cold     bool         // the endpoint was cold when it was chosen
 	due      clock.Millis // time at which the first event is expected
@@ -69,6 +68,8 @@
 	model        string
 	largerModels int // models on the route that are larger than model
 	prompt       prompt
+	eventGap     clock.Millis // maximum time between events of a timely stream; 0 if unlimited
+	long         bool         // the prompt is long for the model, set by pick
 	bodyBytes    int
 	tried        map[string]bool // endpoints to which the request was sent already
 	eligible     int             // endpoints that may serve the request, set by choose
@@ -120,6 +121,9 @@
 			if q.largerModels > 0 {
 				d.throttlerFor(q.service).RecordBase(now, c.work)
 			}
+			if q.long {
+				d.throttlerFor(q.service).RecordLong(now, c.work)
+			}
 			return c
 		}
 		if ok {
@@ -204,82 +208,37 @@
 	}
 }
 
-// limitWait returns the time until this instance may send to an endpoint by the rate
-// that the endpoint states; 0: now.
-func (d *Dispatcher) limitWait(now clock.Millis, e *cataloger.State) clock.Millis {
-	return d.options.Capper.Wait(now, matcher.Hash("endpoint", e.ID), d.sharersOf(e))
-}
-
-// admitLimited reports whether the send is within the rate that the endpoint states,
-// and counts it if so.
-func (d *Dispatcher) admitLimited(now clock.Millis, e *cataloger.State) bool {
-	return d.options.Capper.Allow(now, matcher.Hash("endpoint", e.ID), d.sharersOf(e))
-}
-
-// sharersOf returns a function that returns the instances that divide the rate of an
-// endpoint. It is called for endpoints with a limit only.
-func (d *Dispatcher) sharersOf(e *cataloger.State) func() capper.Instances {
-	return func() capper.Instances { return d.options.Sharers(e.DataCentre) }
-}
-
-// coldAllowed reports whether this instance may send to a cold endpoint at all
-// and has not used up its share of the endpoint's rate.
-func (d *Dispatcher) coldAllowed(now clock.Millis, q *criteria, e *cataloger.State) bool {
-	if e.ColdUntil <= now || q.config == nil || q.config.WarmupRate <= 0 {
-		return true
-	}
-	return e.DataCentre == d.options.DataCentre && !d.options.SlowStarter.Full(now, e.ID, d.coldShare(q))
-}
-
-// coldShare returns the requests per second that this instance may send to one
-// cold endpoint.
-func (d *Dispatcher) coldShare(q *criteria) int {
-	bounds := d.options.Bounds()
-	senders, position := d.options.ColdSenders()
-	total := q.config.WarmupRate*bounds.WarmupOvershoot + bounds.WarmupSlack - coldReserve
-	return slowstarter.Share(total, senders, position)
-}
-
-// admitCold reports whether the send is within the share for a cold endpoint,
-// and counts it. Where the service limits the rate, sends to warm endpoints are
-// counted too, in case the endpoint turns out to be cold.
-func (d *Dispatcher) admitCold(now clock.Millis, q *criteria, e *cataloger.State) bool {
-	if q.config == nil || q.config.WarmupRate <= 0 {
-		return true
-	}
-	if e.ColdUntil > now {
-		return d.options.SlowStarter.Allow(now, e.ID, d.coldShare(q))
-	}
-	d.options.SlowStarter.Record(now, e.ID)
-	return true
-}
-
 // pick returns the index of the endpoint that the balancer picks, with the work
 // of the request there, or -1 and nil if list is empty. The lock must be held.
 func (d *Dispatcher) pick(now clock.Millis, q *criteria, list []*cataloger.State) (int, *choice) {
-	engine := q.isEngine()
 	query := balancer.Query{RemoteCost: remotePlainCost, Prompt: plainRequestWork}
-	msPerToken := 0.0
-	if engine {
-		msPerToken = d.prefillMsPerToken(q.model, q.largerModels)
+	if q.isEngine() {
 		query = balancer.Query{
 			RemoteCost: q.remoteCost(), PrefixID: q.prompt.prefix,
-			Prompt: q.prompt.tokens * msPerToken, Shared: q.prompt.shared * msPerToken,
+			Prompt: d.prefillTime(q, q.prompt.tokens, 0), Shared: d.prefillTime(q, q.prompt.shared, 0),
 		}
 	}
 	candidates := make([]balancer.Candidate, len(list))
 	for i, e := range list {
 		candidates[i] = d.candidate(now, q, e)
 	}
+	d.applyPartition(now, q, &query, candidates)
 	i := d.options.Balancer.Pick(query, candidates, q.salt)
 	if i < 0 {
 		return -1, nil
 	}
-	work := query.Prompt
+	c := &choice{work: query.Prompt, ahead: candidates[i].Work}
 	if candidates[i].Cached {
-		work -= d.options.Balancer.HitCached * query.Shared
+		c.cached = d.options.Balancer.HitCached * q.prompt.shared
+		c.work = d.prefillTime(q, q.prompt.tokens, c.cached)
 	}
-	return i, &choice{work: work, ahead: candidates[i].Work}
+	return i, c
+}
+
+// prefillTime returns the predicted prefill time in ms of so many tokens, of which
+// some are cached, for the request's model. The lock must be held.
+func (d *Dispatcher) prefillTime(q *criteria, tokens, cached float64) float64 {
+	return d.forecaster.Predict(q.model, q.largerModels, tokens, cached)
 }
 
 // candidate returns an endpoint with the load of all instances on it. The lock
@@ -350,8 +309,7 @@
 	l.excessDelay, l.delayAt = max(0, float64(took)-c.work-firstEventOverhead), now
 	l.work = max(0, l.work-c.work)
 	if c.ahead == 0 && took > 0 && c.work > 0 {
-		tokens := c.work / d.prefillMsPerToken(q.model, q.largerModels)
-		d.recordPrefill(q.model, tokens, float64(took))
+		d.forecaster.Record(q.model, q.prompt.tokens, c.cached, float64(took))
 	}
 	c.work = 0
 }
@@ -444,13 +402,13 @@
 }
 
 // Rates calls each with the rates of this instance, in ms of work per ms, for
-// every service with escalation to larger models.
-func (d *Dispatcher) Rates(each func(service string, base, demand float64)) {
+// every service with escalation to larger models or long prompts.
+func (d *Dispatcher) Rates(each func(service string, base, demand, long float64)) {
 	now := d.options.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for service, t := range d.throttlers {
 		base, demand := t.Rates(now)
-		each(service, base, demand)
+		each(service, base, demand, t.Long(now))
 	}
 }
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -90,3 +90,18 @@
 		t.Errorf("rank without requests: got %.2f, want about 0.5", got)
 	}
 }
+
+// Guards against reserved endpoints that stay without long prompts: an average alone
+// never becomes 0.
+func TestLongExpires(t *testing.T) {
+	throttler := New(Options{Span: 3000, Share: 0.55})
+	now := clock.Minute
+	for ; now < 2*clock.Minute; now += 100 {
+		throttler.RecordLong(now, 50)
+	}
+	for after, most := range map[clock.Millis]float64{0: 0.55, 9000: 0.1, 10000: 0, clock.Hour: 0} {
+		if got := throttler.Long(now - 100 + after); got > most || most > 0 && got < most/4 {
+			t.Errorf("after %d ms: got %v, want at most %v and 0 only from 10 s", after, got, most)
+		}
+	}
+}
