--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -52,7 +52,7 @@
 // simulation of package dispatcher did not differ, with 0.3 more were late in overload.
 func Default() Balancer {
 	return Balancer{
-		OwnWork: 6, RunningWork: 1.5, OverflowWork: 60, HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95, LateWork: 0.03,
+		OwnWork: 4, RunningWork: 1.5, OverflowWork: 60, HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95, LateWork: 0.03,
 	}
 }
 
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -9,9 +9,9 @@
 
 const (
 	// longShare is the share of the route's EventGap from which the predicted prefill
-	// time of a prompt makes it long. The rest is for decode steps and for prompts that
-	// are queued with it.
-	longShare = 0.6
+	// time of a prompt makes it long. The rest is for decode steps, for slower endpoints
+	// and for prompts that are queued with it.
+	longShare = 0.45
 	// partitionInterval is the time in ms for which the reserved endpoints are used.
 	// Heartbeats bring new sums less often than this.
 	partitionInterval = 100
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -20,12 +20,12 @@
 	ShrinkAfter clock.Millis
 }
 
-// Default returns the settings of the platform deployment. Above a utilisation of
-// about a third, long prompts often wait for each other, which takes seconds. Five
+// Default returns the settings of the platform deployment. At a utilisation of a third,
+// long prompts often waited for each other or interrupted each other's streams. Five
 // seconds are longer than the gaps between clustered arrivals, so that the number
 // does not follow each of them.
 func Default() Options {
-	return Options{Utilisation: 0.35, MaxShare: 1.0 / 3, ShrinkAfter: 5 * clock.Second}
+	return Options{Utilisation: 0.22, MaxShare: 1.0 / 3, ShrinkAfter: 5 * clock.Second}
 }
 
 // Endpoint is a usable endpoint of the service.
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -18,9 +18,10 @@
 // concurrent use.
 type Throttler struct {
 	options Options
-	base    rate // work of first models
-	demand  rate // work that larger models would have if no escalation were held back
-	long    rate // work of long prompts
+	base    rate         // work of first models
+	demand  rate         // work that larger models would have if no escalation were held back
+	long    rate         // work of long prompts
+	started clock.Millis // time of the first request; 0: none yet
 	// demandByRank is the demand by priority rank, averaged over rankSpanFactor
 	// times Span: one instance sees too few requests for a shorter time.
 	demandByRank map[int]*rate
@@ -58,7 +59,12 @@
 }
 
 // RecordBase adds work in ms of a first model.
-func (t *Throttler) RecordBase(now clock.Millis, work float64) { t.base.add(now, work, t.options.Span) }
+func (t *Throttler) RecordBase(now clock.Millis, work float64) {
+	if t.started == 0 {
+		t.started = now
+	}
+	t.base.add(now, work, t.options.Span)
+}
 
 // RecordDemand adds the work in ms that a larger model would have for a request
 // of the given rank; rank 0 is the highest.
@@ -71,7 +77,12 @@
 }
 
 // RecordLong adds work in ms of a long prompt, which may be that of a first model.
-func (t *Throttler) RecordLong(now clock.Millis, work float64) { t.long.add(now, work, t.options.Span) }
+func (t *Throttler) RecordLong(now clock.Millis, work float64) {
+	t.long.add(now, work, t.options.Span)
+}
+
+// minLongTime is the least time in ms for which an average counts as known.
+const minLongTime = 500
 
 // longExpiry is the time in ms after the last long prompt from which Long is 0. An
 // average alone never becomes 0.
@@ -82,7 +93,9 @@
 	if now-t.long.at >= longExpiry {
 		return 0
 	}
-	return t.long.value(now, t.options.Span)
+	// Without the correction, the average would rise over several spans after a start.
+	known := 1 - math.Exp(-float64(max(minLongTime, now-t.started))/float64(t.options.Span))
+	return t.long.value(now, t.options.Span) / known
 }
 
 // Rates returns the average rates in ms of work per ms.
