calibrator: learn the speed of each endpoint and use it in the choice

Cause: endpoints of one service differ in speed by up to 2.4, and some turn slow for a while, but queued work counted the same everywhere, so that prompts waited at slow endpoints while faster ones had room.

Change: package calibrator learns a time factor per endpoint from first events, the pace of streams and whole plain responses. The dispatcher multiplies queued work and the request's own work by it, and the mean duration of plain requests replaces a fixed 30 ms. The own work's extra time has weight 1 in the balancer (SpeedWork), not 6: with 6, long prompts queued at the fastest endpoints. The expected time given to the roll-out stays without the factor, which would hide a slow version.

Samples are not shared yet.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -14,6 +14,7 @@
 	Local   bool    // in the data centre of this instance
 	Cached  bool    // the prefix was sent there recently
 	Penalty float64 // additional work, for example after a failure
+	Factor  float64 // durations there relative to those of other endpoints; 0 if unknown
 }
 
 // Query describes a request. Work is in ms.
@@ -26,7 +27,11 @@
 
 // Balancer holds the weights of the cost function.
 type Balancer struct {
-	OwnWork      float64 // weight of the request's own work relative to queued work: it delays all later requests
+	OwnWork float64 // weight of the request's own work relative to queued work: it delays all later requests
+	// SpeedWork is the weight of the time by which the request's own work takes longer
+	// there than at the median endpoint. With OwnWork's weight, long prompts wait behind
+	// each other at the fastest endpoints while slower ones are idle.
+	SpeedWork    float64
 	RunningWork  float64 // ms by which each running request delays a new one
 	OverflowWork float64 // ms for each request beyond the slots
 	HitFirst     float64 // expected cached share of Shared at the first preferred endpoint, without other information
@@ -39,7 +44,9 @@
 // request beyond the slots waits until a running one ends, which takes a few
 // hundred ms.
 func Default() Balancer {
-	return Balancer{OwnWork: 6, RunningWork: 1.5, OverflowWork: 60, HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95}
+	return Balancer{
+		OwnWork: 6, SpeedWork: 1, RunningWork: 1.5, OverflowWork: 60, HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95,
+	}
 }
 
 // preferredCount is the number of endpoints preferred for a prefix, of which the
@@ -114,7 +121,11 @@
 			hit = b.HitSecond
 		}
 	}
-	cost := c.Work + b.OwnWork*(q.Prompt-hit*q.Shared) + float64(c.Running)*b.RunningWork + c.Penalty
+	own := q.Prompt - hit*q.Shared
+	cost := c.Work + b.OwnWork*own + float64(c.Running)*b.RunningWork + c.Penalty
+	if c.Factor > 0 {
+		cost += b.SpeedWork * (c.Factor - 1) * own
+	}
 	if excess := c.Running + 1 - c.Slots; c.Slots > 0 && excess > 0 {
 		cost += float64(excess) * b.OverflowWork
 	}
--- /dev/null
+++ b/calibrator/simulation_test.go
@@ -0,0 +1,227 @@
+package calibrator
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/balancer"
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/matcher"
+)
+
+// simulation is a service without a network: instances that choose endpoints by
+// reports of each other's load, and endpoints that read prompts one after another.
+type simulation struct {
+	endpoints, instances int
+	perSecond            float64 // requests to the service
+	speed                func(now clock.Millis, endpoint int) float64
+	factors              bool // instances use a Calibrator
+	seed                 uint64
+	restartAt            clock.Millis // of all instances; 0: never
+
+	random      *rand.Rand
+	ids         []Endpoint
+	calibrators []*Calibrator
+	busyUntil   []float64
+	reported    []float64     // work in ms reported for each endpoint, of predicted durations
+	queued      []float64     // the same at present
+	own         []([]float64) // work that an instance has sent since the last report
+	later       map[clock.Millis][]func(now clock.Millis)
+	requests    []simulated
+}
+
+// simulated is the result of one request.
+type simulated struct {
+	at       clock.Millis
+	endpoint int
+	work     float64 // predicted, in ms
+	took     float64 // until the first event, in ms
+}
+
+const (
+	simulatedTarget   = 3000 // ms until the first event
+	simulatedInterval = 500  // ms between two reports of loads
+	simulatedPace     = 50   // ms per event
+)
+
+func (s *simulation) start() {
+	s.random = rand.New(rand.NewPCG(s.seed, 2))
+	s.ids = make([]Endpoint, s.endpoints)
+	for i := range s.ids {
+		id := fmt.Sprint("e", i)
+		s.ids[i] = Endpoint{Key: matcher.Hash("endpoint", id), ID: id, Service: "s", Slots: 16, Local: true}
+	}
+	for _, list := range []*[]float64{&s.busyUntil, &s.reported, &s.queued} {
+		*list = make([]float64, s.endpoints)
+	}
+	s.later = make(map[clock.Millis][]func(clock.Millis))
+	s.restart()
+}
+
+func (s *simulation) restart() {
+	s.calibrators, s.own = make([]*Calibrator, s.instances), make([][]float64, s.instances)
+	for i := range s.calibrators {
+		s.calibrators[i], s.own[i] = New(Options{Plain: 30}), make([]float64, s.endpoints)
+	}
+}
+
+func (s *simulation) run(length clock.Millis) {
+	s.start()
+	for now := clock.Millis(1); now < length; now++ {
+		if now == s.restartAt {
+			s.restart()
+		}
+		for _, f := range s.later[now] {
+			f(now)
+		}
+		delete(s.later, now)
+		if now%simulatedInterval == 0 {
+			s.report(now)
+		}
+		for p := s.perSecond / 1000; p > 0; p-- {
+			if s.random.Float64() < p {
+				s.send(now, s.random.IntN(s.instances))
+			}
+		}
+	}
+}
+
+func (s *simulation) report(now clock.Millis) {
+	copy(s.reported, s.queued)
+	for i := range s.own {
+		clear(s.own[i])
+	}
+}
+
+// prompt returns the prefill time of a random prompt: of a long one with a heavy
+// tail, or of a short one.
+func (s *simulation) prompt() float64 {
+	if s.random.Float64() < 0.26 {
+		return min(1000, 300*math.Exp(0.8*s.random.NormFloat64()))
+	}
+	return 20 + 40*s.random.Float64()
+}
+
+func (s *simulation) send(now clock.Millis, instance int) {
+	work, salt := s.prompt(), fmt.Sprint("r", len(s.requests))
+	c := s.calibrators[instance]
+	list := make([]balancer.Candidate, s.endpoints)
+	age := float64(now % simulatedInterval)
+	for i := range list {
+		queued := max(0, s.reported[i]-age) + s.own[instance][i]
+		list[i] = balancer.Candidate{ID: s.ids[i].ID, Local: true, Work: queued}
+		if s.factors {
+			f := c.Speed(now, s.ids[i]).Factor
+			list[i].Work *= f
+			if list[i].Factor = f; f > 1 && work < 100 && matcher.Hash(salt, s.ids[i].ID)%64 == 0 {
+				list[i].Factor = 0.5
+			}
+		}
+	}
+	i := balancer.Default().Pick(balancer.Query{Prompt: work}, list, salt)
+	ahead := list[i].Work
+	s.own[instance][i] += work
+	s.queued[i] += work
+	speed := s.speed(now, i)
+	end := max(s.busyUntil[i], float64(now)) + work*speed
+	s.busyUntil[i] = end
+	took := end - float64(now) + 30
+	s.requests = append(s.requests, simulated{now, i, work, took})
+	s.at(now+clock.Millis(took), func(now clock.Millis) {
+		s.queued[i] -= work
+		if ahead < work && work > 30 {
+			c.RecordFirst(now, s.ids[i], "m", 1, took, work+30)
+		}
+	})
+	pace := simulatedPace * speed * (0.9 + 0.2*s.random.Float64())
+	s.at(now+clock.Millis(took+8*pace), func(now clock.Millis) {
+		if s.random.Float64() < 0.55 { // the others have fewer events
+			c.RecordPace(now, s.ids[i], "m", 1, pace)
+		}
+	})
+}
+
+func (s *simulation) at(now clock.Millis, f func(clock.Millis)) {
+	s.later[now] = append(s.later[now], f)
+}
+
+// late returns the share of the requests from an instant on whose first event is late,
+// weighted by their work, and the share of the work at endpoints that were slow.
+func (s *simulation) late(from clock.Millis) (late, slow float64) {
+	total := 0.0
+	for _, r := range s.requests {
+		if r.at < from {
+			continue
+		}
+		total += r.work
+		if r.took > simulatedTarget {
+			late += r.work
+		}
+		if s.speed(r.at, r.endpoint) > 1 {
+			slow += r.work
+		}
+	}
+	return late / total, slow / total
+}
+
+// Guards against prompts that wait at slow endpoints while faster ones have room,
+// against slow endpoints that get no requests at all, and against harm where all
+// endpoints are alike. Each request's load is known to the others half a second late.
+func TestLatenessByEndpointSpeed(t *testing.T) {
+	tests := map[string]struct {
+		speed    func(now clock.Millis, endpoint int) float64
+		maxShare float64 // of the late work without factors
+	}{
+		"speeds one to three": {func(_ clock.Millis, i int) float64 { return []float64{1, 1.5, 2, 3}[i%4] }, 0.5},
+		"another seventh slow every 0.6 s": {func(now clock.Millis, i int) float64 {
+			speed := []float64{1, 1.6, 2.4}[i%3]
+			if int(now/600)%7 == i%7 {
+				speed *= 2.5
+			}
+			return speed
+		}, 0.75},
+		"a few slow for 10 s": {func(now clock.Millis, i int) float64 {
+			if now/10000 == 3 && i < 6 {
+				return 3
+			}
+			return 1
+		}, 0.75},
+		"a few slow for good": {func(now clock.Millis, i int) float64 {
+			if now > 20000 && i < 6 {
+				return 3
+			}
+			return 1
+		}, 0.5},
+		"all slow at once": {func(now clock.Millis, _ int) float64 {
+			if now/10000 == 3 {
+				return 2.4
+			}
+			return 1
+		}, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var lates, slows [2]float64
+			for i, factors := range []bool{false, true} {
+				for seed := range uint64(3) {
+					s := &simulation{
+						endpoints: 36, instances: 6, perSecond: 120, speed: tt.speed, factors: factors, seed: seed,
+					}
+					s.run(50000)
+					late, slow := s.late(20000)
+					lates[i], slows[i] = lates[i]+late/3, slows[i]+slow/3
+				}
+			}
+			t.Logf("late work %.4f without and %.4f with factors, at slow endpoints %.3f and %.3f",
+				lates[0], lates[1], slows[0], slows[1])
+			if lates[1] > tt.maxShare*lates[0] {
+				t.Errorf("late work: got %.4f, want at most %v of %.4f", lates[1], tt.maxShare, lates[0])
+			}
+			if slows[1] < slows[0]/32 {
+				t.Errorf("work at slow endpoints: got %.4f, without factors %.4f", slows[1], slows[0])
+			}
+		})
+	}
+}
--- /dev/null
+++ b/dispatcher/calibrate_test.go
@@ -0,0 +1,72 @@
+package dispatcher
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/matcher"
+)
+
+// Guards against endpoints that look slow because they read another prompt between
+// two events, and against those that look fast because events arrive together.
+func TestPaceIgnoresPrefillOfOthers(t *testing.T) {
+	tests := map[string]struct {
+		gaps []clock.Millis
+		want float64
+	}{
+		"even":                      {[]clock.Millis{60, 60, 60, 60, 60, 60, 60, 60}, 60},
+		"half of the gaps are long": {[]clock.Millis{60, 300, 60, 250, 60, 400, 60, 200}, 60},
+		"two events together":       {[]clock.Millis{60, 120, 0, 60, 60, 60, 60, 60}, 60},
+		"slow":                      {[]clock.Millis{150, 150, 150, 300, 150, 150, 150, 150}, 150},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var p pace
+			now := clock.Millis(1000)
+			p.begin(now)
+			for i, gap := range tt.gaps {
+				now += gap
+				if got, want := p.add(now, 1), i == len(tt.gaps)-1; got != want {
+					t.Fatalf("known after %d events: got %v, want %v", i+1, got, want)
+				}
+			}
+			if got := p.ms(); got != tt.want {
+				t.Errorf("ms per event: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against learnt speeds that do not affect the choice, and against a roll-out
+// that takes a slow version's latencies for expected ones.
+func TestSlowEndpointCostsMore(t *testing.T) {
+	idle := func(net.Conn, *http.Request, string) bool { return false }
+	f := newFleet(t, route(matcher.Stream, nil), idle, idle, idle)
+	d, list := f.dispatcher, f.catalog.Snapshot().Service("s")
+	now := clock.Millis(1000)
+	for ; now < 30000; now += 250 {
+		for i, e := range list {
+			d.options.Calibrator.RecordPace(now, d.calibrated(e), "m", 1, []float64{150, 50, 50}[i])
+		}
+	}
+	q := &criteria{service: "s", config: &matcher.Service{CacheTokens: 1}, prompt: prompt{tokens: 2000}}
+	chosen := make(map[string]int)
+	for i := range 256 {
+		q.salt = string(rune('a' + i))
+		_, c := d.pick(now, q, list)
+		at, _ := d.pick(now, q, list)
+		chosen[list[at].ID]++
+		if list[at].ID == "e0" && c.expected(q, c.factor) < 2*c.expected(q, 1) {
+			t.Errorf("expected time: got %d ms, want more than twice %d", c.expected(q, c.factor), c.expected(q, 1))
+		}
+	}
+	if got := chosen["e0"]; got == 0 || got > 25 {
+		t.Errorf("requests at the slow endpoint: got %d of 256, want a few", got)
+	}
+	d.loadOf("e0").work = 100
+	if got := d.candidate(now, q, list[0]).Work; got < 250 {
+		t.Errorf("queued work: got %.0f ms, want about 300", got)
+	}
+}
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -12,7 +12,6 @@
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/stager"
-	"rosemaryarch.example/rosemaryarch/throttler"
 )
 
 const (
@@ -24,8 +23,6 @@
 	remoteCostPerKB  = 4
 	// remotePlainCost is the same cost for services without an engine.
 	remotePlainCost = 40
-	// plainRequestWork is the assumed duration in ms of a plain request.
-	plainRequestWork = 30
 	// coldReserve is the part, in requests per second, of the bound on a cold
 	// endpoint that is left unused: the bound applies to arrivals, and the router
 	// controls sends.
@@ -46,18 +43,22 @@
 	endpoint *cataloger.State
 	ticket   breaker.Ticket
 	work     float64      // estimated prefill time of the request
-	ahead    float64      // work queued at the endpoint before it
+	ahead    float64      // time until the endpoint has done the work queued before it
+	factor   float64      // of the endpoint's durations when it was chosen
+	running  int          // requests there when it was chosen, including this one
+	cached   bool         // the shared part of the prompt was sent there recently
 	cold     bool         // the endpoint was cold when it was chosen
 	due      clock.Millis // time at which the first event is expected
 }
 
-// expected returns the time in ms until the first event, or 0 if the service has
-// no engine to predict it for.
-func (c *choice) expected(q *criteria) clock.Millis {
+// expected returns the time in ms until the first event on an endpoint whose
+// durations are multiplied by factor, or 0 if the service has no engine to predict
+// it for.
+func (c *choice) expected(q *criteria, factor float64) clock.Millis {
 	if !q.isEngine() {
 		return 0
 	}
-	return clock.Millis(c.ahead+c.work) + firstEventOverhead
+	return clock.Millis(c.ahead+factor*c.work) + firstEventOverhead
 }
 
 // criteria is what the choice of an endpoint depends on.
@@ -113,7 +114,7 @@
 			endpointLoad.work += c.work
 			endpointLoad.running++
 			if q.isEngine() {
-				c.due = now + clock.Millis(c.ahead+c.work) + firstEventOverhead
+				c.due = now + c.expected(q, c.factor)
 				endpointLoad.pending = append(endpointLoad.pending, c)
 			}
 			d.recordPrefix(now, e.ID, q)
@@ -258,9 +259,11 @@
 // of the request there, or -1 and nil if list is empty. The lock must be held.
 func (d *Dispatcher) pick(now clock.Millis, q *criteria, list []*cataloger.State) (int, *choice) {
 	engine := q.isEngine()
-	query := balancer.Query{RemoteCost: remotePlainCost, Prompt: plainRequestWork}
+	query := balancer.Query{RemoteCost: remotePlainCost}
 	msPerToken := 0.0
-	if engine {
+	if !engine {
+		query.Prompt = d.options.Calibrator.PlainDuration(q.service)
+	} else {
 		msPerToken = d.prefillMsPerToken(q.model, q.largerModels)
 		query = balancer.Query{
 			RemoteCost: q.remoteCost(), PrefixID: q.prompt.prefix,
@@ -270,6 +273,7 @@
 	candidates := make([]balancer.Candidate, len(list))
 	for i, e := range list {
 		candidates[i] = d.candidate(now, q, e)
+		candidates[i].Factor = costFactor(candidates[i].Factor, query, q.salt, e.ID)
 	}
 	i := d.options.Balancer.Pick(query, candidates, q.salt)
 	if i < 0 {
@@ -279,20 +283,28 @@
 	if candidates[i].Cached {
 		work -= d.options.Balancer.HitCached * query.Shared
 	}
-	return i, &choice{work: work, ahead: candidates[i].Work}
+	return i, &choice{
+		work: work, ahead: candidates[i].Work, factor: d.speed(now, list[i]).Factor,
+		running: candidates[i].Running + 1, cached: candidates[i].Cached,
+	}
 }
 
 // candidate returns an endpoint with the load of all instances on it. The lock
 // must be held.
 func (d *Dispatcher) candidate(now clock.Millis, q *criteria, e *cataloger.State) balancer.Candidate {
 	c := balancer.Candidate{ID: e.ID, Slots: e.Slots, Local: e.DataCentre == d.options.DataCentre}
+	speed := d.speed(now, e)
+	c.Factor = speed.Factor
+	if speed.Limit > 0 {
+		c.Slots = speed.Limit
+	}
 	work, running, delay := d.options.PeerLoad(matcher.Hash("endpoint", e.ID))
 	if l := d.loads[e.ID]; l != nil {
 		work += l.work
 		running += l.running
 		delay = max(delay, l.expectedDelay(now))
 	}
-	c.Work, c.Running = max(work, delay), running
+	c.Work, c.Running = max(speed.Factor*work, delay), running
 	if q.prompt.prefix != "" {
 		sentAt, ok := d.prefixSent[prefixKey{e.ID, q.model, q.prompt.prefix}]
 		c.Cached = ok && now-sentAt < prefixCacheAge
@@ -347,7 +359,8 @@
 	defer d.mu.Unlock()
 	l := d.loadOf(c.endpoint.ID)
 	l.removePending(c)
-	l.excessDelay, l.delayAt = max(0, float64(took)-c.work-firstEventOverhead), now
+	l.excessDelay, l.delayAt = max(0, float64(took)-c.factor*c.work-firstEventOverhead), now
+	d.calibrateFirst(now, c, q, took)
 	l.work = max(0, l.work-c.work)
 	if c.ahead == 0 && took > 0 && c.work > 0 {
 		tokens := c.work / d.prefillMsPerToken(q.model, q.largerModels)
@@ -410,47 +423,3 @@
 func (d *Dispatcher) markCold(id string, until clock.Millis) {
 	d.options.Catalog.MarkCold(until, func(e *cataloger.State) bool { return e.ID == id })
 }
-
-const (
-	// throttleSpan is the averaging time of the demand for larger models. It is
-	// longer than the gaps between clustered arrivals and shorter than a burst.
-	throttleSpan = 3 * clock.Second
-	// throttleShare is the share of an engine's time that prefill may take. At
-	// the deployments' usual load the share is about 0.4.
-	throttleShare = 0.48
-)
-
-// throttlerFor returns the throttler of a service. The lock must be held.
-func (d *Dispatcher) throttlerFor(service string) *throttler.Throttler {
-	t := d.throttlers[service]
-	if t == nil {
-		t = throttler.New(throttler.Options{Span: throttleSpan, Share: throttleShare})
-		d.throttlers[service] = t
-	}
-	return t
-}
-
-// escalationShare records that a request of the given priority rank asks for a
-// larger model with the given work in ms, and returns the share of such requests
-// for which there is capacity.
-func (d *Dispatcher) escalationShare(now clock.Millis, q *criteria, rank int, work float64) float64 {
-	instances := d.options.Ready()
-	peers := d.options.PeerRates(q.service)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t := d.throttlerFor(q.service)
-	t.RecordDemand(now, rank, work)
-	return t.AdmittedShare(now, rank, peers, q.eligible, instances)
-}
-
-// Rates calls each with the rates of this instance, in ms of work per ms, for
-// every service with escalation to larger models.
-func (d *Dispatcher) Rates(each func(service string, base, demand float64)) {
-	now := d.options.Clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for service, t := range d.throttlers {
-		base, demand := t.Rates(now)
-		each(service, base, demand)
-	}
-}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 	"rosemaryarch.example/rosemaryarch/balancer"
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/budgeter"
+	"rosemaryarch.example/rosemaryarch/calibrator"
 	"rosemaryarch.example/rosemaryarch/capper"
 	"rosemaryarch.example/rosemaryarch/cascader"
 	"rosemaryarch.example/rosemaryarch/cataloger"
@@ -70,6 +71,7 @@
 	Forwarder   *forwarder.Forwarder
 	Balancer    balancer.Balancer
 	Cascader    cascader.Cascader
+	Calibrator  *calibrator.Calibrator
 	Quarantine  *quarantiner.Quarantiner
 	// TakesTrials reports whether this instance is the one that sends requests which
 	// the quarantine lets through to learn whether a part still crashes endpoints.
@@ -251,6 +253,7 @@
 	}
 	d.options.Capper.Sweep(now)
 	d.options.Pauser.Sweep(now)
+	d.options.Calibrator.Sweep(now, func(id string) bool { return s.Endpoint(id) != nil })
 	for k, at := range d.prefixSent {
 		if now-at > prefixCacheAge {
 			delete(d.prefixSent, k)
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -16,6 +16,7 @@
 	"rosemaryarch.example/rosemaryarch/balancer"
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/budgeter"
+	"rosemaryarch.example/rosemaryarch/calibrator"
 	"rosemaryarch.example/rosemaryarch/capper"
 	"rosemaryarch.example/rosemaryarch/cascader"
 	"rosemaryarch.example/rosemaryarch/cataloger"
@@ -218,6 +219,7 @@
 		SlowStarter: slowstarter.New(),
 		Capper:      capper.New(),
 		Pauser:      pauser.New(),
+		Calibrator:  calibrator.New(calibrator.Options{Plain: 30}),
 		Quarantine:  f.quarantine, TakesTrials: func() bool { return true },
 		Forwarder: f.forwarder,
 		Balancer:  balancer.Default(), Cascader: cascader.Default(),
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -344,13 +344,16 @@
 	begin := x.now()
 	x.endpoint = e.ID
 	observation := d.options.Stager.Begin(begin, stager.Sending{
-		Service: q.service, Version: e.Version, Endpoint: e.ID, Expected: c.expected(q),
+		Service: q.service, Version: e.Version, Endpoint: e.ID, Expected: c.expected(q, 1),
 		Route: x.route.Name, Kind: x.route.Name + "/" + q.model,
 	})
 	d.options.Stager.RecordUse(begin, q.service, x.request.Header.Get(d.options.Names.Session), e.Version)
 	s := &send{exchange: x, choice: c, criteria: q, begin: begin, observation: observation}
 	result, err := s.run(ctx)
 	d.release(x.now(), c, !s.failed)
+	if s.failed {
+		d.options.Calibrator.RecordFailure(x.now(), d.calibrated(c.endpoint))
+	}
 	observation.End(x.now(), s.result)
 	if result != resultDone || err != nil || len(s.dropped) > 0 {
 		x.logSend(c, s, err)
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -36,6 +36,7 @@
 	pause       clock.Millis        // that the endpoint has asked for; 0: none
 	answered    bool                // the first event, or the whole plain response, has arrived
 	observation *stager.Observation // for the roll-out; nil without one
+	pace        pace                // of the stream's events
 }
 
 // run sends the request and handles the response.
@@ -292,6 +293,7 @@
 	}
 	if !s.failed {
 		s.observation.Receive(x.now(), 1)
+		s.calibratePlain()
 	}
 	if s.failed && x.route.Retryable() && x.sends < x.maxSends() && x.remaining() > x.route.Target/2 {
 		s.outcome = "failed"
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -90,10 +90,13 @@
 			s.answered = true
 			x.dispatcher.options.Quarantine.RecordFirstEvent(now, x.quarantined())
 			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, now-s.begin)
+			s.pace.begin(now)
 			if !x.headerSent {
 				x.firstEventMs = now - x.start
 				x.writeStreamHeader(response)
 			}
+		} else if s.pace.add(now, count) {
+			s.calibratePace(now)
 		}
 		if id >= 0 {
 			x.lastEventID = id
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -19,6 +19,7 @@
 	"rosemaryarch.example/rosemaryarch/balancer"
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/budgeter"
+	"rosemaryarch.example/rosemaryarch/calibrator"
 	"rosemaryarch.example/rosemaryarch/capper"
 	"rosemaryarch.example/rosemaryarch/cascader"
 	"rosemaryarch.example/rosemaryarch/cataloger"
@@ -80,6 +81,9 @@
 	// and defaultResponseMemory that number of bytes in a process without a limit.
 	responseMemoryShare   = 0.125
 	defaultResponseMemory = 64 << 20
+	// plainDuration is the assumed mean duration in ms of a plain request until some
+	// have been observed.
+	plainDuration = 30
 	// acceptStreamsFor is the time after SIGTERM during which new streams are
 	// accepted.
 	acceptStreamsFor = 3 * clock.Second
@@ -117,6 +121,7 @@
 	stager          *stager.Stager
 	quarantine      *quarantiner.Quarantiner
 	capper          *capper.Capper
+	calibrator      *calibrator.Calibrator
 	storedHolds     atomic.Pointer[string] // held parts that the store is known to hold
 	storingHolds    atomic.Bool            // they are being written
 	heartbeater     *heartbeater.Heartbeater
@@ -157,6 +162,7 @@
 		}),
 		quarantine: quarantiner.New(),
 		capper:     capper.New(),
+		calibrator: calibrator.New(calibrator.Options{Plain: plainDuration}),
 		rollouts:   make(map[string]storedRollout),
 		dueAt:      make(map[string]clock.Millis),
 		avoidedAt:  make(map[string]clock.Millis),
@@ -200,6 +206,7 @@
 		Evacuated: func(dataCentre string) bool { return (*l.evacuated.Load())[dataCentre] },
 		Catalog:   l.catalog, Stager: l.stager,
 		Budget: l.budget, SlowStarter: slowstarter.New(), Quarantine: l.quarantine, Capper: l.capper,
+		Calibrator:  l.calibrator,
 		Pauser:      pauser.New(),
 		TakesTrials: func() bool { return l.memberPosition() == 0 },
 		Forwarder: forwarder.New(forwarder.Options{
