calibrator: limit requests by the knee, log and measure slow endpoints

Cause: some endpoints slow down long before their slots are full, and operators could not see which ones are slow.

Change: durations are kept by the number of requests in progress. Where they rise by more than a half, with 30 samples on each side, the limit replaces the slots in the balancer's cost. The throttler weights endpoints by their speeds. Event endpoint_speed, gauges endpoint_factor_largest and endpoints_slow.

--- a/calibrator/average.go
+++ b/calibrator/average.go
@@ -29,7 +29,7 @@
 }
 
 // mean returns the mean of the samples, or 1 without any.
-func (a *average) mean() float64 {
+func (a average) mean() float64 {
 	if a.weight == 0 {
 		return 1
 	}
@@ -38,7 +38,7 @@
 
 // trust returns the share, 0 to 1, to which the mean counts beside a prior value. It
 // falls with the half-life while there are no new samples.
-func (a *average) trust(now, halfLife clock.Millis) float64 {
+func (a average) trust(now, halfLife clock.Millis) float64 {
 	return a.weight / (a.weight + priorWeight) * decay(now-a.at, halfLife)
 }
 
--- a/calibrator/calibrator.go
+++ b/calibrator/calibrator.go
@@ -50,9 +50,11 @@
 
 // Speed is what is known of an endpoint.
 type Speed struct {
-	Factor  float64 // its durations relative to those of the service's median endpoint
-	Limit   int     // requests that it serves well at the same time; 0 if unknown
-	Samples int     // that the factor rests on
+	Factor float64 // its durations relative to those of the service's median endpoint
+	Limit  int     // requests that it serves well at the same time; 0 if unknown
+	// Confidence, 0 to 1, is that in a Limit below the slots; 0 if the slots count.
+	Confidence float64
+	Samples    int // that the factor rests on
 }
 
 // Calibrator holds the speeds of all endpoints. It is safe for concurrent use.
@@ -70,6 +72,8 @@
 type endpoint struct {
 	Endpoint
 	short, long    average
+	knee           knee
+	slow           bool                     // reported as slow
 	recent         [minSamples]clock.Millis // instants of the latest samples
 	newSum         float64                  // own samples since they were last shared
 	newCount       int
@@ -188,6 +192,13 @@
 	if value < minRatio*expected || failing && value < expected || failing && expected == 0 {
 		return
 	}
+	if ratio := value / expected; expected > 0 {
+		p.knee.add(now, running, min(maxRatio, ratio))
+	}
+	// What too many requests slow down says nothing about the endpoint itself.
+	if p.knee.limit > 0 && running > p.knee.limit {
+		return
+	}
 	// The mean duration of a plain service is that of endpoints that are not slow.
 	if c.refresh(now, c.services[p.Service]); key.source != plainResponses || p.speed.Factor < notSlow {
 		b.add(point, value)
--- a/calibrator/calibrator_test.go
+++ b/calibrator/calibrator_test.go
@@ -152,3 +152,94 @@
 		}
 	})
 }
+
+// Guards against requests beyond the number that an endpoint serves well, against a
+// limit that rests on chance or on few samples, and against one that stays for good.
+// The durations double beyond half of the slots.
+func TestLimitIsTheKnee(t *testing.T) {
+	tests := map[string]struct {
+		knee   int
+		beyond int // samples beyond the knee
+		wait   clock.Millis
+		want   int
+	}{
+		"knee at half of the slots":  {4, 200, 0, 4},
+		"knee at one request":        {1, 200, 0, 1},
+		"no knee":                    {8, 200, 0, 8},
+		"too few samples beyond it":  {4, 25, 0, 8},
+		"not seen for half an hour":  {4, 60, 30 * clock.Minute, 8},
+		"still known after a minute": {4, 200, clock.Minute, 4},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, list := New(Options{Plain: 30}), testEndpoints(6)
+			now := clock.Millis(1000)
+			for i := range 1200 {
+				for _, e := range list[1:] {
+					c.RecordPlain(now, e, 1, 60)
+				}
+				running := 1 + i%8
+				ms := 50 + float64(i*7%20)
+				if running > tt.knee {
+					ms *= 2
+				}
+				if running <= tt.knee || i < 8*tt.beyond/(8-tt.knee) {
+					c.RecordPlain(now, list[0], running, ms)
+				}
+				now += 20
+			}
+			c.Speed(now+tt.wait, list[0])
+			for range 10 {
+				for _, e := range list {
+					c.RecordPlain(now+tt.wait, e, 1, 60)
+				}
+			}
+			now += tt.wait + 2*kneeInterval
+			got := c.Speed(now, list[0])
+			if got.Limit != tt.want || (got.Confidence > 0) != (tt.want < 8) {
+				t.Errorf("got limit %d with confidence %.2f, want %d", got.Limit, got.Confidence, tt.want)
+			}
+			if tt.knee < 8 && tt.want == tt.knee && got.Factor > 1.3 {
+				t.Errorf("factor: got %.2f, want about 1", got.Factor)
+			}
+		})
+	}
+}
+
+// Guards against log lines for each small change of a factor, and against an endpoint
+// that is reported as slow for ever.
+func TestChangesAreReportedOnce(t *testing.T) {
+	c, list := New(Options{Plain: 30}), testEndpoints(6)
+	var got []bool
+	for now := clock.Millis(1000); now < 120000; now += 250 {
+		for i, e := range list {
+			ms := 50.0
+			if i == 0 && now/20000 == 1 {
+				ms = 120
+			}
+			c.RecordPace(now, e, "m", 1, ms)
+		}
+		changes, largest, slow := c.Changes(now)
+		for _, ch := range changes {
+			got = append(got, ch.Slow)
+			if ch.Endpoint != "e0" || ch.Slow && (largest < 1.5 || slow != 1) {
+				t.Errorf("got %+v with largest factor %.2f and %d slow", ch, largest, slow)
+			}
+		}
+	}
+	if len(got) != 2 || !got[0] || got[1] {
+		t.Errorf("changes: got %v, want slow and then not slow", got)
+	}
+}
+
+func BenchmarkSpeed(b *testing.B) {
+	c, list := New(Options{Plain: 30}), testEndpoints(140)
+	now := clock.Millis(1000)
+	for i := 0; b.Loop(); i++ {
+		if i%5000 == 0 {
+			c.RecordPlain(now, list[i%140], 1, 30)
+			now++
+		}
+		c.Speed(now, list[i%140])
+	}
+}
--- a/calibrator/refresh.go
+++ b/calibrator/refresh.go
@@ -24,6 +24,7 @@
 	s.fresh, s.refreshedAt = true, now
 	var longs, shorts []float64
 	for _, p := range s.endpoints {
+		p.knee.update(now, p.Slots)
 		if p.sampled(now) {
 			longs = append(longs, p.long.mean())
 		}
@@ -33,7 +34,7 @@
 	}
 	if len(s.endpoints) < minEndpoints || len(longs) < minSampled {
 		for _, p := range s.endpoints {
-			p.speed = Speed{Factor: 1, Limit: p.Slots}
+			p.speed = Speed{Factor: 1, Limit: p.Slots, Samples: int(p.long.weight)}
 		}
 		return
 	}
@@ -48,6 +49,9 @@
 		p.speed = Speed{
 			Factor: min(maxFactor, max(minFactor, factor)), Limit: p.Slots, Samples: int(p.long.weight),
 		}
+		if p.knee.limit > 0 {
+			p.speed.Limit, p.speed.Confidence = p.knee.limit, p.knee.confidence
+		}
 	}
 }
 
--- a/dispatcher/calibrate_test.go
+++ b/dispatcher/calibrate_test.go
@@ -4,7 +4,9 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
+	"rosemaryarch.example/rosemaryarch/calibrator"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
 )
@@ -69,4 +71,61 @@
 	if got := d.candidate(now, q, list[0]).Work; got < 250 {
 		t.Errorf("queued work: got %.0f ms, want about 300", got)
 	}
+	for i := range 800 {
+		running := 1 + i%8
+		d.options.Calibrator.RecordPlain(now, d.calibrated(list[1]), running, []float64{50, 150}[running/5])
+	}
+	now += 2 * clock.Second
+	if got := d.candidate(now, q, list[1]).Slots; got != 4 {
+		t.Errorf("requests at an endpoint that serves four well: got %d slots of 8, want 4", got)
+	}
+}
+
+// Guards against responses that do not reach the calibrator, and against failures that
+// count as samples: an endpoint that responds fast because it fails must not look fast.
+func TestSamples(t *testing.T) {
+	plain := func(status int) handler {
+		return func(c net.Conn, r *http.Request, _ string) bool {
+			time.Sleep(2 * time.Millisecond)
+			return writeResponse(c, r, status, "body")
+		}
+	}
+	stream := func(events int, complete bool) handler {
+		return func(c net.Conn, r *http.Request, _ string) bool {
+			time.Sleep(40 * time.Millisecond)
+			return writeEvents(c, r, 1, events, complete)
+		}
+	}
+	tests := map[string]struct {
+		kind   matcher.Kind
+		handle handler
+		tokens string
+		want   bool
+	}{
+		"plain response":                    {matcher.Safe, plain(200), "", true},
+		"plain response with a failure":     {matcher.Safe, plain(500), "", false},
+		"plain response to a wrong request": {matcher.Safe, plain(404), "", false},
+		"stream of a long prompt":           {matcher.Stream, stream(2, true), "2000,10", true},
+		"stream of a short prompt":          {matcher.Stream, stream(2, true), "100,10", false},
+		"stream without an event":           {matcher.Stream, stream(0, false), "2000,10", false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, route(tt.kind, func(r *matcher.Route) { r.Attempts = 1 }), tt.handle)
+			if tt.kind == matcher.Stream {
+				f.config.Services[0].CacheTokens = 1
+				f.setConfig(f.config)
+			}
+			start := f.dispatcher.options.Clock.Now
+			f.dispatcher.options.Clock = clock.Clock{Now: func() clock.Millis { return start() + 2*settleTime }}
+			for range 12 {
+				f.do("POST", "/a/x", "prompt", names.Tokens, tt.tokens)
+			}
+			samples := 0
+			f.dispatcher.options.Calibrator.Reports(start(), func(r calibrator.Report) { samples += r.Count })
+			if got := samples > 0; got != tt.want {
+				t.Errorf("got %d samples, want any: %v", samples, tt.want)
+			}
+		})
+	}
 }
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -293,12 +293,13 @@
 // must be held.
 func (d *Dispatcher) candidate(now clock.Millis, q *criteria, e *cataloger.State) balancer.Candidate {
 	c := balancer.Candidate{ID: e.ID, Slots: e.Slots, Local: e.DataCentre == d.options.DataCentre}
-	speed := d.speed(now, e)
+	known := d.calibrated(e)
+	speed := d.options.Calibrator.Speed(now, known)
 	c.Factor = speed.Factor
 	if speed.Limit > 0 {
 		c.Slots = speed.Limit
 	}
-	work, running, delay := d.options.PeerLoad(matcher.Hash("endpoint", e.ID))
+	work, running, delay := d.options.PeerLoad(known.Key)
 	if l := d.loads[e.ID]; l != nil {
 		work += l.work
 		running += l.running
--- a/dispatcher/throttle.go
+++ b/dispatcher/throttle.go
@@ -30,11 +30,28 @@
 func (d *Dispatcher) escalationShare(now clock.Millis, q *criteria, rank int, work float64) float64 {
 	instances := d.options.Ready()
 	peers := d.options.PeerRates(q.service)
+	endpoints := float64(q.eligible) * d.meanSpeed(now, q.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := d.throttlerFor(q.service)
 	t.RecordDemand(now, rank, work)
-	return t.AdmittedShare(now, rank, peers, q.eligible, instances)
+	return t.AdmittedShare(now, rank, peers, endpoints, instances)
+}
+
+// meanSpeed returns the mean speed of a service's endpoints, of which that of the
+// median is 1.
+func (d *Dispatcher) meanSpeed(now clock.Millis, service string) float64 {
+	sum, count := 0.0, 0
+	for _, e := range d.options.Catalog.Snapshot().Service(service) {
+		if !d.options.Evacuated(e.DataCentre) {
+			sum += 1 / d.speed(now, e).Factor
+			count++
+		}
+	}
+	if count == 0 {
+		return 1
+	}
+	return sum / float64(count)
 }
 
 // Rates calls each with the rates of this instance, in ms of work per ms, for
--- a/launcher/speeds.go
+++ b/launcher/speeds.go
@@ -4,6 +4,7 @@
 	"rosemaryarch.example/rosemaryarch/calibrator"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/heartbeater"
+	"rosemaryarch.example/rosemaryarch/logger"
 )
 
 // addSpeeds adds to a message what the neighbours have not been told yet about the
@@ -34,3 +35,16 @@
 		}
 	}
 }
+
+// reportSpeeds logs the endpoints that have become slow, or are no longer, and updates
+// the gauges.
+func (l *Launcher) reportSpeeds(now clock.Millis) {
+	changes, largest, slow := l.calibrator.Changes(now)
+	for _, c := range changes {
+		l.meter.CountEvent("endpoint_speed_changed")
+		l.logger.Log("endpoint_speed", logger.Text("endpoint", c.Endpoint), logger.Number("factor", c.Speed.Factor),
+			logger.Number("samples", c.Speed.Samples), logger.Number("limit", c.Speed.Limit))
+	}
+	l.meter.SetGauge("endpoint_factor_largest", largest)
+	l.meter.SetGauge("endpoints_slow", float64(slow))
+}
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -77,6 +77,7 @@
 		if now-sweptAt >= sweepInterval {
 			sweptAt = now
 			l.dispatcher.Sweep()
+			l.reportSpeeds(now)
 		}
 		if now-settingsAt >= settingsCheckInterval {
 			settingsAt = now
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -84,15 +84,18 @@
 
 // AdmittedShare returns the share, 0 to 1, of the larger models' work for requests
 // of a rank for which there is capacity. endpoints is the number of endpoints that
-// serve the service, and instances the number of instances that send to them.
-func (t *Throttler) AdmittedShare(now clock.Millis, rank int, peers PeerRates, endpoints, instances int) float64 {
+// serve the service, weighted by their speeds, and instances the number of instances
+// that send to them.
+func (t *Throttler) AdmittedShare(
+	now clock.Millis, rank int, peers PeerRates, endpoints float64, instances int,
+) float64 {
 	base, demand := t.Rates(now)
 	reporting := float64(peers.Instances + 1)
 	base, demand = (base+peers.Base)/reporting, (demand+peers.Demand)/reporting
 	if demand <= 0 {
 		return 1
 	}
-	capacity := t.options.Share*float64(endpoints)/float64(max(1, instances)) - base
+	capacity := t.options.Share*endpoints/float64(max(1, instances)) - base
 	overall := min(1, max(0, capacity/demand))
 	return (1-priorityWeight)*overall + priorityWeight*t.priorityShare(now, rank, overall)
 }
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -13,7 +13,7 @@
 	tests := map[string]struct {
 		perSecond int     // requests of this instance
 		escalated float64 // share of them that asks for a larger model
-		endpoints int
+		endpoints float64
 		instances int
 		min, max  float64
 	}{
