--- a/calibrator/average.go
+++ b/calibrator/average.go
@@ -7,9 +7,8 @@
 )
 
 // priorWeight is the weight, in samples, of the value from which an average starts.
-// Single first events differ from their prediction by a third and more. With 3,
-// instances that share their samples followed changes of 0.6 s in step, and more
-// prompts were late than with 8.
+// Single first events differ from their prediction by a third and more, so that two
+// or three slow ones in a row are common.
 const priorWeight = 8
 
 // average is an exponentially weighted average of samples.
--- a/dispatcher/calibrate.go
+++ b/dispatcher/calibrate.go
@@ -61,8 +61,9 @@
 		!c.cached && p.shared > maxUncertainShare*p.tokens {
 		return
 	}
-	predicted := c.ahead/c.factor + c.work + firstEventOverhead
-	d.options.Calibrator.RecordFirst(now, d.calibrated(c.endpoint), q.model, c.running, float64(took), predicted)
+	d.options.Calibrator.RecordFirst(
+		now, d.calibrated(c.endpoint), q.model, c.running, float64(took), float64(c.predicted(q)),
+	)
 }
 
 // calibratePace records the pace of the stream as a sample of the endpoint's speed.
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -44,6 +44,7 @@
 	ticket   breaker.Ticket
 	work     float64      // estimated prefill time of the request
 	ahead    float64      // time until the endpoint has done the work queued before it
+	queued   float64      // the same time at an endpoint that is as fast as the others
 	factor   float64      // of the endpoint's durations when it was chosen
 	running  int          // requests there when it was chosen, including this one
 	cached   bool         // the shared part of the prompt was sent there recently
@@ -51,14 +52,22 @@
 	due      clock.Millis // time at which the first event is expected
 }
 
-// expected returns the time in ms until the first event on an endpoint whose
-// durations are multiplied by factor, or 0 if the service has no engine to predict
-// it for.
-func (c *choice) expected(q *criteria, factor float64) clock.Millis {
+// expected returns the time in ms until the first event, or 0 if the service has
+// no engine to predict it for.
+func (c *choice) expected(q *criteria) clock.Millis {
 	if !q.isEngine() {
 		return 0
 	}
-	return clock.Millis(c.ahead+factor*c.work) + firstEventOverhead
+	return clock.Millis(c.ahead+c.factor*c.work) + firstEventOverhead
+}
+
+// predicted is expected for an endpoint that is as fast as the others. A roll-out
+// compares latencies with it: those of a slow version must not become expected.
+func (c *choice) predicted(q *criteria) clock.Millis {
+	if !q.isEngine() {
+		return 0
+	}
+	return clock.Millis(c.queued+c.work) + firstEventOverhead
 }
 
 // criteria is what the choice of an endpoint depends on.
@@ -114,7 +123,7 @@
 			endpointLoad.work += c.work
 			endpointLoad.running++
 			if q.isEngine() {
-				c.due = now + c.expected(q, c.factor)
+				c.due = now + c.expected(q)
 				endpointLoad.pending = append(endpointLoad.pending, c)
 			}
 			d.recordPrefix(now, e.ID, q)
@@ -283,8 +292,9 @@
 	if candidates[i].Cached {
 		work -= d.options.Balancer.HitCached * query.Shared
 	}
+	queued, _, delay := d.loadAt(now, list[i].ID, matcher.Hash("endpoint", list[i].ID))
 	return i, &choice{
-		work: work, ahead: candidates[i].Work, factor: d.speed(now, list[i]).Factor,
+		work: work, ahead: candidates[i].Work, queued: max(queued, delay), factor: d.speed(now, list[i]).Factor,
 		running: candidates[i].Running + 1, cached: candidates[i].Cached,
 	}
 }
@@ -299,12 +309,7 @@
 	if speed.Limit > 0 {
 		c.Slots = speed.Limit
 	}
-	work, running, delay := d.options.PeerLoad(known.Key)
-	if l := d.loads[e.ID]; l != nil {
-		work += l.work
-		running += l.running
-		delay = max(delay, l.expectedDelay(now))
-	}
+	work, running, delay := d.loadAt(now, e.ID, known.Key)
 	c.Work, c.Running = max(speed.Factor*work, delay), running
 	if q.prompt.prefix != "" {
 		sentAt, ok := d.prefixSent[prefixKey{e.ID, q.model, q.prompt.prefix}]
@@ -319,6 +324,18 @@
 	return c
 }
 
+// loadAt returns the load of all instances on an endpoint, given by its id and the hash
+// of the id: work in ms, running requests and delay in ms. The lock must be held.
+func (d *Dispatcher) loadAt(now clock.Millis, id string, key uint64) (work float64, running int, delay float64) {
+	work, running, delay = d.options.PeerLoad(key)
+	if l := d.loads[id]; l != nil {
+		work += l.work
+		running += l.running
+		delay = max(delay, l.expectedDelay(now))
+	}
+	return work, running, delay
+}
+
 // loadOf returns the load record of an endpoint, which it creates if necessary.
 // The lock must be held.
 func (d *Dispatcher) loadOf(id string) *load {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -344,7 +344,7 @@
 	begin := x.now()
 	x.endpoint = e.ID
 	observation := d.options.Stager.Begin(begin, stager.Sending{
-		Service: q.service, Version: e.Version, Endpoint: e.ID, Expected: c.expected(q, 1),
+		Service: q.service, Version: e.Version, Endpoint: e.ID, Expected: c.predicted(q),
 		Route: x.route.Name, Kind: x.route.Name + "/" + q.model,
 	})
 	d.options.Stager.RecordUse(begin, q.service, x.request.Header.Get(d.options.Names.Session), e.Version)
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -156,7 +156,7 @@
 // firstEventTimeout returns how long the first event may take. It grows with the
 // work queued at the endpoint.
 func (s *send) firstEventTimeout() clock.Millis {
-	work := clock.Millis(3 * (s.choice.ahead + s.choice.work))
+	work := clock.Millis(3 * (s.choice.ahead + s.choice.factor*s.choice.work))
 	return max(silenceTimeout, firstEventTimeoutTargets*s.exchange.route.Target) + work
 }
 
