--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -16,6 +16,7 @@
 	Penalty float64 // additional work, for example after a failure
 	// Reserved marks the endpoints that read long prompts.
 	Reserved bool
+	Factor  float64 // durations there relative to those of other endpoints; 0 if unknown
 }
 
 // Query describes a request. Work is in ms.
@@ -36,7 +37,11 @@
 
 // Balancer holds the weights of the cost function.
 type Balancer struct {
-	OwnWork      float64 // weight of the request's own work relative to queued work: it delays all later requests
+	OwnWork float64 // weight of the request's own work relative to queued work: it delays all later requests
+	// SpeedWork is the weight of the time by which the request's own work takes longer
+	// there than at the median endpoint. With OwnWork's weight, long prompts wait behind
+	// each other at the fastest endpoints while slower ones are idle.
+	SpeedWork    float64
 	RunningWork  float64 // ms by which each running request delays a new one
 	OverflowWork float64 // ms for each request beyond the slots
 	HitFirst     float64 // expected cached share of Shared at the first preferred endpoint, without other information
@@ -52,7 +57,8 @@
 // simulation of package dispatcher did not differ, with 0.3 more were late in overload.
 func Default() Balancer {
 	return Balancer{
-		OwnWork: 4, RunningWork: 1.5, OverflowWork: 60, HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95, LateWork: 0.03,
+		OwnWork: 4, SpeedWork: 1, RunningWork: 1.5, OverflowWork: 60, HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95,
+		LateWork: 0.03,
 	}
 }
 
@@ -99,7 +105,12 @@
 			best, bestCost = i, cost
 		}
 	}
-	if bestCost < overloadCost {
+	overload := float64(overloadCost)
+	if best >= 0 && list[best].Factor > 0 && list[best].Factor != 1 {
+		// Instances that agree on the speeds would all choose the fastest endpoint.
+		overload += b.OwnWork * q.Prompt
+	}
+	if bestCost < overload {
 		return best
 	}
 	for i := range list {
@@ -133,6 +144,9 @@
 	if q.Gap > 0 {
 		cost += b.gapCost(&q, c, own)
 	}
+	if c.Factor > 0 {
+		cost += b.SpeedWork * (c.Factor - 1) * own
+	}
 	if excess := c.Running + 1 - c.Slots; c.Slots > 0 && excess > 0 {
 		cost += float64(excess) * b.OverflowWork
 	}
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -10,7 +10,6 @@
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/stager"
-	"rosemaryarch.example/rosemaryarch/throttler"
 )
 
 const (
@@ -22,8 +21,6 @@
 	remoteCostPerKB  = 4
 	// remotePlainCost is the same cost for services without an engine.
 	remotePlainCost = 40
-	// plainRequestWork is the assumed duration in ms of a plain request.
-	plainRequestWork = 30
 	// coldReserve is the part, in requests per second, of the bound on a cold
 	// endpoint that is left unused: the bound applies to arrivals, and the router
 	// controls sends.
@@ -44,8 +41,11 @@
 	endpoint *cataloger.State
 	ticket   breaker.Ticket
 	work     float64      // estimated prefill time of the request
+	ahead    float64      // time until the endpoint has done the work queued before it
+	queued   float64      // the same time at an endpoint that is as fast as the others
+	factor   float64      // of the endpoint's durations when it was chosen
+	running  int          // requests there when it was chosen, including this one
 	cached   float64      // prompt tokens that the endpoint's cache probably holds
-	ahead    float64      // work queued at the endpoint before it
 	cold     bool         // the endpoint was cold when it was chosen
 	due      clock.Millis // time at which the first event is expected
 }
@@ -56,7 +56,16 @@
 	if !q.isEngine() {
 		return 0
 	}
-	return clock.Millis(c.ahead+c.work) + firstEventOverhead
+	return clock.Millis(c.ahead+c.factor*c.work) + firstEventOverhead
+}
+
+// predicted is expected for an endpoint that is as fast as the others. A roll-out
+// compares latencies with it: those of a slow version must not become expected.
+func (c *choice) predicted(q *criteria) clock.Millis {
+	if !q.isEngine() {
+		return 0
+	}
+	return clock.Millis(c.queued+c.work) + firstEventOverhead
 }
 
 // criteria is what the choice of an endpoint depends on.
@@ -114,7 +123,7 @@
 			endpointLoad.work += c.work
 			endpointLoad.running++
 			if q.isEngine() {
-				c.due = now + clock.Millis(c.ahead+c.work) + firstEventOverhead
+				c.due = now + c.expected(q)
 				endpointLoad.pending = append(endpointLoad.pending, c)
 			}
 			d.recordPrefix(now, e.ID, q)
@@ -211,8 +220,10 @@
 // pick returns the index of the endpoint that the balancer picks, with the work
 // of the request there, or -1 and nil if list is empty. The lock must be held.
 func (d *Dispatcher) pick(now clock.Millis, q *criteria, list []*cataloger.State) (int, *choice) {
-	query := balancer.Query{RemoteCost: remotePlainCost, Prompt: plainRequestWork}
-	if q.isEngine() {
+	query := balancer.Query{RemoteCost: remotePlainCost}
+	if !q.isEngine() {
+		query.Prompt = d.options.Calibrator.PlainDuration(q.service)
+	} else {
 		query = balancer.Query{
 			RemoteCost: q.remoteCost(), PrefixID: q.prompt.prefix,
 			Prompt: d.prefillTime(q, q.prompt.tokens, 0), Shared: d.prefillTime(q, q.prompt.shared, 0),
@@ -221,6 +232,7 @@
 	candidates := make([]balancer.Candidate, len(list))
 	for i, e := range list {
 		candidates[i] = d.candidate(now, q, e)
+		candidates[i].Factor = costFactor(candidates[i].Factor, query, q.salt, e.ID)
 	}
 	d.applyPartition(now, q, &query, candidates)
 	i := d.options.Balancer.Pick(query, candidates, q.salt)
@@ -232,6 +244,8 @@
 		c.cached = d.options.Balancer.HitCached * q.prompt.shared
 		c.work = d.prefillTime(q, q.prompt.tokens, c.cached)
 	}
+	queued, _, delay := d.loadAt(now, list[i].ID, matcher.Hash("endpoint", list[i].ID))
+	c.queued, c.factor, c.running = max(queued, delay), d.speed(now, list[i]).Factor, candidates[i].Running+1
 	return i, c
 }
 
@@ -245,13 +259,14 @@
 // must be held.
 func (d *Dispatcher) candidate(now clock.Millis, q *criteria, e *cataloger.State) balancer.Candidate {
 	c := balancer.Candidate{ID: e.ID, Slots: e.Slots, Local: e.DataCentre == d.options.DataCentre}
-	work, running, delay := d.options.PeerLoad(matcher.Hash("endpoint", e.ID))
-	if l := d.loads[e.ID]; l != nil {
-		work += l.work
-		running += l.running
-		delay = max(delay, l.expectedDelay(now))
+	known := d.calibrated(e)
+	speed := d.options.Calibrator.Speed(now, known)
+	c.Factor = speed.Factor
+	if speed.Limit > 0 {
+		c.Slots = speed.Limit
 	}
-	c.Work, c.Running = max(work, delay), running
+	work, running, delay := d.loadAt(now, e.ID, known.Key)
+	c.Work, c.Running = max(speed.Factor*work, delay), running
 	if q.prompt.prefix != "" {
 		sentAt, ok := d.prefixSent[prefixKey{e.ID, q.model, q.prompt.prefix}]
 		c.Cached = ok && now-sentAt < prefixCacheAge
@@ -265,6 +280,18 @@
 	return c
 }
 
+// loadAt returns the load of all instances on an endpoint, given by its id and the hash
+// of the id: work in ms, running requests and delay in ms. The lock must be held.
+func (d *Dispatcher) loadAt(now clock.Millis, id string, key uint64) (work float64, running int, delay float64) {
+	work, running, delay = d.options.PeerLoad(key)
+	if l := d.loads[id]; l != nil {
+		work += l.work
+		running += l.running
+		delay = max(delay, l.expectedDelay(now))
+	}
+	return work, running, delay
+}
+
 // loadOf returns the load record of an endpoint, which it creates if necessary.
 // The lock must be held.
 func (d *Dispatcher) loadOf(id string) *load {
@@ -306,7 +333,8 @@
 	defer d.mu.Unlock()
 	l := d.loadOf(c.endpoint.ID)
 	l.removePending(c)
-	l.excessDelay, l.delayAt = max(0, float64(took)-c.work-firstEventOverhead), now
+	l.excessDelay, l.delayAt = max(0, float64(took)-c.factor*c.work-firstEventOverhead), now
+	d.calibrateFirst(now, c, q, took)
 	l.work = max(0, l.work-c.work)
 	if c.ahead == 0 && took > 0 && c.work > 0 {
 		d.forecaster.Record(q.model, q.prompt.tokens, c.cached, float64(took))
@@ -368,47 +396,3 @@
 func (d *Dispatcher) markCold(id string, until clock.Millis) {
 	d.options.Catalog.MarkCold(until, func(e *cataloger.State) bool { return e.ID == id })
 }
-
-const (
-	// throttleSpan is the averaging time of the demand for larger models. It is
-	// longer than the gaps between clustered arrivals and shorter than a burst.
-	throttleSpan = 3 * clock.Second
-	// throttleShare is the share of an engine's time that prefill may take. At
-	// the deployments' usual load the share is about 0.4.
-	throttleShare = 0.48
-)
-
-// throttlerFor returns the throttler of a service. The lock must be held.
-func (d *Dispatcher) throttlerFor(service string) *throttler.Throttler {
-	t := d.throttlers[service]
-	if t == nil {
-		t = throttler.New(throttler.Options{Span: throttleSpan, Share: throttleShare})
-		d.throttlers[service] = t
-	}
-	return t
-}
-
-// escalationShare records that a request of the given priority rank asks for a
-// larger model with the given work in ms, and returns the share of such requests
-// for which there is capacity.
-func (d *Dispatcher) escalationShare(now clock.Millis, q *criteria, rank int, work float64) float64 {
-	instances := d.options.Ready()
-	peers := d.options.PeerRates(q.service)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t := d.throttlerFor(q.service)
-	t.RecordDemand(now, rank, work)
-	return t.AdmittedShare(now, rank, peers, q.eligible, instances)
-}
-
-// Rates calls each with the rates of this instance, in ms of work per ms, for
-// every service with escalation to larger models or long prompts.
-func (d *Dispatcher) Rates(each func(service string, base, demand, long float64)) {
-	now := d.options.Clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for service, t := range d.throttlers {
-		base, demand := t.Rates(now)
-		each(service, base, demand, t.Long(now))
-	}
-}
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -36,6 +36,7 @@
 	pause       clock.Millis        // that the endpoint has asked for; 0: none
 	answered    bool                // the first event, or the whole plain response, has arrived
 	observation *stager.Observation // for the roll-out; nil without one
+	pace        pace                // of the stream's events
 }
 
 // run sends the request and handles the response.
@@ -155,7 +156,7 @@
 // firstEventTimeout returns how long the first event may take. It grows with the
 // work queued at the endpoint.
 func (s *send) firstEventTimeout() clock.Millis {
-	work := clock.Millis(3 * (s.choice.ahead + s.choice.work))
+	work := clock.Millis(3 * (s.choice.ahead + s.choice.factor*s.choice.work))
 	return max(silenceTimeout, firstEventTimeoutTargets*s.exchange.route.Target) + work
 }
 
@@ -292,6 +293,7 @@
 	}
 	if !s.failed {
 		s.observation.Receive(x.now(), 1)
+		s.calibratePlain()
 	}
 	if s.failed && x.route.Retryable() && x.sends < x.maxSends() && x.remaining() > x.route.Target/2 {
 		s.outcome = "failed"
