shedder, dispatcher: admit or refuse a request before its first send

Cause: with more work than the endpoints can do in time, every request joined an endpoint's queue, and all of them were late.

The dispatcher asks it before the first send; a refusal is 503 with reason no_room, "not run", and a Retry-After of 0.1 s to a third of the remaining time. After a restart of all instances, beyond its share of the slots, an instance assumes that the others have sent as much as itself.

Nothing is refused at the usual load.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -22,6 +22,7 @@
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/pauser"
 	"rosemaryarch.example/rosemaryarch/quarantiner"
+	"rosemaryarch.example/rosemaryarch/shedder"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/stager"
 	"rosemaryarch.example/rosemaryarch/surgedetector"
@@ -97,6 +98,12 @@
 	// hash: work in ms, running requests, and the delay in ms that they have
 	// observed.
 	PeerLoad func(endpoint uint64) (work float64, running int, delay float64)
+	// PeerDemand returns the demand of other instances for a service; nil: none.
+	PeerDemand func(service string) shedder.Demand
+	// Neighbours returns the number of instances in this data centre, and whether
+	// enough of them have reported their loads since the start of this one; nil: it is
+	// the only one.
+	Neighbours func() (instances int, reported bool)
 }
 
 // Bounds holds the guarantees of the deployment that apply to requests.
@@ -121,6 +128,7 @@
 	prefillTimes map[string]*prefillTime         // by model
 	throttlers   map[string]*throttler.Throttler // by service
 	surges       *surgedetector.Detector
+	shedder      *shedder.Shedder
 	breakers     *breaker.Breaker
 }
 
@@ -170,6 +178,7 @@
 		surges:       surgedetector.New(surgedetector.Default()),
 		breakers:     breaker.New(o.Breaker, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
+	d.shedder = shedder.New(shedder.Options{Others: d.peerDemand, Changed: d.roomChanged})
 	d.handler = completer.Handler(http.HandlerFunc(d.serve))
 	return d
 }
@@ -257,6 +266,7 @@
 		}
 	}
 	d.surges.Sweep(now)
+	d.shedder.Sweep(now)
 	d.mu.Unlock()
 	addresses := make(map[string]bool, s.Len())
 	s.Each(func(e *cataloger.State) { addresses[e.Address] = true })
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -43,6 +43,7 @@
 	prompt         prompt
 	content        uint64 // hash of what all repetitions of the request have in common
 	surging        bool   // the workspace sends far more than usual
+	room           *room  // what was expected when the request was admitted; nil before
 
 	budgetCounted   bool            // the retry budget has counted the request
 	sends           int             // sends that may have reached an endpoint
@@ -280,7 +281,10 @@
 	}
 	h := x.writer.Header()
 	if refusal.RetryAfter > 0 && impliesNotExecuted(status) {
-		seconds := float64(refusal.RetryAfter) * (0.75 + rand.Float64()/2) / 1000
+		seconds := float64(refusal.RetryAfter) / 1000
+		if refusal.Reason != refuser.ErrNoRoom.Reason { // whose time is spread already
+			seconds *= 0.75 + rand.Float64()/2
+		}
 		h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	}
 	body, encodeErr := refusal.Encode()
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -143,7 +143,7 @@
 	return minRetryReserve + (maxRetryReserve-minRetryReserve)*certainty
 }
 
-// checkRetry returns the reason why no further endpoint may be tried, or nil.
+// checkRetry returns the reason why no endpoint, or no further one, may be tried, or nil.
 func (x *exchange) checkRetry(ctx context.Context) error {
 	switch {
 	case ctx.Err() != nil || x.now() >= x.deadline:
@@ -155,7 +155,7 @@
 	case x.mayCrashEndpoints():
 		return refuser.ErrBackEndFailed.WithMessage("%d connections ended before the first event", x.breaks)
 	}
-	return nil
+	return x.admitRoom()
 }
 
 // consumeRetry reports whether the next send is within the retry budget, which
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -292,6 +292,7 @@
 	}
 	if !s.failed {
 		s.observation.Receive(x.now(), 1)
+		x.observeRoom(x.now())
 	}
 	if s.failed && x.route.Retryable() && x.sends < x.maxSends() && x.remaining() > x.route.Target/2 {
 		s.outcome = "failed"
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -90,6 +90,7 @@
 			s.answered = true
 			x.dispatcher.options.Quarantine.RecordFirstEvent(now, x.quarantined())
 			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, now-s.begin)
+			x.observeRoom(now)
 			if !x.headerSent {
 				x.firstEventMs = now - x.start
 				x.writeStreamHeader(response)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -15,6 +16,7 @@
 type Meter struct {
 	registry   *prometheus.Registry
 	refusals   *prometheus.CounterVec
+	noRoom     *prometheus.CounterVec
 	retries    *prometheus.CounterVec
 	drops      *prometheus.CounterVec
 	requests   *prometheus.CounterVec
@@ -41,6 +43,7 @@
 	m := &Meter{
 		registry: prometheus.NewRegistry(),
 		refusals: counter("refusals_total", "Refused requests by reason.", "reason"),
+		noRoom:   counter("no_room_refusals_total", "Requests refused for lack of room by priority rank.", "rank"),
 		retries:  counter("retries_total", "Retries by reason.", "reason"),
 		drops:    counter("dropped_responses_total", "Responses that did not reach a client by reason.", "reason"),
 		requests: counter("requests_total", "Answered requests by service and workspace.", "service", "workspace"),
@@ -61,7 +64,8 @@
 		events: counter("events_total", "Events that operators may want to see, by name.", "name"),
 	}
 	m.registry.MustRegister(
-		m.refusals, m.retries, m.drops, m.requests, m.tokens, m.firstToken, m.latency, m.storeCalls, m.gauges, m.events)
+		m.refusals, m.noRoom, m.retries, m.drops, m.requests, m.tokens, m.firstToken, m.latency, m.storeCalls,
+		m.gauges, m.events)
 	for _, r := range refuser.Refusals() {
 		m.refusals.WithLabelValues(string(r.Reason))
 	}
@@ -81,6 +85,9 @@
 // CountRefusal counts a refused request.
 func (m *Meter) CountRefusal(r refuser.Reason) { m.refusals.WithLabelValues(string(r)).Inc() }
 
+// CountNoRoom counts a request of a priority rank that was refused for lack of room.
+func (m *Meter) CountNoRoom(rank int) { m.noRoom.WithLabelValues(strconv.Itoa(rank)).Inc() }
+
 // CountRetry counts a retry that the router made by itself.
 func (m *Meter) CountRetry(r refuser.RetryReason) { m.retries.WithLabelValues(string(r)).Inc() }
 
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -142,6 +142,8 @@
 		"the queue cannot serve this request in time")
 	ErrNoEndpoint = sentinel("no_endpoint", NotExecuted, http.StatusServiceUnavailable,
 		"no endpoint may take this request")
+	ErrNoRoom = sentinel("no_room", NotExecuted, http.StatusServiceUnavailable,
+		"the endpoints cannot serve this request in time")
 	ErrNotReady = sentinel("not_ready", NotExecuted, http.StatusServiceUnavailable,
 		"this instance cannot confirm its configuration")
 	ErrShuttingDown = sentinel("shutting_down", NotExecuted, http.StatusServiceUnavailable,
@@ -195,6 +197,7 @@
 		ErrDeadline,
 		ErrQueueFull,
 		ErrNoEndpoint,
+		ErrNoRoom,
 		ErrNotReady,
 		ErrShuttingDown,
 		ErrRetryBudget,
--- /dev/null
+++ b/shedder/demand.go
@@ -0,0 +1,299 @@
+package shedder
+
+import (
+	"math"
+	"slices"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/matcher"
+)
+
+// rate is an exponentially weighted average in ms of work per ms.
+type rate struct {
+	sum  float64 // decayed to the time at
+	at   clock.Millis
+	span clock.Millis
+}
+
+func (r *rate) add(now clock.Millis, work float64) {
+	r.sum = r.sum*math.Exp(-float64(now-r.at)/float64(r.span)) + work
+	r.at = now
+}
+
+func (r *rate) value(now clock.Millis) float64 {
+	return r.sum * math.Exp(-float64(now-r.at)/float64(r.span)) / float64(r.span)
+}
+
+// workspace is the demand of one workspace for a service.
+type workspace struct {
+	demand rate
+	ranks  map[int]*rate
+	credit float64 // requests that are due to be admitted
+}
+
+// refusedShare returns the share of a rank that is refused if the given share of the
+// workspace's work is: the least urgent ranks first, each up to maxRefused.
+func (w *workspace) refusedShare(now clock.Millis, rank int, share float64) float64 {
+	var total, later, own float64
+	for k, r := range w.ranks {
+		v := r.value(now)
+		total += v
+		switch {
+		case k > rank:
+			later += v
+		case k == rank:
+			own += v
+		}
+	}
+	if own <= 0 {
+		return min(maxRefused, share)
+	}
+	return min(maxRefused, max(0, (share*total-maxRefused*later)/own))
+}
+
+// plan is the division of the work to refuse among the workspaces.
+type plan struct {
+	at    clock.Millis
+	level float64 // demand of a workspace above which its work is refused
+	scale float64 // demand of all instances per demand of this one, for an unlisted workspace
+	rates map[uint64]float64
+	above int // workspaces above the level
+	// excess is the part of all work by which workspaces exceed the mean of all.
+	excess float64
+}
+
+// refusedShare returns the share of a workspace's work that is refused. own is its
+// demand on this instance.
+func (p *plan) refusedShare(workspace uint64, own float64) float64 {
+	demand, ok := p.rates[workspace]
+	if !ok {
+		demand = own * p.scale
+	}
+	if demand <= 0 {
+		return 0
+	}
+	return min(maxRefused, max(0, demand-p.level)/demand)
+}
+
+// update computes the level above which the work of workspaces is refused, so that the
+// controlled share of all work is. Parts of a share that a workspace does not use are thus
+// available to the others. The demand of instances that do not report it counts as the
+// mean of those that do, this one included.
+func (v *service) update(now clock.Millis, name string, source func(clock.Millis, string) Demand) {
+	if v.plan.rates != nil && now-v.plan.at < planAge {
+		return
+	}
+	var others Demand
+	if source != nil {
+		others = source(now, name)
+	}
+	rates := make(map[uint64]float64, len(others.Rates)+len(v.workspaces))
+	for hash, r := range others.Rates {
+		rates[hash] = r
+	}
+	for name, w := range v.workspaces {
+		rates[matcher.Hash("workspace", name)] += w.demand.value(now)
+	}
+	scale := 1 + float64(others.Unknown)/float64(1+others.Reporting)
+	for hash, r := range rates {
+		rates[hash] = r * scale
+	}
+	for _, s := range others.Sums {
+		// The stated sum replaces what the scale has added for these instances.
+		counted := float64(s.Instances) / (scale * float64(1+others.Reporting))
+		for hash, r := range s.Rates {
+			rates[hash] = max(0, rates[hash]*(1-counted)) + r
+		}
+	}
+	total, largest := 0.0, 0.0
+	for _, r := range rates {
+		total += r
+		largest = max(largest, r)
+	}
+	low, high := 0.0, largest
+	for range 24 {
+		level := (low + high) / 2
+		sum := 0.0
+		for _, r := range rates {
+			sum += min(maxRefused*r, max(0, r-level))
+		}
+		if sum > v.refused*total {
+			low = level
+		} else {
+			high = level
+		}
+	}
+	v.plan = plan{at: now, level: high, scale: scale * float64(1+others.Reporting), rates: rates}
+	mean := total / float64(max(1, len(rates)))
+	for _, r := range rates {
+		if r > high {
+			v.plan.above++
+		}
+		v.plan.excess += min(maxRefused*r, max(0, r-mean)) / max(total, 1e-9)
+	}
+}
+
+// class is a group of requests none of which may starve.
+type class struct{ by, name string }
+
+// count holds decaying counts of requests.
+type count struct{ asked, admitted rate }
+
+// share returns the admitted share of the requests.
+func (c *count) share(now clock.Millis) float64 {
+	asked := c.asked.value(now)
+	if asked <= 0 {
+		return 1
+	}
+	return c.admitted.value(now) / asked
+}
+
+// classesOf returns the classes of a request. Those of its kind come first and of its
+// size second.
+func (v *service) classesOf(r Request) []class {
+	list := []class{
+		{"kind", r.Kind}, {"size", r.Kind + "/" + v.sizes[r.Kind].decile(r.Size)},
+		{"workspace", r.Workspace}, {"rank", string(rune('0' + r.Rank))},
+	}
+	if r.Session != "" {
+		list = append(list, class{"session", r.Session})
+	}
+	return list
+}
+
+// starves reports whether less than the guaranteed share of one of the request's
+// classes would be admitted without it.
+func (v *service) starves(now clock.Millis, r Request, counted bool) bool {
+	list := v.classesOf(r)
+	kind := 1.0
+	if c := v.classes[list[0]]; c != nil {
+		kind = c.share(now)
+	}
+	for i, k := range list[1:] {
+		c := v.classes[k]
+		if c == nil {
+			continue
+		}
+		least := minServed
+		if i == 0 {
+			least = max(least, sizeShare*kind)
+		}
+		// The next request must be due: its class has asked often enough for one more.
+		asked, admitted := c.asked.value(now)*float64(rankSpan), c.admitted.value(now)*float64(rankSpan)
+		if !counted {
+			asked++
+		}
+		if least*asked >= admitted+1 {
+			return true
+		}
+	}
+	return false
+}
+
+// count counts a request in its classes.
+func (v *service) count(now clock.Millis, r Request, isNew, admitted bool) {
+	for _, k := range v.classesOf(r) {
+		c := v.classes[k]
+		if c == nil {
+			c = &count{asked: rate{span: rankSpan}, admitted: rate{span: rankSpan}}
+			v.classes[k] = c
+		}
+		if isNew {
+			c.asked.add(now, 1)
+		}
+		if admitted {
+			c.admitted.add(now, 1)
+		}
+	}
+}
+
+// recentSizes is the number of requests of a kind from which the deciles are taken.
+const recentSizes = 100
+
+// sizes holds the sizes of recent requests of a kind.
+type sizes struct {
+	recent []float64
+	next   int
+}
+
+func (z *sizes) add(size float64) {
+	if len(z.recent) < recentSizes {
+		z.recent = append(z.recent, size)
+		return
+	}
+	z.recent[z.next] = size
+	z.next = (z.next + 1) % recentSizes
+}
+
+// decile returns the decile of a size among the recent ones, "0" to "9".
+func (z *sizes) decile(size float64) string {
+	smaller := 0
+	for _, s := range z.recent {
+		if s < size {
+			smaller++
+		}
+	}
+	return string(rune('0' + min(9, 10*smaller/max(1, len(z.recent)))))
+}
+
+// record counts a request as demand of its workspace, which it returns. One that returns
+// has been counted before.
+func (v *service) record(now clock.Millis, r Request, returns bool) *workspace {
+	w := v.workspaces[r.Workspace]
+	if w == nil {
+		w = &workspace{demand: rate{span: rateSpan}, ranks: make(map[int]*rate)}
+		// Without a random start, the first requests of all workspaces would be
+		// refused on every instance at the same time.
+		w.credit = float64(matcher.Hash("credit", r.Workspace)^r.ID) / math.MaxUint64
+		v.workspaces[r.Workspace] = w
+	}
+	if returns {
+		return w
+	}
+	w.demand.add(now, r.Work)
+	if w.ranks[r.Rank] == nil {
+		w.ranks[r.Rank] = &rate{span: rankSpan}
+	}
+	w.ranks[r.Rank].add(now, r.Work)
+	if v.sizes[r.Kind] == nil {
+		v.sizes[r.Kind] = &sizes{}
+	}
+	v.sizes[r.Kind].add(r.Size)
+	if v.meanWork == 0 {
+		v.meanWork = r.Work
+	}
+	v.meanWork += (r.Work - v.meanWork) / 32
+	return w
+}
+
+// rankPosition returns the number of more urgent ranks, and that of all.
+func (v *service) rankPosition(rank int) (before, all int) {
+	var ranks []int
+	for _, w := range v.workspaces {
+		for k := range w.ranks {
+			if !slices.Contains(ranks, k) {
+				ranks = append(ranks, k)
+			}
+		}
+	}
+	for _, k := range ranks {
+		if k < rank {
+			before++
+		}
+	}
+	return before, max(1, len(ranks))
+}
+
+// sweep removes what has not been asked for recently.
+func (v *service) sweep(now clock.Millis) {
+	for name, w := range v.workspaces {
+		if now-w.demand.at > 2*rankSpan {
+			delete(v.workspaces, name)
+		}
+	}
+	for k, c := range v.classes {
+		if now-c.asked.at > 2*rankSpan {
+			delete(v.classes, k)
+		}
+	}
+}
--- /dev/null
+++ b/shedder/shedder.go
@@ -0,0 +1,302 @@
+package shedder
+
+import (
+	"math"
+
+	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/matcher"
+)
+
+const (
+	// planningShare is the share of a target up to which the expected time may rise
+	// before requests are refused. The loads that other instances report are up to one
+	// heartbeat interval old, so that the estimate is too low while a queue grows.
+	planningShare = 0.6
+	// maxRefused is the largest share of any workspace, rank, size and session that
+	// is refused if it could be served: each gets at least a fifth of what it asks for.
+	maxRefused = 0.8
+	// minServed is the share of a class below which its next request is admitted.
+	minServed = 1 - maxRefused
+	// sizeShare is the served share of a size, relative to that of all requests of the
+	// kind, below which its next request is admitted. The largest tenth must be served
+	// at least half as often as the whole kind.
+	sizeShare = 0.6
+	// controlTime is the time in which the refused share rises by one if the expected
+	// time is twice the planned one. Shortages last seconds, and reports are up to
+	// 0.75 s old, so that a much faster controller would oscillate.
+	controlTime = 400 * clock.Millis(1)
+	// excessSamples is the number of first events over which the excess of their times
+	// is averaged, excessHalfLife the time after which it counts half without further
+	// ones, and maxExcess its largest value, relative to the target.
+	excessSamples  = 24
+	excessHalfLife = 3 * clock.Second
+	maxExcess      = 0.3
+	// generalExcess is the excess over the planned time above which workspaces that do
+	// not exceed their share are refused too.
+	generalExcess = 0.25
+	// maxStep bounds the time that one request accounts for in the controller.
+	maxStep = 250 * clock.Millis(1)
+	// rateSpan is the averaging time of the demand of a workspace: an instance
+	// receives one request of a workspace in several seconds. rankSpan is the same for
+	// its ranks and the counts of classes.
+	rateSpan = 3 * clock.Second
+	rankSpan = 18 * clock.Second
+	// returningCredit is the credit from which a request that returns is admitted,
+	// before those of its workspace that are new, which need 1.
+	returningCredit = 0.4
+	// planAge is the time for which a computed level is used.
+	planAge = 100 * clock.Millis(1)
+	// shortageEnd is the time without an expected time over the target after which a
+	// shortage has ended. It bridges the gaps between two requests of an instance.
+	shortageEnd = 3 * clock.Second
+	// minRetry is the least Retry-After, and maxRetryShare its largest part of the
+	// caller's remaining time: callers honour no more.
+	minRetry      = 100 * clock.Millis(1)
+	maxRetryShare = 1.0 / 3
+	// waitingAge is the time after its Retry-After for which a refused request is
+	// known when it returns, and maxWaiting the number of such requests.
+	waitingAge = 10 * clock.Second
+	maxWaiting = 4096
+)
+
+// Request describes a request that has not been sent yet.
+type Request struct {
+	ID        uint64 // hash of what all repetitions of the request have in common
+	Service   string
+	Kind      string // of the request, such as its route
+	Workspace string
+	Session   string // empty if there is none
+	Rank      int    // 0 is the most urgent
+	Size      float64
+	Work      float64      // ms that an endpoint needs for it
+	Expected  clock.Millis // time until the first event, or until the response of a plain service
+	Target    clock.Millis
+	Remaining clock.Millis // time until the caller leaves
+	Idle      bool         // an endpoint has a free slot and no queued work
+}
+
+// Verdict is the decision about a request.
+type Verdict struct {
+	Admitted   bool
+	Hopeless   bool         // refused, since it cannot be served before the caller leaves
+	RetryAfter clock.Millis // of a refused request
+}
+
+// Shortage describes the beginning or the end of a shortage.
+type Shortage struct {
+	Service    string
+	Begins     bool
+	Expected   clock.Millis // largest expected time since the beginning
+	Refused    int
+	Workspaces int // above their share when requests were last refused
+}
+
+// Demand is the demand of other instances for a service, by hash of the workspace. The
+// unit is that of Request.Work in ms per ms.
+type Demand struct {
+	Rates     map[uint64]float64
+	Reporting int // instances whose demand is in Rates
+	Unknown   int // further instances
+	Sums      []Sum
+}
+
+// Sum is the demand of all instances of another data centre, of its largest workspaces
+// only. The instances are among the unknown ones of the Demand.
+type Sum struct {
+	Instances int
+	Rates     map[uint64]float64 // by hash of the workspace
+}
+
+// Options holds the sources of a Shedder.
+type Options struct {
+	// Others returns the demand of other instances; it may be nil if there are none.
+	Others func(now clock.Millis, service string) Demand
+	// Changed is called at the beginning and the end of a shortage; it may be nil.
+	Changed func(Shortage)
+}
+
+// Shedder holds the state of one instance. It is not safe for concurrent use.
+type Shedder struct {
+	options  Options
+	services map[string]*service
+	waiting  map[uint64]clock.Millis // instant at which a refused request may return
+}
+
+// service is the state of one service.
+type service struct {
+	workspaces map[string]*workspace
+	refused    float64 // share of the work to refuse, 0 to maxRefused
+	meanWork   float64 // of a request, in ms
+	at         clock.Millis
+	excess     float64      // mean by which recent first events exceeded their expected time, in ms
+	excessAt   clock.Millis // instant of the last of them
+	classes    map[class]*count
+	sizes      map[string]*sizes // by kind
+	plan       plan
+	shortage   *Shortage // nil without a shortage
+	overAt     clock.Millis
+}
+
+// New returns a Shedder without state.
+func New(o Options) *Shedder {
+	return &Shedder{options: o, services: make(map[string]*service), waiting: make(map[uint64]clock.Millis)}
+}
+
+// Decide decides about a request, which it counts as demand.
+func (s *Shedder) Decide(now clock.Millis, r Request) Verdict {
+	v := s.service(r.Service, now)
+	due, returns := s.waiting[r.ID]
+	returns = returns && now >= due
+	w := v.record(now, r, returns)
+	hopeless := !r.Idle && r.Expected > r.Remaining
+	r.Expected += clock.Millis(min(v.expectedExcess(now), maxExcess*float64(r.Target)))
+	over := r.Target > 0 && float64(r.Expected) > planningShare*float64(r.Target)
+	if over && !r.Idle {
+		v.update(now, r.Service, s.options.Others)
+	}
+	v.control(now, r)
+	if r.Idle || !hopeless && (!over || v.refused <= 0) {
+		delete(s.waiting, r.ID)
+		v.count(now, r, !returns, true)
+		return Verdict{Admitted: true}
+	}
+	v.overAt = now
+	admitted := false
+	if !hopeless {
+		admitted = v.share(now, w, r, returns)
+	}
+	v.count(now, r, !returns, admitted)
+	if admitted {
+		delete(s.waiting, r.ID)
+		return Verdict{Admitted: true}
+	}
+	s.noteRefusal(v, r)
+	after := s.retryAfter(v, r)
+	if len(s.waiting) < maxWaiting {
+		s.waiting[r.ID] = now + after
+	}
+	return Verdict{Hopeless: hopeless, RetryAfter: after}
+}
+
+func (s *Shedder) service(name string, now clock.Millis) *service {
+	v := s.services[name]
+	if v == nil {
+		v = &service{
+			workspaces: make(map[string]*workspace), classes: make(map[class]*count), sizes: make(map[string]*sizes),
+			at: now,
+		}
+		s.services[name] = v
+	}
+	return v
+}
+
+// Observe records the time that an admitted request took until its first event, or until
+// the response of a plain service, and the time that was expected.
+func (s *Shedder) Observe(now clock.Millis, name string, expected, took clock.Millis) {
+	v := s.service(name, now)
+	v.excess = v.expectedExcess(now)
+	v.excess += (float64(took-expected) - v.excess) / excessSamples
+	v.excessAt = now
+}
+
+// expectedExcess returns by how much first events exceed their expected time, in ms: the
+// least queue of all endpoints, as last reported, is shorter than that of the endpoint
+// that is chosen once the request arrives there.
+func (v *service) expectedExcess(now clock.Millis) float64 {
+	return max(0, v.excess) * math.Exp2(-float64(now-v.excessAt)/float64(excessHalfLife))
+}
+
+// control updates the share of the work to refuse by how much a request of mean work
+// exceeds the planned time. The request's own work is replaced by the mean, so that a
+// single large request is no shortage.
+func (v *service) control(now clock.Millis, r Request) {
+	step := min(maxStep, max(0, now-v.at))
+	v.at = now
+	planned := planningShare * float64(max(1, r.Target))
+	expected := float64(r.Expected) - r.Work + min(r.Work, v.meanWork)
+	excess := min(1, max(-1, expected/planned-1))
+	if r.Idle {
+		excess = -1
+	}
+	// Beyond the excess of the workspaces above their share, the others are refused only
+	// if the expected time stays too long.
+	change := excess
+	if v.refused > v.plan.excess {
+		change = min(1, excess-generalExcess)
+	}
+	v.refused = min(maxRefused, max(0, v.refused+change*float64(step)/float64(controlTime)))
+}
+
+// share decides whether a request belongs to the admitted share of its workspace and
+// rank, or to that of a class that would starve. A request that returns is counted once,
+// as what its workspace has asked for, and goes before new ones.
+func (v *service) share(now clock.Millis, w *workspace, r Request, returns bool) bool {
+	least := returningCredit
+	if !returns {
+		least = 1
+		share := v.plan.refusedShare(matcher.Hash("workspace", r.Workspace), w.demand.value(now))
+		w.credit = min(1, w.credit+1-w.refusedShare(now, r.Rank, share))
+	}
+	if w.credit < least && !v.starves(now, r, returns) {
+		return false
+	}
+	w.credit = max(-1, w.credit-1)
+	return true
+}
+
+// retryAfter returns the time after which a refused request may return: when the queue
+// has shrunk to the planned time at the earliest. The rest of the time that the caller
+// honours is divided among the ranks, the most urgent first.
+func (s *Shedder) retryAfter(v *service, r Request) clock.Millis {
+	latest := maxRetryShare * float64(r.Remaining)
+	first := min(latest, max(float64(minRetry), float64(r.Expected)-planningShare*float64(r.Target)))
+	before, ranks := v.rankPosition(r.Rank)
+	spread := float64(matcher.Hash("retry", r.Workspace)^r.ID) / math.MaxUint64
+	width := min(latest-first, 2*first)
+	return max(minRetry, clock.Millis(first+width*(float64(before)+spread)/float64(ranks)))
+}
+
+// noteRefusal counts a refusal, with which a shortage begins.
+func (s *Shedder) noteRefusal(v *service, r Request) {
+	begins := v.shortage == nil
+	if begins {
+		v.shortage = &Shortage{Service: r.Service}
+	}
+	v.shortage.Expected = max(v.shortage.Expected, r.Expected)
+	v.shortage.Refused++
+	v.shortage.Workspaces = v.plan.above
+	if begins && s.options.Changed != nil {
+		first := *v.shortage
+		first.Begins = true
+		s.options.Changed(first)
+	}
+}
+
+// Rates calls each with the demand of every workspace on this instance.
+func (s *Shedder) Rates(now clock.Millis, each func(service, workspace string, rate float64)) {
+	for name, v := range s.services {
+		for workspace, w := range v.workspaces {
+			if rate := w.demand.value(now); rate > 0 {
+				each(name, workspace, rate)
+			}
+		}
+	}
+}
+
+// Sweep removes expired state and reports the shortages that have ended.
+func (s *Shedder) Sweep(now clock.Millis) {
+	for id, due := range s.waiting {
+		if now-due > waitingAge {
+			delete(s.waiting, id)
+		}
+	}
+	for _, v := range s.services {
+		if v.shortage != nil && now-v.overAt > shortageEnd {
+			if s.options.Changed != nil {
+				s.options.Changed(*v.shortage)
+			}
+			v.shortage = nil
+		}
+		v.sweep(now)
+	}
+}
