heartbeater, launcher: share the demand of workspaces for admission

Cause: an instance receives a few requests a second and so judged the demand of a workspace by a handful of its own requests.

Change: heartbeats to neighbours list the demand (work in ms per ms) of the 32 largest workspaces of each service (message key 20). Messages to other data centres name a workspace only if it has more than an eighth of the data centre's demand (key 21). Instances that report none, such as those of the previous build, count as the mean of those that do. An instance knows from Reporting whether its neighbours have reported since its start, and assumes their load for at most 3 s.

Result: TestDemands, TestLargestDemands and TestLoadsKnown pass. Without the shared demand no report exists, so they do not compile before.

--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -313,7 +313,7 @@
 	if len(direct)+len(relays) > 0 {
 		remoteMessage = Message{
 			From: m.From, Rollouts: m.Rollouts, RolloutSums: m.RolloutSums, Quarantine: m.Quarantine,
-			KnownLimits: m.KnownLimits, Summary: h.buildSummary(now, &m),
+			KnownLimits: m.KnownLimits, Summary: h.buildSummary(now, &m), DemandSums: h.demandSums(now, m.Demands),
 		}
 		remoteMessage.Neighbours, remoteMessage.States = h.neighbourUpdates(now)
 	}
--- a/heartbeater/loads.go
+++ b/heartbeater/loads.go
@@ -54,6 +54,7 @@
 type receivedSummary struct {
 	Summary
 	receivedAt clock.Millis
+	demands    []Demand
 }
 
 // endpointLoad is the sum of the work that other instances have reported for
--- a/heartbeater/message.go
+++ b/heartbeater/message.go
@@ -99,6 +99,10 @@
 	// accept, and KnownLimits, in messages to other data centres, all that it knows.
 	Limits      []capper.Report `cbor:"13,keyasint,omitempty"`
 	KnownLimits []capper.Report `cbor:"14,keyasint,omitempty"`
+	// Demands holds the demand of the largest workspaces on the sender, and DemandSums,
+	// in messages to other data centres, that of the sender's data centre.
+	Demands    []Demand `cbor:"20,keyasint,omitempty"`
+	DemandSums []Demand `cbor:"21,keyasint,omitempty"`
 }
 
 // hop says how a message reached its receiver.
--- a/heartbeater/peers.go
+++ b/heartbeater/peers.go
@@ -15,7 +15,8 @@
 	alive      bool
 	loads      []Load
 	rates      []Rate
-	reported   bool // loads and rates have been received
+	demands    []Demand
+	reported   bool // loads, rates and demands have been received
 }
 
 // withAge returns the member with its age at the given instant.
--- a/heartbeater/receive.go
+++ b/heartbeater/receive.go
@@ -18,7 +18,7 @@
 	firstContact := old == nil || old.lastHeard == 0 || old.member.Incarnation != m.From.Incarnation
 	local := m.From.DataCentre == h.options.Self.DataCentre
 	if p := h.update(m.From, now); p != nil && local && m.LoadsComplete {
-		p.loads, p.rates, p.reported = m.Loads, m.Rates, true
+		p.loads, p.rates, p.demands, p.reported = m.Loads, m.Rates, m.Demands, true
 	}
 	for _, n := range m.Neighbours {
 		if n.Name != h.options.Self.Name && n.DataCentre != h.options.Self.DataCentre {
@@ -27,7 +27,7 @@
 	}
 	h.updateStates(now, m.States)
 	if m.Summary != nil && !local {
-		h.adoptSummary(now, m.From.DataCentre, *m.Summary)
+		h.adoptSummary(now, m.From.DataCentre, receivedSummary{Summary: *m.Summary, demands: m.DemandSums})
 	}
 	// Only one of the instances that a relayed message reaches replies.
 	reply, due := h.reply(now, m.From, firstContact && m.Hop != hopRelayed)
@@ -54,12 +54,13 @@
 // half as many instances is ignored until the present one is summaryHoldTime
 // old: its sender has just started or is partitioned from its neighbours. The
 // lock is held.
-func (h *Heartbeater) adoptSummary(now clock.Millis, dataCentre string, s Summary) {
+func (h *Heartbeater) adoptSummary(now clock.Millis, dataCentre string, s receivedSummary) {
 	old, ok := h.summaries[dataCentre]
 	if ok && 2*s.Instances < old.Instances && now-old.receivedAt < summaryHoldTime {
 		return
 	}
-	h.summaries[dataCentre] = receivedSummary{Summary: s, receivedAt: now}
+	s.receivedAt = now
+	h.summaries[dataCentre] = s
 }
 
 // reply returns the reply to an instance that was heard for the first time and
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -126,6 +126,7 @@
 	republish       chan struct{}                 // receives when this instance's object may be missing in the store
 	hub             *relayer.Hub
 	startedAt       clock.Millis
+	loadsKnown      atomic.Bool // neighbours have reported their loads since the start
 	dispatcher      *dispatcher.Dispatcher
 	servers         []*http.Server
 
@@ -213,8 +214,8 @@
 			OpenMax: 4 * clock.Second, MaxProbes: 1, ProbeSuccesses: 2, ProbeTimeout: 3 * clock.Second, MaxOpenShare: 0.5,
 		},
 		Meter: l.meter, Logger: l.logger, Members: l.heartbeater.KnownCount, ColdSenders: l.coldSenders,
-		Sharers:   l.sharers,
-		PeerLoad:  l.heartbeater.Load,
+		Sharers:  l.sharers,
+		PeerLoad: l.heartbeater.Load, PeerDemand: l.peerDemand, Neighbours: l.neighbours,
 		PeerReady: l.peerReady, Ready: l.readyCount, PeerRates: l.peerRates, PeerRetries: l.peerRetries,
 	}
 }
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -241,6 +241,7 @@
 	now := l.clock.Now()
 	m.Rollouts, m.RolloutSums = l.stager.Reports(now), l.stager.Sums(now)
 	m.Rates = l.serviceRates()
+	m.Demands = l.demands()
 	m.Quarantine = l.heldParts(now)
 	m.Limits, m.KnownLimits = l.capper.Reports(now, false), l.capper.Reports(now, true)
 	l.dispatcher.Loads(func(endpoint string, work float64, running int, delay float64) {
