shedder: plan below the target only once it has been exceeded

Cause: requests were refused from 0.6 of the target on, also where the target was never exceeded; deployments without a shortage must be served as before.

Change: everything is admitted up to the target. Once a request of mean work exceeds it, 0.6 of the target is planned with for 10 s, since reported loads are up to one heartbeat interval old. Workspaces within their share are refused only from 1.35 times the planned time on.

--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -9,9 +9,11 @@
 
 const (
 	// planningShare is the share of a target up to which the expected time may rise
-	// before requests are refused. The loads that other instances report are up to one
-	// heartbeat interval old, so that the estimate is too low while a queue grows.
+	// before requests are refused, once the target itself has been exceeded, and planFor
+	// the time for which that then holds. The loads that other instances report are up to
+	// one heartbeat interval old, so that the estimate is too low while a queue grows.
 	planningShare = 0.6
+	planFor       = 10 * clock.Second
 	// maxRefused is the largest share of any workspace, rank, size and session that
 	// is refused if it could be served: each gets at least a fifth of what it asks for.
 	maxRefused = 0.8
@@ -33,7 +35,7 @@
 	maxExcess      = 0.3
 	// generalExcess is the excess over the planned time above which workspaces that do
 	// not exceed their share are refused too.
-	generalExcess = 0.25
+	generalExcess = 0.35
 	// maxStep bounds the time that one request accounts for in the controller.
 	maxStep = 250 * clock.Millis(1)
 	// rateSpan is the averaging time of the demand of a workspace: an instance
@@ -133,8 +135,9 @@
 	classes    map[class]*count
 	sizes      map[string]*sizes // by kind
 	plan       plan
-	shortage   *Shortage // nil without a shortage
-	overAt     clock.Millis
+	shortage   *Shortage    // nil without a shortage
+	overAt     clock.Millis // instant of the last expected time over the planned one
+	shortUntil clock.Millis // end of the time for which planningShare holds
 }
 
 // New returns a Shedder without state.
@@ -150,11 +153,12 @@
 	w := v.record(now, r, returns)
 	hopeless := !r.Idle && r.Expected > r.Remaining
 	r.Expected += clock.Millis(min(v.expectedExcess(now), maxExcess*float64(r.Target)))
-	over := r.Target > 0 && float64(r.Expected) > planningShare*float64(r.Target)
+	planned := v.planned(now, r)
+	over := r.Target > 0 && float64(r.Expected) > planned
 	if over && !r.Idle {
 		v.update(now, r.Service, s.options.Others)
 	}
-	v.control(now, r)
+	v.control(now, r, planned)
 	if r.Idle || !hopeless && (!over || v.refused <= 0) {
 		delete(s.waiting, r.ID)
 		v.count(now, r, !returns, true)
@@ -206,15 +210,26 @@
 	return max(0, v.excess) * math.Exp2(-float64(now-v.excessAt)/float64(excessHalfLife))
 }
 
+// planned returns the expected time in ms up to which a request is admitted: the target,
+// and planningShare of it once that has been exceeded.
+func (v *service) planned(now clock.Millis, r Request) float64 {
+	target := float64(r.Target)
+	if float64(r.Expected)-r.Work+min(r.Work, v.meanWork) > target && !r.Idle {
+		v.shortUntil = now + planFor
+	}
+	if now < v.shortUntil {
+		return planningShare * target
+	}
+	return target
+}
+
 // control updates the share of the work to refuse by how much a request of mean work
 // exceeds the planned time. The request's own work is replaced by the mean, so that a
 // single large request is no shortage.
-func (v *service) control(now clock.Millis, r Request) {
+func (v *service) control(now clock.Millis, r Request, planned float64) {
 	step := min(maxStep, max(0, now-v.at))
 	v.at = now
-	planned := planningShare * float64(max(1, r.Target))
-	expected := float64(r.Expected) - r.Work + min(r.Work, v.meanWork)
-	excess := min(1, max(-1, expected/planned-1))
+	excess := min(1, max(-1, (float64(r.Expected)-r.Work+min(r.Work, v.meanWork))/max(1, planned)-1))
 	if r.Idle {
 		excess = -1
 	}
