docs: admission when room is short

Cause: operators and developers need to know who decides about a refusal for lack of room, from what, and what happens when a part of it fails.

The test of the refusal checks its counter by rank.

--- a/dispatcher/doc.go
+++ b/dispatcher/doc.go
@@ -6,4 +6,7 @@
 // It guarantees that a request is sent only while the configuration that permits
 // it has been confirmed recently, and that a status meaning "not executed" is
 // returned only if no endpoint can have executed the request.
+//
+// While the endpoints of a service have more work than they can do in time, it refuses
+// some of the requests before their first send, as package shedder decides.
 package dispatcher
--- a/dispatcher/room_test.go
+++ b/dispatcher/room_test.go
@@ -1,7 +1,10 @@
 package dispatcher
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 
 	"rosemaryarch.example/rosemaryarch/matcher"
@@ -46,6 +49,11 @@
 			if n := f.sent(); n != 0 {
 				t.Errorf("sends of a refused request: got %d, want 0", n)
 			}
+			w := httptest.NewRecorder()
+			f.dispatcher.options.Meter.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+			if want := `rosemaryarch_no_room_refusals_total{rank="0"} 1`; !strings.Contains(w.Body.String(), want) {
+				t.Errorf("metrics lack %s", want)
+			}
 			// The caller waits for 3 s and honours a third of it.
 			after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
 			if err != nil || after < 0.1 || after > 1 {
--- a/heartbeater/doc.go
+++ b/heartbeater/doc.go
@@ -7,4 +7,8 @@
 // datagrams rather than the connections between instances, because they need
 // neither ordering nor retransmission, and because a stalled connection would
 // make a live instance look dead.
+//
+// The demand of workspaces travels with the loads, so that requests of the workspaces
+// above their share are refused first when callers ask for more than the endpoints can
+// do.
 package heartbeater
