dispatcher: stop at the first free endpoint when room is estimated

Cause: before each first send the load of every endpoint was looked up, as it is again for the choice.

Change: an endpoint with a free slot and no queued work ends the estimate, since none has less.

Result: TestNoRoom and TestAssumedWait pass; the estimate is the same.

--- a/dispatcher/room.go
+++ b/dispatcher/room.go
@@ -85,10 +85,13 @@
 		} else if c.Work >= idleWork {
 			free = false
 		}
-		r.idle = r.idle || free
 		if least < 0 || wait < least {
 			least = wait
 		}
+		if free { // no other endpoint has less work, so the others need not be looked at
+			r.idle = true
+			break
+		}
 	}
 	if least < 0 { // all circuits are open
 		r.idle = true
