--- a/shedder/demand.go
+++ b/shedder/demand.go
@@ -1,6 +1,7 @@
 package shedder
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -27,18 +28,35 @@
 // workspace is the demand of one workspace for a service.
 type workspace struct {
 	demand rate
-	ranks  map[int]*rate
+	ranks  []rankDemand
 	credit float64 // requests that are due to be admitted
 }
 
+// rankDemand is the demand of one rank of a workspace.
+type rankDemand struct {
+	rank   int
+	demand rate
+}
+
+// addRank counts work as demand of a rank.
+func (w *workspace) addRank(now clock.Millis, rank int, work float64) {
+	for i := range w.ranks {
+		if w.ranks[i].rank == rank {
+			w.ranks[i].demand.add(now, work)
+			return
+		}
+	}
+	w.ranks = append(w.ranks, rankDemand{rank: rank, demand: rate{sum: work, at: now, span: rankSpan}})
+}
+
 // refusedShare returns the share of a rank that is refused if the given share of the
 // workspace's work is: the least urgent ranks first, each up to maxRefused.
 func (w *workspace) refusedShare(now clock.Millis, rank int, share float64) float64 {
 	var total, later, own float64
-	for k, r := range w.ranks {
-		v := r.value(now)
+	for i := range w.ranks {
+		v := w.ranks[i].demand.value(now)
 		total += v
-		switch {
+		switch k := w.ranks[i].rank; {
 		case k > rank:
 			later += v
 		case k == rank:
@@ -105,16 +123,17 @@
 			rates[hash] = max(0, rates[hash]*(1-counted)) + r
 		}
 	}
-	total, largest := 0.0, 0.0
-	for _, r := range rates {
+	// The order of a map would round the sums differently in each run.
+	sorted := slices.Sorted(maps.Values(rates))
+	total := 0.0
+	for _, r := range sorted {
 		total += r
-		largest = max(largest, r)
 	}
-	low, high := 0.0, largest
+	low, high := 0.0, sorted[len(sorted)-1]
 	for range 24 {
 		level := (low + high) / 2
 		sum := 0.0
-		for _, r := range rates {
+		for _, r := range sorted {
 			sum += min(maxRefused*r, max(0, r-level))
 		}
 		if sum > v.refused*total {
@@ -125,7 +144,7 @@
 	}
 	v.plan = plan{at: now, level: high, scale: scale * float64(1+others.Reporting), rates: rates}
 	mean := total / float64(max(1, len(rates)))
-	for _, r := range rates {
+	for _, r := range sorted {
 		if r > high {
 			v.plan.above++
 		}
@@ -241,7 +260,7 @@
 func (v *service) record(now clock.Millis, r Request, returns bool) *workspace {
 	w := v.workspaces[r.Workspace]
 	if w == nil {
-		w = &workspace{demand: rate{span: rateSpan}, ranks: make(map[int]*rate)}
+		w = &workspace{demand: rate{span: rateSpan}}
 		// Without a random start, the first requests of all workspaces would be
 		// refused on every instance at the same time.
 		w.credit = float64(matcher.Hash("credit", r.Workspace)^r.ID) / math.MaxUint64
@@ -251,10 +270,7 @@
 		return w
 	}
 	w.demand.add(now, r.Work)
-	if w.ranks[r.Rank] == nil {
-		w.ranks[r.Rank] = &rate{span: rankSpan}
-	}
-	w.ranks[r.Rank].add(now, r.Work)
+	w.addRank(now, r.Rank, r.Work)
 	if v.sizes[r.Kind] == nil {
 		v.sizes[r.Kind] = &sizes{}
 	}
@@ -270,9 +286,9 @@
 func (v *service) rankPosition(rank int) (before, all int) {
 	var ranks []int
 	for _, w := range v.workspaces {
-		for k := range w.ranks {
-			if !slices.Contains(ranks, k) {
-				ranks = append(ranks, k)
+		for _, k := range w.ranks {
+			if !slices.Contains(ranks, k.rank) {
+				ranks = append(ranks, k.rank)
 			}
 		}
 	}
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -22,7 +22,7 @@
 	// sizeShare is the served share of a size, relative to that of all requests of the
 	// kind, below which its next request is admitted. The largest tenth must be served
 	// at least half as often as the whole kind.
-	sizeShare = 0.6
+	sizeShare = 0.7
 	// controlTime is the time in which the refused share rises by one if the expected
 	// time is twice the planned one. Shortages last seconds, and reports are up to
 	// 0.75 s old, so that a much faster controller would oscillate.
@@ -151,7 +151,7 @@
 	due, returns := s.waiting[r.ID]
 	returns = returns && now >= due
 	w := v.record(now, r, returns)
-	hopeless := !r.Idle && r.Expected > r.Remaining
+	hopeless := r.Expected > r.Remaining
 	r.Expected += clock.Millis(min(v.expectedExcess(now), maxExcess*float64(r.Target)))
 	planned := v.planned(now, r)
 	over := r.Target > 0 && float64(r.Expected) > planned
@@ -264,6 +264,9 @@
 // honours is divided among the ranks, the most urgent first.
 func (s *Shedder) retryAfter(v *service, r Request) clock.Millis {
 	latest := maxRetryShare * float64(r.Remaining)
+	if left := float64(r.Remaining - r.Expected); left > 0 { // until it is too late for the request
+		latest = min(latest, left)
+	}
 	first := min(latest, max(float64(minRetry), float64(r.Expected)-planningShare*float64(r.Target)))
 	before, ranks := v.rankPosition(r.Rank)
 	spread := float64(matcher.Hash("retry", r.Workspace)^r.ID) / math.MaxUint64
