--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -103,6 +103,7 @@
 			x.dispatcher.options.Quarantine.RecordFirstEvent(now, x.quarantined())
 			x.dispatcher.recordFirstEvent(now, s.choice, s.criteria, now-s.begin)
 			s.pace.begin(now)
+			x.observeRoom(now)
 			if !x.headerSent {
 				x.firstEventMs = now - x.start
 				x.writeStreamHeader(response)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -137,6 +137,7 @@
 	hub             *relayer.Hub
 	startedAt       clock.Millis
 	spooler         *spooler.Spooler
+	loadsKnown      atomic.Bool // neighbours have reported their loads since the start
 	dispatcher      *dispatcher.Dispatcher
 	servers         []*http.Server
 
@@ -228,8 +229,8 @@
 		},
 		Spooler: l.spooler,
 		Meter:   l.meter, Logger: l.logger, Members: l.heartbeater.KnownCount, ColdSenders: l.coldSenders,
-		Sharers:   l.sharers,
-		PeerLoad:  l.heartbeater.Load,
+		Sharers:  l.sharers,
+		PeerLoad: l.heartbeater.Load, PeerDemand: l.peerDemand, Neighbours: l.neighbours,
 		PeerReady: l.peerReady, Ready: l.readyCount, PeerRates: l.peerRates, PeerRetries: l.peerRetries,
 	}
 }
