--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -16,7 +16,7 @@
 	Penalty float64 // additional work, for example after a failure
 	// Reserved marks the endpoints that read long prompts.
 	Reserved bool
-	Factor  float64 // durations there relative to those of other endpoints; 0 if unknown
+	Factor   float64 // durations there relative to those of other endpoints; 0 if unknown
 }
 
 // Query describes a request. Work is in ms.
