--- a/calibrator/calibrator.go
+++ b/calibrator/calibrator.go
@@ -1,6 +1,7 @@
 package calibrator
 
 import (
+	"math"
 	"slices"
 	"sync"
 
@@ -92,6 +93,9 @@
 	fresh       bool // refreshedAt is set
 }
 
+// maxBaselines bounds the baselines: on some routes clients name the models.
+const maxBaselines = 1024
+
 // source tells what a baseline averages.
 type source uint8
 
@@ -135,7 +139,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.record(now, c.register(e), baselineKey{firstEvents, e.Service, kind}, 0, running, ms/predicted)
+	c.record(now, c.current(e), baselineKey{firstEvents, e.Service, kind}, 0, running, ms/predicted)
 }
 
 // RecordPace records the pace of a stream in ms per event while an endpoint had a
@@ -143,7 +147,7 @@
 func (c *Calibrator) RecordPace(now clock.Millis, e Endpoint, kind string, running int, msPerEvent float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.record(now, c.register(e), baselineKey{paces, e.Service, kind}, float64(running), running, msPerEvent)
+	c.record(now, c.current(e), baselineKey{paces, e.Service, kind}, float64(running), running, msPerEvent)
 }
 
 // RecordPlain records the duration of a complete plain response in ms. Those that
@@ -154,15 +158,16 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.record(now, c.register(e), baselineKey{plainResponses, e.Service, ""}, 0, running, ms)
+	c.record(now, c.current(e), baselineKey{plainResponses, e.Service, ""}, 0, running, ms)
 }
 
 // RecordFailure records a failure, a refusal or a response that broke off.
 func (c *Calibrator) RecordFailure(now clock.Millis, e Endpoint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.register(e)
-	p.failedAt, p.failed = now, true
+	if p := c.current(e); p != nil {
+		p.failedAt, p.failed = now, true
+	}
 }
 
 // PlainDuration returns the mean duration in ms of a plain request on an endpoint of
@@ -179,11 +184,14 @@
 // record records a value of an endpoint, which is compared with the baseline at a
 // point. The lock is held.
 func (c *Calibrator) record(now clock.Millis, p *endpoint, key baselineKey, point float64, running int, value float64) {
-	if value <= 0 {
+	if p == nil || !(value > 0 && value <= math.MaxInt32) { // the latter is true for NaN
 		return
 	}
 	b := c.baselines[key]
 	if b == nil {
+		if len(c.baselines) >= maxBaselines {
+			return
+		}
 		b = &baseline{}
 		c.baselines[key] = b
 	}
@@ -235,6 +243,15 @@
 	return p.observed(now) || p.adopted && now-p.adoptedAt <= sampledAge
 }
 
+// current returns the state of an endpoint, or nil if its process has restarted since the
+// request was sent. The lock is held.
+func (c *Calibrator) current(e Endpoint) *endpoint {
+	if p := c.endpoints[e.Key]; p != nil && p.Service == e.Service && p.StartedAt > e.StartedAt {
+		return nil
+	}
+	return c.register(e)
+}
+
 // register returns the state of an endpoint, which is empty if its process has
 // restarted. The lock is held.
 func (c *Calibrator) register(e Endpoint) *endpoint {
--- a/calibrator/calibrator_test.go
+++ b/calibrator/calibrator_test.go
@@ -231,3 +231,18 @@
 		t.Errorf("changes: got %v, want slow and then not slow", got)
 	}
 }
+
+// Guards against a response of an endpoint's earlier process that resets what is known of
+// its present one.
+func TestLateResponseOfEarlierProcess(t *testing.T) {
+	c := New(Options{Plain: 30})
+	earlier := Endpoint{Key: 1, ID: "a", Service: "s", StartedAt: 1000, Slots: 8}
+	present := earlier
+	present.StartedAt = 2000
+	c.Speed(1, present)
+	c.RecordPlain(2, earlier, 1, 100)
+	c.RecordFailure(3, earlier)
+	if got := c.endpoints[1]; got.StartedAt != present.StartedAt || got.failed {
+		t.Errorf("got the process started at %d, failed %v, want that of %d", got.StartedAt, got.failed, present.StartedAt)
+	}
+}
--- a/calibrator/sharing.go
+++ b/calibrator/sharing.go
@@ -14,6 +14,9 @@
 	// maxReported bounds the samples of one report, which an instance cannot exceed
 	// between two heartbeats.
 	maxReported = 1000
+	// maxEndpoints is the number of endpoints from which on those that only neighbours
+	// know are not recorded.
+	maxEndpoints = 4096
 )
 
 // Report is what an instance tells its neighbours of an endpoint.
@@ -48,17 +51,25 @@
 func (c *Calibrator) Merge(now clock.Millis, r Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	mean := r.Sum / float64(max(1, r.Count))
+	hasSamples := r.Count > 0 && r.Count <= maxReported && mean >= minRatio && mean <= maxRatio
+	hasLong := r.Long >= minRatio && r.Long <= maxRatio
+	if !hasSamples && !hasLong {
+		return
+	}
 	p := c.endpoints[r.Key]
 	if p == nil {
+		if len(c.endpoints) >= maxEndpoints {
+			return
+		}
 		p = &endpoint{}
 		c.endpoints[r.Key] = p
 	}
-	if r.Long >= minRatio && r.Long <= maxRatio && p.long.weight < minSamples {
+	if hasLong && p.long.weight < minSamples {
 		p.long.add(now, longHalfLife, adoptedWeight*r.Long, adoptedWeight)
 		p.adoptedAt, p.adopted = now, true
 	}
-	mean := r.Sum / float64(max(1, r.Count))
-	if r.Count > 0 && r.Count <= maxReported && mean >= minRatio && mean <= maxRatio {
+	if hasSamples {
 		p.add(now, r.Sum, r.Count)
 	}
 }
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -15,6 +15,9 @@
 	// partitionInterval is the time in ms for which the reserved endpoints are used.
 	// Heartbeats bring new sums less often than this.
 	partitionInterval = 100
+	// gapExpiry is the time in ms for which the EventGap of a route counts after a request
+	// of it.
+	gapExpiry = 10 * clock.Second
 	// fadeFrom and fadeTo bound the range of mean queued work, in gaps, in which the
 	// groups cease to matter. In an overload streams are late with long prompts or
 	// without, and two separate groups queue more than one: with half of the engines
@@ -26,7 +29,8 @@
 // partition holds the endpoints of one service that read long prompts.
 type partition struct {
 	*partitioner.Partitioner
-	gap       clock.Millis // EventGap of the service's streams, as the latest request states it
+	gap       clock.Millis // least EventGap of the service's routes that were requested recently
+	gapAt     clock.Millis // time of the latest request of a route with that gap
 	updatedAt clock.Millis // 0: never
 }
 
@@ -42,8 +46,11 @@
 		p = &partition{Partitioner: partitioner.New(q.service, partitioner.Default())}
 		d.partitions[q.service] = p
 	}
+	p.observeGap(now, q.eventGap)
+	if p.gap <= 0 {
+		return
+	}
 	if q.eventGap > 0 {
-		p.gap = q.eventGap
 		expected := d.prefillTime(q, q.prompt.tokens, meanCacheHit*q.prompt.shared)
 		q.long = expected > longShare*float64(q.eventGap)
 	}
@@ -52,19 +59,29 @@
 	}
 	query.Gap, query.Long = float64(p.gap), q.long
 	query.GroupCost = groupCost(query.Gap, list)
-	local, localReserved := false, false
+	local := false
 	for i := range list {
-		c := &list[i]
-		c.Reserved = p.Reserved(c.ID)
-		local, localReserved = local || c.Local, localReserved || c.Local && c.Reserved
+		list[i].Reserved = p.Reserved(list[i].ID)
+		local = local || list[i].Local
 	}
 	// A data centre with too few endpoints to reserve any keeps its long prompts: bytes
 	// between data centres are billed.
-	if p.Count() == 0 || local && !localReserved {
+	if p.Count() == 0 || local && p.CountIn(d.options.DataCentre) == 0 {
 		query.Long = false
 	}
 }
 
+// observeGap records the EventGap of a request's route; 0: it has none. The gap that was
+// recorded ends with the configuration that states it.
+func (p *partition) observeGap(now, gap clock.Millis) {
+	if now-p.gapAt > gapExpiry {
+		p.gap = 0
+	}
+	if gap > 0 && (p.gap <= 0 || gap <= p.gap) {
+		p.gap, p.gapAt = gap, now
+	}
+}
+
 // groupCost returns the work in ms that an endpoint of the other group must save: the
 // gap, since streams that wait longer than that are late in either group. It falls to 0
 // where the mean work queued at an endpoint rises from fadeFrom to fadeTo gaps.
--- a/forecaster/forecaster.go
+++ b/forecaster/forecaster.go
@@ -1,6 +1,7 @@
 package forecaster
 
 import (
+	"math"
 	"slices"
 )
 
@@ -47,6 +48,10 @@
 	initialRank    = 2
 	// minSampleTokens excludes short prompts, whose time is mostly overhead.
 	minSampleTokens = 1500
+	// maxSampleTokens excludes sizes that no engine reads.
+	maxSampleTokens = 1e7
+	// maxModels bounds the models: on some routes their names come from clients.
+	maxModels = 256
 	// longTokens is the length from which a sample adjusts the square term instead of
 	// the linear one. Below it, the square part of the deployments' engines is less
 	// than a tenth of the time, no more than the spread of the samples.
@@ -101,11 +106,15 @@
 // other work. It ignores prompts with few tokens to process.
 func (f *Forecaster) Record(name string, tokens, cached, ms float64) {
 	processed := tokens - cached
-	if processed < minSampleTokens || ms <= 0 {
+	// Written so that NaN is ignored as well.
+	if !(processed >= minSampleTokens && tokens <= maxSampleTokens && ms > 0 && ms <= math.MaxInt32) {
 		return
 	}
 	m := f.models[name]
 	if m == nil {
+		if len(f.models) >= maxModels {
+			return
+		}
 		m = new(model)
 		f.models[name] = m
 	}
--- a/forecaster/forecaster_test.go
+++ b/forecaster/forecaster_test.go
@@ -1,6 +1,7 @@
 package forecaster
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -102,3 +103,21 @@
 		}
 	}
 }
+
+// Guards against sizes from a client's header that are no numbers, after which every
+// prediction is none, and against models without end that clients name.
+func TestInvalidSamples(t *testing.T) {
+	f := New(Default())
+	for _, v := range []float64{math.NaN(), math.Inf(1), 1e200, -5000} {
+		for range 20 {
+			f.Record("m", v, 0, 100)
+			f.Record("m", 5000, 0, v)
+		}
+	}
+	for i := range 2 * maxModels {
+		f.Record(fmt.Sprint(i), 5000, 0, 100)
+	}
+	if got, want := f.Predict("m", 0, 1000, 0), 50.0; math.Abs(got-want) > 1e-9 || len(f.models) > maxModels {
+		t.Errorf("got %v ms and %d models, want %v ms and at most %d", got, len(f.models), want, maxModels)
+	}
+}
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -385,3 +386,18 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// Guards against one value of a peer that is no number or negative and hides the loads and
+// rates of all others.
+func TestInvalidValues(t *testing.T) {
+	for _, v := range []float32{float32(math.NaN()), float32(math.Inf(1)), -1, 1e30} {
+		m := Message{
+			Loads: []Load{{Work: v, Delay: v, Running: -1}}, Rates: []Rate{{Base: v, Demand: v, Long: v}},
+			Summary: &Summary{Rates: []Rate{{Requests: v, Borrowed: v}}},
+		}
+		m.dropInvalid()
+		if m.Loads[0] != (Load{}) || m.Rates[0] != (Rate{}) || m.Summary.Rates[0] != (Rate{}) {
+			t.Errorf("%v: got %v, %v and %v, want zeros", v, m.Loads[0], m.Rates[0], m.Summary.Rates[0])
+		}
+	}
+}
--- a/heartbeater/message.go
+++ b/heartbeater/message.go
@@ -113,6 +113,39 @@
 	DemandSums []Demand `cbor:"21,keyasint,omitempty"`
 }
 
+// maxValue bounds the loads in ms and the rates that a message may state.
+const maxValue = 1e9
+
+// dropInvalid sets loads and rates to 0 that are negative, no numbers or absurdly large.
+// Added up with those of others, one of them would hide all.
+func (m *Message) dropInvalid() {
+	for i := range m.Loads {
+		l := &m.Loads[i]
+		l.Work, l.Delay = valid(l.Work), valid(l.Delay)
+		l.Running = max(0, l.Running)
+	}
+	dropInvalidRates(m.Rates)
+	if m.Summary != nil {
+		dropInvalidRates(m.Summary.Rates)
+	}
+}
+
+func dropInvalidRates(list []Rate) {
+	for i := range list {
+		r := &list[i]
+		r.Base, r.Demand, r.Long = valid(r.Base), valid(r.Demand), valid(r.Long)
+		r.Requests, r.Borrowed = valid(r.Requests), valid(r.Borrowed)
+	}
+}
+
+// valid returns a value, or 0 if it is invalid.
+func valid(v float32) float32 {
+	if v >= 0 && v <= maxValue {
+		return v
+	}
+	return 0
+}
+
 // hop says how a message reached its receiver.
 type hop uint8
 
--- a/heartbeater/receive.go
+++ b/heartbeater/receive.go
@@ -9,6 +9,7 @@
 // message on if asked to, and replies to an instance that is heard for the first
 // time.
 func (h *Heartbeater) handleMessage(m *Message) {
+	m.dropInvalid()
 	if m.Hop == hopRelay {
 		h.relay(*m)
 	}
@@ -17,7 +18,13 @@
 	old := h.peers.get(m.From.Name)
 	firstContact := old == nil || old.lastHeard == 0 || old.member.Incarnation != m.From.Incarnation
 	local := m.From.DataCentre == h.options.Self.DataCentre
-	if p := h.update(m.From, now); p != nil && local && m.LoadsComplete {
+	p := h.update(m.From, now)
+	if p == nil {
+		// A later message of the sender has arrived before. What has changed since the one
+		// before this, such as the samples of endpoints, must not count twice.
+		m.Loads = nil
+	}
+	if p != nil && local && m.LoadsComplete {
 		p.loads, p.rates, p.demands, p.reported = m.Loads, m.Rates, m.Demands, true
 	}
 	for _, n := range m.Neighbours {
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -63,6 +63,14 @@
 // Count returns the number of reserved endpoints.
 func (p *Partitioner) Count() int { return len(p.reserved) }
 
+// CountIn returns the number of reserved endpoints of a data centre.
+func (p *Partitioner) CountIn(dataCentre string) int {
+	if c := p.counts[dataCentre]; c != nil {
+		return c.current
+	}
+	return 0
+}
+
 // Update chooses the reserved endpoints among the usable ones and reports whether
 // their number changed. demand is the prefill time of long prompts of all
 // instances in ms per ms; 0 means that none was sent recently.
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -42,6 +42,10 @@
 }
 
 func (r *rate) add(now clock.Millis, work float64, span clock.Millis) {
+	// A single value that is no number would stay in the sum for good.
+	if !(work > 0 && work <= math.MaxInt32) {
+		return
+	}
 	r.sum = r.value(now, span)*float64(span) + work
 	r.at = now
 }
@@ -60,10 +64,15 @@
 
 // RecordBase adds work in ms of a first model.
 func (t *Throttler) RecordBase(now clock.Millis, work float64) {
+	t.start(now)
+	t.base.add(now, work, t.options.Span)
+}
+
+// start sets the time of the first request.
+func (t *Throttler) start(now clock.Millis) {
 	if t.started == 0 {
 		t.started = now
 	}
-	t.base.add(now, work, t.options.Span)
 }
 
 // RecordDemand adds the work in ms that a larger model would have for a request
@@ -78,6 +87,7 @@
 
 // RecordLong adds work in ms of a long prompt, which may be that of a first model.
 func (t *Throttler) RecordLong(now clock.Millis, work float64) {
+	t.start(now)
 	t.long.add(now, work, t.options.Span)
 }
 
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -1,6 +1,7 @@
 package throttler
 
 import (
+	"math"
 	"testing"
 
 	"rosemaryarch.example/rosemaryarch/clock"
@@ -105,3 +106,17 @@
 		}
 	}
 }
+
+// Guards against a demand for long prompts that rises over seconds after a start where no
+// smaller model is asked first, and against one value that is no number.
+func TestLongAfterStart(t *testing.T) {
+	const start = 1_800_000_000_000 * clock.Millis(1)
+	throttler := New(Options{Span: 3 * clock.Second, Share: 0.5})
+	for at := clock.Millis(0); at < clock.Second; at += 100 {
+		throttler.RecordLong(start+at, 50)
+		throttler.RecordLong(start+at, math.NaN())
+	}
+	if got := throttler.Long(start + clock.Second); got < 0.4 || got > 0.6 {
+		t.Errorf("got %v, want about 0.5", got)
+	}
+}
