dispatcher: a break after held-back reading is not held against the endpoint

Once a slow client has its share of the account, the endpoint is not read and cuts the response off. The circuit breaker, the roll-out and the calibrator took that for a fault of the endpoint. The stream is resumed or ended as before, with outcome cut_off_unread. The resumption still counts towards the retry budget, which bounds all further sends.

--- a/dispatcher/spool.go
+++ b/dispatcher/spool.go
@@ -28,6 +28,10 @@
 	// bodyPollInterval is the time between two checks of a plain response that waits for
 	// its client. It is well below the half second in which both sides must end.
 	bodyPollInterval = 100 * clock.Millis(1)
+	// unreadLimit is the time from which a break of a response counts as caused by its
+	// client, which has held back the reading for as long. Endpoints cut off a response that
+	// stays unread for some seconds, so a shorter time cannot be the cause.
+	unreadLimit = clock.Second
 	// reasonTooSlow is the reason in the log of a response that was ended because its
 	// client does not read it and the memory for such clients is used up.
 	reasonTooSlow = string(refuser.DropClientTooSlow)
@@ -61,6 +65,7 @@
 	splitter *splitter.Splitter
 	first    bool         // no event has arrived
 	waited   clock.Millis // for the endpoint, since its last event
+	unread   clock.Millis // total time for which the client has held back the reading
 	timer    *time.Timer  // runs readAhead; nil before the first write
 	role     atomic.Int32
 	size     int // of the event that is written directly
@@ -156,11 +161,14 @@
 // the goroutine must read no further.
 func (r *relay) spool(event []byte) bool {
 	x, b := r.send.exchange, &r.backlog
+	before, begin := r.unread, x.now()
 	for {
 		if b.handOver(event) {
 			return false
 		}
-		switch b.account.Hold(x.now(), len(event)) {
+		now := x.now()
+		r.unread = before + now - begin
+		switch b.account.Hold(now, len(event)) {
 		case spooler.Granted:
 			b.add(event)
 			return true
--- a/dispatcher/spool_test.go
+++ b/dispatcher/spool_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,11 +16,13 @@
 	"testing"
 	"time"
 
+	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/spooler"
+	"rosemaryarch.example/rosemaryarch/stager"
 )
 
 const (
@@ -262,6 +265,51 @@
 	}
 }
 
+// Guards against an endpoint that is held responsible for a client: its response stayed
+// unread because the client did not read, and it has ended the response for that reason.
+func TestSlowClientAccountsForBreak(t *testing.T) {
+	tests := map[string]struct {
+		limit int64  // of the account
+		end   string // of the stream
+		want  breaker.State
+	}{
+		"cut off unread":     {0, chunkEnd, breaker.Closed},
+		"broken, never held": {smallestMemory / 8, "5\r\nid: ", breaker.Open},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := slowFleet(t, tt.limit, route(matcher.Stream, func(r *matcher.Route) { r.Timeout, r.Attempts = 12000, 1 }),
+				io.Discard, impatient(1500*time.Millisecond, tt.end))
+			f.dispatcher.breakers = breaker.New(breaker.Options{
+				Window: 5000, MinRequests: 1, ErrorRate: 0.45, ConsecutiveErrors: 1, OpenFor: 10000, OpenMax: 10000,
+				MaxProbes: 1, ProbeSuccesses: 1, ProbeTimeout: 3000, MaxOpenShare: 1,
+			}, rand.New(rand.NewPCG(1, 1)))
+			f.stager.Set(f.confirmed(), stager.Rollout{
+				Service: "s", Target: "v1", Duration: clock.Minute, Phase: stager.Active,
+			})
+			_, read := f.call("id-1")
+			time.Sleep(3 * time.Second)
+			if body, err := read(); err == nil || body == "" {
+				t.Errorf("got %d bytes, complete %v, want an incomplete response", len(body), err == nil)
+			}
+			await(t, time.Second, "end of the request", func() bool { return f.dispatcher.Active() == 0 })
+			f.dispatcher.mu.Lock()
+			defer f.dispatcher.mu.Unlock()
+			if got := f.dispatcher.breakers.State(f.dispatcher.options.Clock.Now(), "e0"); got != tt.want {
+				t.Errorf("circuit: got %v, want %v", got, tt.want)
+			}
+			broken := false
+			for _, report := range f.stager.Reports(f.confirmed()) {
+				broken = broken || report.New.Breaks+report.Old.Breaks > 0
+			}
+			if want := tt.want == breaker.Open; broken != want {
+				t.Errorf("break counted by the roll-out: got %v, want %v", broken, want)
+			}
+		})
+	}
+}
+
 // slowWriter is a client whose every write counts as slow.
 type slowWriter struct{ noSocket }
 
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -65,7 +65,7 @@
 			event, err = r.write(event)
 		}
 		if err != nil {
-			return s.relayStopped(ctx, err, r.first)
+			return s.relayStopped(ctx, err, r)
 		}
 	}
 }
@@ -119,7 +119,7 @@
 }
 
 // relayStopped handles the end of a stream on the side of the client or of the endpoint.
-func (s *send) relayStopped(ctx context.Context, err error, empty bool) (sendResult, error) {
+func (s *send) relayStopped(ctx context.Context, err error, r *relay) (sendResult, error) {
 	x := s.exchange
 	switch {
 	case errors.Is(err, errTooSlow):
@@ -127,12 +127,12 @@
 		s.drop(refuser.DropClientTooSlow)
 		return resultDone, nil // without the end of the response
 	case errors.Is(err, errNotWritten) && ctx.Err() != nil && !clientLeft(ctx):
-		return s.streamBroke(ctx, err)
+		return s.streamBroke(ctx, err, r)
 	case errors.Is(err, errNotWritten):
 		s.outcome, x.reason = reasonClientLeft, reasonClientLeft
 		return resultDone, nil // without the end of the response
 	}
-	return s.streamStopped(ctx, err, empty)
+	return s.streamStopped(ctx, err, r)
 }
 
 // resumePosition returns the id of the last event that the client has, or -1 if it has
@@ -196,27 +196,26 @@
 	return http.NewResponseController(x.writer).Flush() == nil
 }
 
-// streamStopped handles the end of a stream with the error of its splitter. empty
-// means that no event has arrived.
-func (s *send) streamStopped(ctx context.Context, err error, empty bool) (sendResult, error) {
+// streamStopped handles the end of a stream with the error of its splitter.
+func (s *send) streamStopped(ctx context.Context, err error, r *relay) (sendResult, error) {
 	switch {
 	case errors.Is(err, io.EOF):
 		// Without a declared end, a close before the first event proves nothing.
-		if empty && !s.response.Delimited() && s.exchange.request.Method != http.MethodHead {
+		if r.first && !s.response.Delimited() && s.exchange.request.Method != http.MethodHead {
 			s.recordBreak(err)
 			return s.invalidResponse(refuser.DropIncomplete, "the stream closed before its first event")
 		}
-		return s.streamEnded(empty)
+		return s.streamEnded(r.first)
 	case errors.Is(err, splitter.ErrStatusLine):
 		return s.invalidResponse(refuser.DropSecondResponse, "another response follows in the stream")
 	case errors.Is(err, splitter.ErrOrder):
 		return s.invalidResponse(refuser.DropOutOfOrder, "events of the stream come twice or out of order")
 	default:
-		return s.streamBroke(ctx, err)
+		return s.streamBroke(ctx, err, r)
 	}
 }
 
-// streamEnded handles the regular end of a stream.
+// streamEnded handles the regular end of a stream. empty means that no event has arrived.
 func (s *send) streamEnded(empty bool) (sendResult, error) {
 	x := s.exchange
 	s.response.Release()
@@ -229,8 +228,9 @@
 }
 
 // streamBroke handles a stream that ended early: it continues at another
-// endpoint after the last complete event, if the route allows it.
-func (s *send) streamBroke(ctx context.Context, err error) (sendResult, error) {
+// endpoint after the last complete event, if the route allows it. Unless the client is the
+// cause, the endpoint is held responsible.
+func (s *send) streamBroke(ctx context.Context, err error, r *relay) (sendResult, error) {
 	x := s.exchange
 	s.outcome = "stream_broke"
 	if ctx.Err() != nil {
@@ -239,10 +239,15 @@
 		}
 		return resultRetry, refuser.ErrDeadline.WithExecution(refuser.Executed)
 	}
-	s.failed, s.result = true, stager.Broken
 	s.drop(refuser.DropIncomplete)
-	s.recordBreak(err)
-	x.markSuspect(s.choice, s.criteria)
+	if r.unread >= unreadLimit {
+		// The break says nothing about the endpoint, and the next one meets the same client.
+		s.outcome, s.result = "cut_off_unread", stager.Ignored
+	} else {
+		s.failed, s.result = true, stager.Broken
+		s.recordBreak(err)
+		x.markSuspect(s.choice, s.criteria)
+	}
 	x.dispatcher.options.Meter.CountRetry(refuser.RetryStreamCut)
 	return resultRetry, refuser.ErrStreamBroken.WithMessage("%v", err)
 }
