--- a/dispatcher/spool.go
+++ b/dispatcher/spool.go
@@ -94,6 +94,19 @@
 	} else {
 		r.timer.Reset(slowWrite.Duration())
 	}
+	returned := false
+	defer func() {
+		if !returned {
+			r.abandon()
+		}
+	}()
+	next, err = r.writeOrDrain(event)
+	returned = true
+	return next, err
+}
+
+// writeOrDrain writes an event, and the backlog if the timer has run.
+func (r *relay) writeOrDrain(event []byte) (next []byte, err error) {
 	written := r.send.exchange.writeEvent(event)
 	if !r.role.CompareAndSwap(roleWriting, roleReading) {
 		return r.drain(written)
@@ -105,6 +118,28 @@
 	return nil, nil
 }
 
+// abandon ends the reading goroutine during a panic of the serving one, which then goes on:
+// the response, the exchange and the writer must not be used after the handler.
+func (r *relay) abandon() {
+	if r.role.CompareAndSwap(roleWriting, roleReading) {
+		r.timer.Stop()
+		return
+	}
+	b := &r.backlog
+	b.open(r)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopped = true
+	if !b.ended {
+		r.send.response.Interrupt()
+	}
+	for !b.ended {
+		b.changed.Wait()
+	}
+	b.account.Close()
+	b.stop()
+}
+
 // drain writes the backlog until the reading goroutine has ended and everything is written,
 // or until the client does not take it.
 func (r *relay) drain(written bool) (next []byte, err error) {
--- a/dispatcher/spool_test.go
+++ b/dispatcher/spool_test.go
@@ -332,6 +332,49 @@
 	_, _ = r.write([]byte("data: x\n\n")) // without a splitter
 }
 
+// panickingWriter is a client whose writes count as slow, and whose last one panics.
+type panickingWriter struct {
+	http.ResponseWriter
+	left int // writes
+}
+
+func (w *panickingWriter) Write(b []byte) (int, error) {
+	if w.left--; w.left <= 1 {
+		time.Sleep(4 * slowWrite.Duration())
+	}
+	if w.left <= 0 {
+		panic(http.ErrAbortHandler) // which the server does not log
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+func (w *panickingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Guards against a goroutine that reads on, and bytes that stay counted, after a panic of
+// the writer: in the write that was found slow, or in one of the backlog.
+func TestPanicOfWriter(t *testing.T) {
+	tests := map[string]int{"write found slow": 1, "first of the backlog": 2}
+	for name, writes := range tests {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{}, 1)
+			f := slowFleet(t, 1<<20, route(matcher.Stream, longRoute), io.Discard,
+				repeatForever(streamHead, "data: x\n\n", time.Millisecond, ended))
+			f.frontend.Close() // replaced
+			f.frontend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				f.dispatcher.ServeHTTP(&panickingWriter{w, writes}, r)
+			}))
+			defer f.frontend.Close()
+			_, read := f.call("id-1")
+			if body, err := read(); err == nil {
+				t.Errorf("got %d bytes and no error, want an incomplete response", len(body))
+			}
+			await(t, 2*time.Second, "end of both sides", func() bool {
+				return len(ended) == 1 && f.dispatcher.options.Spooler.Held() == 0
+			})
+		})
+	}
+}
+
 // Guards against complete plain responses that wait for slow callers and are not counted.
 func TestSlowCallerOfPlainResponse(t *testing.T) {
 	body := strings.Repeat("x", maxBufferedBody-1)
