--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -300,9 +300,7 @@
 
 // writeBody writes the whole body of the response, which it completes.
 func (x *exchange) writeBody(body []byte) {
-	watch := x.watchBody(len(body))
-	_, err := x.writer.Write(body)
-	if watch.stop() && err == nil {
+	if x.writeWatched(body) {
 		completer.Complete(x.writer)
 	}
 }
--- a/dispatcher/spool.go
+++ b/dispatcher/spool.go
@@ -351,6 +351,15 @@
 	aborted  bool          // the write was ended
 }
 
+// writeWatched writes a body, watched for a client that takes long to read it, and reports
+// whether that succeeded. The watch uses the exchange, so it also ends if the write panics.
+func (x *exchange) writeWatched(body []byte) (written bool) {
+	watch := x.watchBody(len(body))
+	defer func() { written = watch.stop() && written }()
+	_, err := x.writer.Write(body)
+	return err == nil
+}
+
 // watchBody begins to watch the write of a body of the given size.
 func (x *exchange) watchBody(size int) *bodyWatch {
 	if size <= serverBuffer {
--- a/dispatcher/spool_test.go
+++ b/dispatcher/spool_test.go
@@ -375,6 +375,23 @@
 	}
 }
 
+// Guards against a watch that runs on, and writes to the exchange, after a panic of the
+// write that it watches.
+func TestPanicOfPlainWrite(t *testing.T) {
+	d := &Dispatcher{options: Options{Spooler: spooler.New(1 << 20), Clock: clock.NewManual(0).Clock()}}
+	x := &exchange{
+		dispatcher: d, writer: &panickingWriter{left: 1}, clientDeadline: clock.Minute,
+		request: httptest.NewRequest(http.MethodGet, "/", nil),
+	}
+	defer func() {
+		cause, held := recover(), d.options.Spooler.Held()
+		if cause != http.ErrAbortHandler || held != 0 || x.heldMax != 2*serverBuffer {
+			t.Errorf("got panic %v, %d bytes held, at most %d", cause, held, x.heldMax)
+		}
+	}()
+	x.writeBody(make([]byte, 2*serverBuffer))
+}
+
 // Guards against complete plain responses that wait for slow callers and are not counted.
 func TestSlowCallerOfPlainResponse(t *testing.T) {
 	body := strings.Repeat("x", maxBufferedBody-1)
