--- a/dispatcher/spool.go
+++ b/dispatcher/spool.go
@@ -208,8 +208,8 @@
 			b.add(event)
 			return true
 		case spooler.TooSlow:
+			x.abortWrite() // before the end, after which the handler may return
 			b.end(errTooSlow)
-			x.abortWrite()
 			return false
 		}
 		select {
--- a/dispatcher/spool_test.go
+++ b/dispatcher/spool_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/forwarder"
@@ -375,6 +377,36 @@
 	}
 }
 
+// deadlineWriter is a client whose writer calls a function when its deadline is set.
+type deadlineWriter struct {
+	noSocket
+	set func()
+}
+
+func (w deadlineWriter) SetWriteDeadline(time.Time) error { w.set(); return nil }
+
+// Guards against a deadline that is set on the writer of a handler that has returned: the
+// handler returns as soon as the reading goroutine has ended.
+func TestTooSlowAbortsBeforeEnd(t *testing.T) {
+	manual := clock.NewManual(0)
+	d := &Dispatcher{options: Options{Spooler: spooler.New(0), Clock: clock.Clock{
+		Now: func() clock.Millis { return manual.Advance(clock.Second) },
+	}}}
+	var r *relay
+	ended, calls := false, 0
+	x := &exchange{dispatcher: d, writer: deadlineWriter{set: func() { ended, calls = r.backlog.ended, calls+1 }}}
+	r = &relay{send: &send{exchange: x}, ctx: context.Background(), size: 128 << 10}
+	r.backlog.changed.L = &r.backlog.mu
+	r.backlog.open(r)
+	if r.spool([]byte("data: x\n\n")) || !errors.Is(r.backlog.err, errTooSlow) {
+		t.Fatalf("got %v, want %v", r.backlog.err, errTooSlow)
+	}
+	if calls != 1 || ended {
+		t.Errorf("got %d deadlines, reader ended before: %v; want 1, before the end", calls, ended)
+	}
+	r.backlog.account.Close()
+}
+
 // Guards against a watch that runs on, and writes to the exchange, after a panic of the
 // write that it watches.
 func TestPanicOfPlainWrite(t *testing.T) {
