--- a/dispatcher/spool.go
+++ b/dispatcher/spool.go
@@ -28,6 +28,10 @@
 	// bodyPollInterval is the time between two checks of a plain response that waits for
 	// its client. It is well below the half second in which both sides must end.
 	bodyPollInterval = 100 * clock.Millis(1)
+	// unreadLimit is the time from which a break of a response counts as caused by its
+	// client, which has held back the reading for as long. Endpoints cut off a response that
+	// stays unread for some seconds, so a shorter time cannot be the cause.
+	unreadLimit = clock.Second
 	// reasonTooSlow is the reason in the log of a response that was ended because its
 	// client does not read it and the memory for such clients is used up.
 	reasonTooSlow = string(refuser.DropClientTooSlow)
@@ -61,6 +65,7 @@
 	splitter *splitter.Splitter
 	first    bool         // no event has arrived
 	waited   clock.Millis // for the endpoint, since its last event
+	unread   clock.Millis // total time for which the client has held back the reading
 	timer    *time.Timer  // runs readAhead; nil before the first write
 	role     atomic.Int32
 	size     int // of the event that is written directly
@@ -89,6 +94,19 @@
 	} else {
 		r.timer.Reset(slowWrite.Duration())
 	}
+	returned := false
+	defer func() {
+		if !returned {
+			r.abandon()
+		}
+	}()
+	next, err = r.writeOrDrain(event)
+	returned = true
+	return next, err
+}
+
+// writeOrDrain writes an event, and the backlog if the timer has run.
+func (r *relay) writeOrDrain(event []byte) (next []byte, err error) {
 	written := r.send.exchange.writeEvent(event)
 	if !r.role.CompareAndSwap(roleWriting, roleReading) {
 		return r.drain(written)
@@ -100,6 +118,28 @@
 	return nil, nil
 }
 
+// abandon ends the reading goroutine during a panic of the serving one, which then goes on:
+// the response, the exchange and the writer must not be used after the handler.
+func (r *relay) abandon() {
+	if r.role.CompareAndSwap(roleWriting, roleReading) {
+		r.timer.Stop()
+		return
+	}
+	b := &r.backlog
+	b.open(r)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopped = true
+	if !b.ended {
+		r.send.response.Interrupt()
+	}
+	for !b.ended {
+		b.changed.Wait()
+	}
+	b.account.Close()
+	b.stop()
+}
+
 // drain writes the backlog until the reading goroutine has ended and everything is written,
 // or until the client does not take it.
 func (r *relay) drain(written bool) (next []byte, err error) {
@@ -156,17 +196,20 @@
 // the goroutine must read no further.
 func (r *relay) spool(event []byte) bool {
 	x, b := r.send.exchange, &r.backlog
+	before, begin := r.unread, x.now()
 	for {
 		if b.handOver(event) {
 			return false
 		}
-		switch b.account.Hold(x.now(), len(event)) {
+		now := x.now()
+		r.unread = before + now - begin
+		switch b.account.Hold(now, len(event)) {
 		case spooler.Granted:
 			b.add(event)
 			return true
 		case spooler.TooSlow:
+			x.abortWrite() // before the end, after which the handler may return
 			b.end(errTooSlow)
-			x.abortWrite()
 			return false
 		}
 		select {
@@ -308,6 +351,15 @@
 	aborted  bool          // the write was ended
 }
 
+// writeWatched writes a body, watched for a client that takes long to read it, and reports
+// whether that succeeded. The watch uses the exchange, so it also ends if the write panics.
+func (x *exchange) writeWatched(body []byte) (written bool) {
+	watch := x.watchBody(len(body))
+	defer func() { written = watch.stop() && written }()
+	_, err := x.writer.Write(body)
+	return err == nil
+}
+
 // watchBody begins to watch the write of a body of the given size.
 func (x *exchange) watchBody(size int) *bodyWatch {
 	if size <= serverBuffer {
--- a/dispatcher/spool_test.go
+++ b/dispatcher/spool_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,11 +16,15 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/spooler"
+	"rosemaryarch.example/rosemaryarch/stager"
 )
 
 const (
@@ -262,6 +267,51 @@
 	}
 }
 
+// Guards against an endpoint that is held responsible for a client: its response stayed
+// unread because the client did not read, and it has ended the response for that reason.
+func TestSlowClientAccountsForBreak(t *testing.T) {
+	tests := map[string]struct {
+		limit int64  // of the account
+		end   string // of the stream
+		want  breaker.State
+	}{
+		"cut off unread":     {0, chunkEnd, breaker.Closed},
+		"broken, never held": {smallestMemory / 8, "5\r\nid: ", breaker.Open},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := slowFleet(t, tt.limit, route(matcher.Stream, func(r *matcher.Route) { r.Timeout, r.Attempts = 12000, 1 }),
+				io.Discard, impatient(1500*time.Millisecond, tt.end))
+			f.dispatcher.breakers = breaker.New(breaker.Options{
+				Window: 5000, MinRequests: 1, ErrorRate: 0.45, ConsecutiveErrors: 1, OpenFor: 10000, OpenMax: 10000,
+				MaxProbes: 1, ProbeSuccesses: 1, ProbeTimeout: 3000, MaxOpenShare: 1,
+			}, rand.New(rand.NewPCG(1, 1)))
+			f.stager.Set(f.confirmed(), stager.Rollout{
+				Service: "s", Target: "v1", Duration: clock.Minute, Phase: stager.Active,
+			})
+			_, read := f.call("id-1")
+			time.Sleep(3 * time.Second)
+			if body, err := read(); err == nil || body == "" {
+				t.Errorf("got %d bytes, complete %v, want an incomplete response", len(body), err == nil)
+			}
+			await(t, time.Second, "end of the request", func() bool { return f.dispatcher.Active() == 0 })
+			f.dispatcher.mu.Lock()
+			defer f.dispatcher.mu.Unlock()
+			if got := f.dispatcher.breakers.State(f.dispatcher.options.Clock.Now(), "e0"); got != tt.want {
+				t.Errorf("circuit: got %v, want %v", got, tt.want)
+			}
+			broken := false
+			for _, report := range f.stager.Reports(f.confirmed()) {
+				broken = broken || report.New.Breaks+report.Old.Breaks > 0
+			}
+			if want := tt.want == breaker.Open; broken != want {
+				t.Errorf("break counted by the roll-out: got %v, want %v", broken, want)
+			}
+		})
+	}
+}
+
 // slowWriter is a client whose every write counts as slow.
 type slowWriter struct{ noSocket }
 
@@ -284,6 +334,96 @@
 	_, _ = r.write([]byte("data: x\n\n")) // without a splitter
 }
 
+// panickingWriter is a client whose writes count as slow, and whose last one panics.
+type panickingWriter struct {
+	http.ResponseWriter
+	left int // writes
+}
+
+func (w *panickingWriter) Write(b []byte) (int, error) {
+	if w.left--; w.left <= 1 {
+		time.Sleep(4 * slowWrite.Duration())
+	}
+	if w.left <= 0 {
+		panic(http.ErrAbortHandler) // which the server does not log
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+func (w *panickingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// Guards against a goroutine that reads on, and bytes that stay counted, after a panic of
+// the writer: in the write that was found slow, or in one of the backlog.
+func TestPanicOfWriter(t *testing.T) {
+	tests := map[string]int{"write found slow": 1, "first of the backlog": 2}
+	for name, writes := range tests {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{}, 1)
+			f := slowFleet(t, 1<<20, route(matcher.Stream, longRoute), io.Discard,
+				repeatForever(streamHead, "data: x\n\n", time.Millisecond, ended))
+			f.frontend.Close() // replaced
+			f.frontend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				f.dispatcher.ServeHTTP(&panickingWriter{w, writes}, r)
+			}))
+			defer f.frontend.Close()
+			_, read := f.call("id-1")
+			if body, err := read(); err == nil {
+				t.Errorf("got %d bytes and no error, want an incomplete response", len(body))
+			}
+			await(t, 2*time.Second, "end of both sides", func() bool {
+				return len(ended) == 1 && f.dispatcher.options.Spooler.Held() == 0
+			})
+		})
+	}
+}
+
+// deadlineWriter is a client whose writer calls a function when its deadline is set.
+type deadlineWriter struct {
+	noSocket
+	set func()
+}
+
+func (w deadlineWriter) SetWriteDeadline(time.Time) error { w.set(); return nil }
+
+// Guards against a deadline that is set on the writer of a handler that has returned: the
+// handler returns as soon as the reading goroutine has ended.
+func TestTooSlowAbortsBeforeEnd(t *testing.T) {
+	manual := clock.NewManual(0)
+	d := &Dispatcher{options: Options{Spooler: spooler.New(0), Clock: clock.Clock{
+		Now: func() clock.Millis { return manual.Advance(clock.Second) },
+	}}}
+	var r *relay
+	ended, calls := false, 0
+	x := &exchange{dispatcher: d, writer: deadlineWriter{set: func() { ended, calls = r.backlog.ended, calls+1 }}}
+	r = &relay{send: &send{exchange: x}, ctx: context.Background(), size: 128 << 10}
+	r.backlog.changed.L = &r.backlog.mu
+	r.backlog.open(r)
+	if r.spool([]byte("data: x\n\n")) || !errors.Is(r.backlog.err, errTooSlow) {
+		t.Fatalf("got %v, want %v", r.backlog.err, errTooSlow)
+	}
+	if calls != 1 || ended {
+		t.Errorf("got %d deadlines, reader ended before: %v; want 1, before the end", calls, ended)
+	}
+	r.backlog.account.Close()
+}
+
+// Guards against a watch that runs on, and writes to the exchange, after a panic of the
+// write that it watches.
+func TestPanicOfPlainWrite(t *testing.T) {
+	d := &Dispatcher{options: Options{Spooler: spooler.New(1 << 20), Clock: clock.NewManual(0).Clock()}}
+	x := &exchange{
+		dispatcher: d, writer: &panickingWriter{left: 1}, clientDeadline: clock.Minute,
+		request: httptest.NewRequest(http.MethodGet, "/", nil),
+	}
+	defer func() {
+		cause, held := recover(), d.options.Spooler.Held()
+		if cause != http.ErrAbortHandler || held != 0 || x.heldMax != 2*serverBuffer {
+			t.Errorf("got panic %v, %d bytes held, at most %d", cause, held, x.heldMax)
+		}
+	}()
+	x.writeBody(make([]byte, 2*serverBuffer))
+}
+
 // Guards against complete plain responses that wait for slow callers and are not counted.
 func TestSlowCallerOfPlainResponse(t *testing.T) {
 	body := strings.Repeat("x", maxBufferedBody-1)
