--- a/dispatcher/prompt.go
+++ b/dispatcher/prompt.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,6 +25,8 @@
 	// carry as text, is replaced by its hash.
 	maxPromptParts = 64
 	maxPartID      = 32
+	// maxTokens is the largest number of tokens that is read; it is far above any prompt.
+	maxTokens = 1e9
 )
 
 // readParts returns the ids of the parts of a prompt that other requests may
@@ -56,23 +59,33 @@
 	parts := strings.Split(h.Get(n.Prefix), ",")
 	for i, part := range parts {
 		id, tokens, _ := strings.Cut(strings.TrimSpace(part), ":")
-		count, err := strconv.ParseFloat(tokens, 64)
-		if err != nil {
+		count, ok := readCount(tokens)
+		if !ok {
 			break
 		}
-		p.tokens += count
+		p.tokens = min(maxTokens, p.tokens+count)
 		if i < len(parts)-1 {
-			p.shared += count
+			p.shared = p.tokens
 			p.prefix = id
 		}
 	}
 	in, out, _ := strings.Cut(h.Get(n.Tokens), ",")
-	if count, err := strconv.ParseFloat(in, 64); err == nil {
+	if count, ok := readCount(in); ok {
 		p.tokens = max(count, p.tokens)
 	}
-	p.output, _ = strconv.ParseFloat(out, 64)
-	if hint, err := strconv.ParseFloat(h.Get(n.LengthHint), 64); err == nil && hint > 0 {
+	p.output, _ = readCount(out)
+	if hint, ok := readCount(h.Get(n.LengthHint)); ok && hint > 0 {
 		p.output = min(p.output, hint)
 	}
 	return p
 }
+
+// readCount reads a number of tokens, at most maxTokens. A number that is negative or not
+// finite is unreadable: it would make averages and the loads in heartbeats impossible.
+func readCount(text string) (float64, bool) {
+	count, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(count >= 0) || math.IsInf(count, 1) {
+		return 0, false
+	}
+	return min(maxTokens, count), true
+}
--- a/shedder/demand.go
+++ b/shedder/demand.go
@@ -244,8 +244,12 @@
 	z.next = (z.next + 1) % recentSizes
 }
 
-// decile returns the decile of a size among the recent ones, "0" to "9".
+// decile returns the decile of a size among the recent ones, "0" to "9". It is "0" if
+// there are none.
 func (z *sizes) decile(size float64) string {
+	if z == nil {
+		return "0"
+	}
 	smaller := 0
 	for _, s := range z.recent {
 		if s < size {
@@ -266,14 +270,14 @@
 		w.credit = float64(matcher.Hash("credit", r.Workspace)^r.ID) / math.MaxUint64
 		v.workspaces[r.Workspace] = w
 	}
+	if v.sizes[r.Kind] == nil {
+		v.sizes[r.Kind] = &sizes{}
+	}
 	if returns {
 		return w
 	}
 	w.demand.add(now, r.Work)
 	w.addRank(now, r.Rank, r.Work)
-	if v.sizes[r.Kind] == nil {
-		v.sizes[r.Kind] = &sizes{}
-	}
 	v.sizes[r.Kind].add(r.Size)
 	if v.meanWork == 0 {
 		v.meanWork = r.Work
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -121,9 +121,18 @@
 type Shedder struct {
 	options  Options
 	services map[string]*service
-	waiting  map[uint64]clock.Millis // instant at which a refused request may return
+	waiting  map[attempt]clock.Millis // instant at which a refused request may return
 }
 
+// attempt identifies a refused request that may return. The same content sent by another
+// service or route is another request.
+type attempt struct {
+	id            uint64
+	service, kind string
+}
+
+func (r *Request) attempt() attempt { return attempt{r.ID, r.Service, r.Kind} }
+
 // service is the state of one service.
 type service struct {
 	workspaces map[string]*workspace
@@ -142,13 +151,14 @@
 
 // New returns a Shedder without state.
 func New(o Options) *Shedder {
-	return &Shedder{options: o, services: make(map[string]*service), waiting: make(map[uint64]clock.Millis)}
+	return &Shedder{options: o, services: make(map[string]*service), waiting: make(map[attempt]clock.Millis)}
 }
 
 // Decide decides about a request, which it counts as demand.
 func (s *Shedder) Decide(now clock.Millis, r Request) Verdict {
+	r.Work, r.Size = finite(r.Work), finite(r.Size)
 	v := s.service(r.Service, now)
-	due, returns := s.waiting[r.ID]
+	due, returns := s.waiting[r.attempt()]
 	returns = returns && now >= due
 	w := v.record(now, r, returns)
 	hopeless := r.Expected > r.Remaining
@@ -160,7 +170,7 @@
 	}
 	v.control(now, r, planned)
 	if r.Idle || !hopeless && (!over || v.refused <= 0) {
-		delete(s.waiting, r.ID)
+		delete(s.waiting, r.attempt())
 		v.count(now, r, !returns, true)
 		return Verdict{Admitted: true}
 	}
@@ -171,17 +181,25 @@
 	}
 	v.count(now, r, !returns, admitted)
 	if admitted {
-		delete(s.waiting, r.ID)
+		delete(s.waiting, r.attempt())
 		return Verdict{Admitted: true}
 	}
 	s.noteRefusal(v, r)
 	after := s.retryAfter(v, r)
 	if len(s.waiting) < maxWaiting {
-		s.waiting[r.ID] = now + after
+		s.waiting[r.attempt()] = now + after
 	}
 	return Verdict{Hopeless: hopeless, RetryAfter: after}
 }
 
+// finite returns x, or 0 if it is negative or not finite: a NaN would stay in the averages.
+func finite(x float64) float64 {
+	if !(x >= 0) || math.IsInf(x, 1) {
+		return 0
+	}
+	return x
+}
+
 func (s *Shedder) service(name string, now clock.Millis) *service {
 	v := s.services[name]
 	if v == nil {
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -235,7 +235,7 @@
 		now := clock.Millis(1100 + i)
 		r.ID, r.Rank = uint64(1000+i), 1
 		if i%10 == 9 { // one that was refused some time before
-			s.waiting[r.ID] = now - 1
+			s.waiting[r.attempt()] = now - 1
 			returned++
 		}
 		s.services["s"].refused = maxRefused / 2
@@ -311,3 +311,59 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// Guards against a panic, and against a request that counts as returned, if the same
+// content comes back by another service or route, or after the state of its kind is gone.
+func TestReturningElsewhere(t *testing.T) {
+	tests := map[string]struct {
+		change  func(*Request)
+		returns bool
+	}{
+		"same":            {func(*Request) {}, true},
+		"another service": {func(r *Request) { r.Service = "t" }, false},
+		"another kind":    {func(r *Request) { r.Kind = "l" }, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(Options{})
+			r := Request{
+				ID: 7, Service: "s", Kind: "k", Workspace: "w", Work: 100, Expected: 5000, Target: 1000, Remaining: 3000,
+			}
+			v := s.Decide(1000, r)
+			if v.Admitted {
+				t.Fatal("first attempt: admitted, want refused")
+			}
+			delete(s.services["s"].sizes, "k")
+			tt.change(&r)
+			now := 1000 + v.RetryAfter
+			s.Decide(now, r)
+			asked := s.services[r.Service].workspaces["w"].demand.value(now)
+			if r.Service == "s" {
+				asked -= 100 * math.Exp(-float64(v.RetryAfter)/float64(rateSpan)) / float64(rateSpan)
+			}
+			if counted := asked > 1e-9; counted == tt.returns {
+				t.Errorf("counted as new: got %v, want %v", counted, !tt.returns)
+			}
+		})
+	}
+}
+
+// Guards against an impossible work or size that leaves the averages NaN for good.
+func TestNotFinite(t *testing.T) {
+	for _, x := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5} {
+		s := New(Options{})
+		r := Request{Service: "s", Kind: "k", Workspace: "w", Expected: 500, Target: 1000, Remaining: 3000}
+		r.Work, r.Size = x, x
+		s.Decide(1000, r)
+		r.Work, r.Size = 100, 100
+		s.Decide(1100, r)
+		v := s.services["s"]
+		for name, got := range map[string]float64{
+			"mean work": v.meanWork, "size": v.sizes["k"].recent[0], "demand": v.workspaces["w"].demand.value(1100),
+		} {
+			if math.IsNaN(got) || got < 0 || got > 200 {
+				t.Errorf("%s after %v: got %v, want 0 to 200", name, x, got)
+			}
+		}
+	}
+}
