--- a/heartbeater/demand.go
+++ b/heartbeater/demand.go
@@ -8,12 +8,15 @@
 )
 
 const (
-	// MaxDemands is the number of workspaces of a service, those with the largest
-	// demand, that a message to the neighbours lists.
+	// MaxDemands is the number of workspaces over all services, those with the largest
+	// demand, that a message lists. It bounds the size of a heartbeat.
 	MaxDemands = 32
 	// minDemandShare is the share of the demand of a data centre for a service above
 	// which a workspace is named to other data centres, traffic to which is billed.
 	minDemandShare = 1.0 / 8
+	// maxSummaryInstances is the number of instances of a data centre above which a
+	// summary is ignored as impossible.
+	maxSummaryInstances = 10_000
 )
 
 // maxDemandRate is the rate from which a report is ignored as impossible: an engine does
@@ -28,14 +31,21 @@
 	Rate      float32  // work in ms per ms
 }
 
-// LargestDemands returns the MaxDemands largest demands of each service.
+// LargestDemands returns the MaxDemands largest demands of all services. It drops rates that
+// are not positive numbers below maxDemandRate.
 func LargestDemands(list []Demand) []Demand {
-	slices.SortFunc(list, func(x, y Demand) int { return cmp.Compare(y.Rate, x.Rate) })
-	counts := make(map[uint64]int)
-	return slices.DeleteFunc(list, func(d Demand) bool {
-		counts[d.Service]++
-		return counts[d.Service] > MaxDemands
-	})
+	list = slices.DeleteFunc(list, func(d Demand) bool { return !(d.Rate > 0 && d.Rate < maxDemandRate) })
+	slices.SortStableFunc(list, func(x, y Demand) int { return cmp.Compare(y.Rate, x.Rate) })
+	return list[:min(len(list), MaxDemands)]
+}
+
+// receivedDemands returns what is kept of the demands in a message. It is nil only if the
+// message has none: a sender whose rates are all impossible still reports.
+func receivedDemands(list []Demand) []Demand {
+	if len(list) == 0 {
+		return nil
+	}
+	return LargestDemands(slices.Clone(list))
 }
 
 // demandSums returns the workspaces whose demand, over the live neighbours and this
@@ -59,7 +69,7 @@
 			list = append(list, Demand{Service: k.service, Workspace: k.workspace, Rate: rate})
 		}
 	}
-	return list
+	return LargestDemands(list)
 }
 
 // DemandSum is the demand for a service of several instances, by hash of the workspace.
@@ -78,7 +88,7 @@
 	now := h.options.Clock.Now()
 	neighbours.Rates = make(map[uint64]float64)
 	for p := range h.reportingNeighbours(now) {
-		if len(p.demands) == 0 {
+		if p.demands == nil {
 			unknown++
 			continue
 		}
@@ -98,7 +108,7 @@
 
 func addDemands(rates map[uint64]float64, list []Demand, service uint64) {
 	for _, d := range list {
-		if d.Service == service && d.Rate > 0 && d.Rate < maxDemandRate {
+		if d.Service == service {
 			rates[d.Workspace] += float64(d.Rate)
 		}
 	}
--- a/heartbeater/demand_test.go
+++ b/heartbeater/demand_test.go
@@ -59,17 +59,64 @@
 	}
 }
 
-// Guards against messages whose size grows with the number of workspaces.
+// Guards against messages whose size grows with the number of workspaces or services.
 func TestLargestDemands(t *testing.T) {
 	var list []Demand
 	for i := range 100 {
 		list = append(list, Demand{Service: uint64(i % 2), Workspace: uint64(i), Rate: float32(i)})
 	}
 	list = LargestDemands(list)
-	if got, want := len(list), 2*MaxDemands; got != want {
+	if got, want := len(list), MaxDemands; got != want {
 		t.Fatalf("demands of two services: got %d, want %d", got, want)
 	}
-	if got, want := list[len(list)-1].Rate, float32(100-2*MaxDemands); got != want {
+	if got, want := list[len(list)-1].Rate, float32(100-MaxDemands); got != want {
 		t.Errorf("least demand: got %v, want %v", got, want)
 	}
 }
+
+// Guards against a wrong message of a peer that makes demand impossible: a rate that is not
+// a positive number, a list of any length, or a number of instances below 1 or above that of
+// any data centre.
+func TestImpossibleDemands(t *testing.T) {
+	now := clock.Minute
+	h := newIdle(t, &now, "a0", "a")
+	var list []Demand
+	for i, rate := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0, maxDemandRate} {
+		list = append(list, Demand{Service: 9, Workspace: uint64(i), Rate: float32(rate)})
+	}
+	for i := range 2 * MaxDemands {
+		list = append(list, Demand{Service: 9, Workspace: uint64(100 + i), Rate: 1})
+	}
+	h.handleMessage(&Message{
+		From: Member{Name: "a1", DataCentre: "a", Incarnation: 1}, LoadsComplete: true, Demands: list,
+	})
+	for i, instances := range []int{math.MinInt, -1, 0, 1, maxSummaryInstances, maxSummaryInstances + 1, math.MaxInt} {
+		name := string(rune('b' + i))
+		h.handleMessage(&Message{
+			From:    Member{Name: name + "0", DataCentre: name, Incarnation: 1},
+			Summary: &Summary{Instances: instances}, DemandSums: list,
+		})
+	}
+	neighbours, others, _ := h.Demands(9)
+	if len(others) != 2 {
+		t.Errorf("other data centres: got %d, want 2", len(others))
+	}
+	for _, sum := range append(others, neighbours) {
+		if sum.Instances < 1 || sum.Instances > maxSummaryInstances {
+			t.Errorf("instances: got %d", sum.Instances)
+		}
+		if got := len(sum.Rates); got != MaxDemands {
+			t.Errorf("workspaces: got %d, want %d", got, MaxDemands)
+		}
+		for w, rate := range sum.Rates {
+			if rate != 1 {
+				t.Errorf("workspace %d: got %v, want 1", w, rate)
+			}
+		}
+	}
+	for p := range h.reportingNeighbours(now) {
+		if got := len(p.demands); got != MaxDemands {
+			t.Errorf("kept of the message: got %d, want %d", got, MaxDemands)
+		}
+	}
+}
--- a/heartbeater/receive.go
+++ b/heartbeater/receive.go
@@ -18,7 +18,7 @@
 	firstContact := old == nil || old.lastHeard == 0 || old.member.Incarnation != m.From.Incarnation
 	local := m.From.DataCentre == h.options.Self.DataCentre
 	if p := h.update(m.From, now); p != nil && local && m.LoadsComplete {
-		p.loads, p.rates, p.demands, p.reported = m.Loads, m.Rates, m.Demands, true
+		p.loads, p.rates, p.demands, p.reported = m.Loads, m.Rates, receivedDemands(m.Demands), true
 	}
 	for _, n := range m.Neighbours {
 		if n.Name != h.options.Self.Name && n.DataCentre != h.options.Self.DataCentre {
@@ -27,7 +27,8 @@
 	}
 	h.updateStates(now, m.States)
 	if m.Summary != nil && !local {
-		h.adoptSummary(now, m.From.DataCentre, receivedSummary{Summary: *m.Summary, demands: m.DemandSums})
+		h.adoptSummary(now, m.From.DataCentre,
+			receivedSummary{Summary: *m.Summary, demands: receivedDemands(m.DemandSums)})
 	}
 	// Only one of the instances that a relayed message reaches replies.
 	reply, due := h.reply(now, m.From, firstContact && m.Hop != hopRelayed)
@@ -52,9 +53,12 @@
 
 // adoptSummary stores a newer summary of a data centre. A summary of less than
 // half as many instances is ignored until the present one is summaryHoldTime
-// old: its sender has just started or is partitioned from its neighbours. The
-// lock is held.
+// old: its sender has just started or is partitioned from its neighbours. A summary of an
+// impossible number of instances is ignored. The lock is held.
 func (h *Heartbeater) adoptSummary(now clock.Millis, dataCentre string, s receivedSummary) {
+	if s.Instances < 1 || s.Instances > maxSummaryInstances {
+		return
+	}
 	old, ok := h.summaries[dataCentre]
 	if ok && 2*s.Instances < old.Instances && now-old.receivedAt < summaryHoldTime {
 		return
--- a/shedder/demand.go
+++ b/shedder/demand.go
@@ -85,7 +85,7 @@
 func (p *plan) refusedShare(workspace uint64, own float64) float64 {
 	demand, ok := p.rates[workspace]
 	if !ok {
-		demand = own * p.scale
+		demand = finite(own * p.scale)
 	}
 	if demand <= 0 {
 		return 0
@@ -107,20 +107,21 @@
 	}
 	rates := make(map[uint64]float64, len(others.Rates)+len(v.workspaces))
 	for hash, r := range others.Rates {
-		rates[hash] = r
+		rates[hash] = finite(r)
 	}
 	for name, w := range v.workspaces {
 		rates[matcher.Hash("workspace", name)] += w.demand.value(now)
 	}
-	scale := 1 + float64(others.Unknown)/float64(1+others.Reporting)
+	reporting := float64(1 + max(0, others.Reporting))
+	scale := 1 + float64(max(0, others.Unknown))/reporting
 	for hash, r := range rates {
 		rates[hash] = r * scale
 	}
 	for _, s := range others.Sums {
 		// The stated sum replaces what the scale has added for these instances.
-		counted := float64(s.Instances) / (scale * float64(1+others.Reporting))
+		counted := min(1, max(0, float64(s.Instances)/(scale*reporting)))
 		for hash, r := range s.Rates {
-			rates[hash] = max(0, rates[hash]*(1-counted)) + r
+			rates[hash] = rates[hash]*(1-counted) + finite(r)
 		}
 	}
 	// The order of a map would round the sums differently in each run.
@@ -142,7 +143,7 @@
 			high = level
 		}
 	}
-	v.plan = plan{at: now, level: high, scale: scale * float64(1+others.Reporting), rates: rates}
+	v.plan = plan{at: now, level: high, scale: scale * reporting, rates: rates}
 	mean := total / float64(max(1, len(rates)))
 	for _, r := range sorted {
 		if r > high {
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -367,3 +367,40 @@
 		}
 	}
 }
+
+// Guards against reports of others that make the refused shares impossible, so that all or
+// nothing of a workspace is refused.
+func TestImpossibleDemand(t *testing.T) {
+	a, b := matcher.Hash("workspace", "a"), matcher.Hash("workspace", "b")
+	bad := []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1e9}
+	list := []Demand{
+		{Reporting: -1}, {Reporting: -7, Unknown: -9}, {Unknown: math.MinInt},
+		{Unknown: 3, Sums: []Sum{{Instances: math.MinInt, Rates: map[uint64]float64{a: 1, b: 1}}}},
+		{Unknown: 3, Sums: []Sum{{Instances: -5, Rates: map[uint64]float64{a: 1}}}},
+		{Unknown: 3, Sums: []Sum{{Instances: math.MaxInt, Rates: map[uint64]float64{b: 1}}}},
+	}
+	for _, x := range bad {
+		list = append(list, Demand{Reporting: 2, Rates: map[uint64]float64{a: x, b: 1}},
+			Demand{Unknown: 3, Sums: []Sum{{Instances: 3, Rates: map[uint64]float64{a: x, b: 1}}}})
+	}
+	for _, others := range list {
+		s, _ := short(0.4, "a", "b")
+		v := s.services["s"]
+		own := v.workspaces["a"].demand.value(1100)
+		v.plan = plan{}
+		v.update(1100, "s", func(clock.Millis, string) Demand { return others })
+		for hash, rate := range v.plan.rates {
+			if !(rate >= 0) || math.IsInf(rate, 1) {
+				t.Errorf("%+v: rate of %d: got %v", others, hash, rate)
+			}
+		}
+		for _, x := range append(bad, 0, own) {
+			if got := v.plan.refusedShare(a, x); !(got >= 0 && got <= maxRefused) {
+				t.Errorf("%+v: refused share: got %v, want 0 to %v", others, got, maxRefused)
+			}
+		}
+		if !(v.plan.excess >= 0 && v.plan.excess <= 1) || !(v.plan.level >= 0) || math.IsInf(v.plan.level, 1) {
+			t.Errorf("%+v: got %+v", others, v.plan)
+		}
+	}
+}
