--- a/dispatcher/room.go
+++ b/dispatcher/room.go
@@ -66,7 +66,7 @@
 	d := x.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.shedder.Observe(now, r.service, r.expected, now-r.at)
+	d.shedder.Observe(now, r.service, x.route.Name, r.expected, now-r.at)
 }
 
 // expectRoom estimates the time until a request has its first event at the endpoint
--- a/shedder/demand.go
+++ b/shedder/demand.go
@@ -97,8 +97,8 @@
 // controlled share of all work is. Parts of a share that a workspace does not use are thus
 // available to the others. The demand of instances that do not report it counts as the
 // mean of those that do, this one included.
-func (v *service) update(now clock.Millis, name string, source func(clock.Millis, string) Demand) {
-	if v.plan.rates != nil && now-v.plan.at < planAge {
+func (v *service) update(now clock.Millis, c *control, name string, source func(clock.Millis, string) Demand) {
+	if c.plan.rates != nil && now-c.plan.at < planAge {
 		return
 	}
 	var others Demand
@@ -137,19 +137,19 @@
 		for _, r := range sorted {
 			sum += min(maxRefused*r, max(0, r-level))
 		}
-		if sum > v.refused*total {
+		if sum > c.refused*total {
 			low = level
 		} else {
 			high = level
 		}
 	}
-	v.plan = plan{at: now, level: high, scale: scale * reporting, rates: rates}
+	c.plan = plan{at: now, level: high, scale: scale * reporting, rates: rates}
 	mean := total / float64(max(1, len(rates)))
 	for _, r := range sorted {
 		if r > high {
-			v.plan.above++
+			c.plan.above++
 		}
-		v.plan.excess += min(maxRefused*r, max(0, r-mean)) / max(total, 1e-9)
+		c.plan.excess += min(maxRefused*r, max(0, r-mean)) / max(total, 1e-9)
 	}
 }
 
@@ -317,4 +317,9 @@
 			delete(v.classes, k)
 		}
 	}
+	for kind, c := range v.controls {
+		if now-max(c.at, c.excessAt) > 2*rankSpan {
+			delete(v.controls, kind)
+		}
+	}
 }
--- a/shedder/fleet_test.go
+++ b/shedder/fleet_test.go
@@ -168,7 +168,7 @@
 
 func (f *fleet) handle(a arrival) {
 	if a.expected > 0 {
-		f.shedders[a.instance].Observe(a.at, "s", a.expected, a.at-a.sent)
+		f.shedders[a.instance].Observe(a.at, "s", fmt.Sprint(a.outcome.kind), a.expected, a.at-a.sent)
 		return
 	}
 	now, o := float64(a.at), a.outcome
@@ -215,7 +215,9 @@
 	f.busyUntil[best] = start + work
 	known[best] = max(now, known[best]) + work
 	o.first = start + work + 30
-	heap.Push(&f.arrivals, arrival{at: clock.Millis(o.first), instance: a.instance, expected: r.Expected, sent: a.at})
+	heap.Push(&f.arrivals, arrival{
+		at: clock.Millis(o.first), instance: a.instance, expected: r.Expected, sent: a.at, outcome: o,
+	})
 }
 
 // share returns the share of the outcomes that pass a test among those that pass a
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	// planningShare is the share of a target up to which the expected time may rise
-	// before requests are refused, once the target itself has been exceeded, and planFor
-	// the time for which that then holds. The loads that other instances report are up to
-	// one heartbeat interval old, so that the estimate is too low while a queue grows.
+	// planningShare is the share of a target at which the expected time is held once the
+	// target itself has been exceeded, and planFor the time for which that then holds. The
+	// loads that other instances report are up to one heartbeat interval old, so that the
+	// estimate is too low while a queue grows. Only the refused share rises from there on:
+	// no request is refused below the target.
 	planningShare = 0.6
 	planFor       = 10 * clock.Second
 	// maxRefused is the largest share of any workspace, rank, size and session that
@@ -136,17 +137,12 @@
 // service is the state of one service.
 type service struct {
 	workspaces map[string]*workspace
-	refused    float64 // share of the work to refuse, 0 to maxRefused
-	meanWork   float64 // of a request, in ms
-	at         clock.Millis
-	excess     float64      // mean by which recent first events exceeded their expected time, in ms
-	excessAt   clock.Millis // instant of the last of them
+	controls   map[string]*control // by kind; only those with a target
+	meanWork   float64             // of a request, in ms
 	classes    map[class]*count
 	sizes      map[string]*sizes // by kind
-	plan       plan
-	shortage   *Shortage    // nil without a shortage
-	overAt     clock.Millis // instant of the last expected time over the planned one
-	shortUntil clock.Millis // end of the time for which planningShare holds
+	shortage   *Shortage         // nil without a shortage
+	overAt     clock.Millis      // instant of the last expected time over the target
 }
 
 // New returns a Shedder without state.
@@ -157,19 +153,29 @@
 // Decide decides about a request, which it counts as demand.
 func (s *Shedder) Decide(now clock.Millis, r Request) Verdict {
 	r.Work, r.Size = finite(r.Work), finite(r.Size)
-	v := s.service(r.Service, now)
+	v := s.service(r.Service)
 	due, returns := s.waiting[r.attempt()]
 	returns = returns && now >= due
 	w := v.record(now, r, returns)
 	hopeless := r.Expected > r.Remaining
-	r.Expected += clock.Millis(min(v.expectedExcess(now), maxExcess*float64(r.Target)))
-	planned := v.planned(now, r)
-	over := r.Target > 0 && float64(r.Expected) > planned
-	if over && !r.Idle {
-		v.update(now, r.Service, s.options.Others)
+	over := false
+	var c *control
+	if r.Target > 0 {
+		c = v.control(now, r.Kind)
+		r.Expected += clock.Millis(min(c.expectedExcess(now), maxExcess*float64(r.Target)))
+		planned := c.planned(now, r, v.meanWork)
+		over = float64(r.Expected) > planned
+		if over && !r.Idle {
+			v.update(now, c, r.Service, s.options.Others)
+		}
+		c.target = r.Target
+		for _, k := range v.controls {
+			if k.target == r.Target {
+				k.adjust(now, r, k.planned(now, r, v.meanWork), v.meanWork)
+			}
+		}
 	}
-	v.control(now, r, planned)
-	if r.Idle || !hopeless && (!over || v.refused <= 0) {
+	if r.Idle || !hopeless && (!over || c.refused <= 0) {
 		delete(s.waiting, r.attempt())
 		v.count(now, r, !returns, true)
 		return Verdict{Admitted: true}
@@ -177,14 +183,14 @@
 	v.overAt = now
 	admitted := false
 	if !hopeless {
-		admitted = v.share(now, w, r, returns)
+		admitted = v.share(now, c, w, r, returns)
 	}
 	v.count(now, r, !returns, admitted)
 	if admitted {
 		delete(s.waiting, r.attempt())
 		return Verdict{Admitted: true}
 	}
-	s.noteRefusal(v, r)
+	s.noteRefusal(v, c, r)
 	after := s.retryAfter(v, r)
 	if len(s.waiting) < maxWaiting {
 		s.waiting[r.attempt()] = now + after
@@ -200,74 +206,35 @@
 	return x
 }
 
-func (s *Shedder) service(name string, now clock.Millis) *service {
+func (s *Shedder) service(name string) *service {
 	v := s.services[name]
 	if v == nil {
 		v = &service{
-			workspaces: make(map[string]*workspace), classes: make(map[class]*count), sizes: make(map[string]*sizes),
-			at: now,
+			workspaces: make(map[string]*workspace), controls: make(map[string]*control),
+			classes: make(map[class]*count), sizes: make(map[string]*sizes),
 		}
 		s.services[name] = v
 	}
 	return v
 }
 
-// Observe records the time that an admitted request took until its first event, or until
-// the response of a plain service, and the time that was expected.
-func (s *Shedder) Observe(now clock.Millis, name string, expected, took clock.Millis) {
-	v := s.service(name, now)
-	v.excess = v.expectedExcess(now)
-	v.excess += (float64(took-expected) - v.excess) / excessSamples
-	v.excessAt = now
-}
-
-// expectedExcess returns by how much first events exceed their expected time, in ms: the
-// least queue of all endpoints, as last reported, is shorter than that of the endpoint
-// that is chosen once the request arrives there.
-func (v *service) expectedExcess(now clock.Millis) float64 {
-	return max(0, v.excess) * math.Exp2(-float64(now-v.excessAt)/float64(excessHalfLife))
-}
-
-// planned returns the expected time in ms up to which a request is admitted: the target,
-// and planningShare of it once that has been exceeded.
-func (v *service) planned(now clock.Millis, r Request) float64 {
-	target := float64(r.Target)
-	if float64(r.Expected)-r.Work+min(r.Work, v.meanWork) > target && !r.Idle {
-		v.shortUntil = now + planFor
-	}
-	if now < v.shortUntil {
-		return planningShare * target
-	}
-	return target
-}
-
-// control updates the share of the work to refuse by how much a request of mean work
-// exceeds the planned time. The request's own work is replaced by the mean, so that a
-// single large request is no shortage.
-func (v *service) control(now clock.Millis, r Request, planned float64) {
-	step := min(maxStep, max(0, now-v.at))
-	v.at = now
-	excess := min(1, max(-1, (float64(r.Expected)-r.Work+min(r.Work, v.meanWork))/max(1, planned)-1))
-	if r.Idle {
-		excess = -1
-	}
-	// Beyond the excess of the workspaces above their share, the others are refused only
-	// if the expected time stays too long.
-	change := excess
-	if v.refused > v.plan.excess {
-		change = min(1, excess-generalExcess)
-	}
-	v.refused = min(maxRefused, max(0, v.refused+change*float64(step)/float64(controlTime)))
+// Observe records the time that an admitted request of a kind took until its first event,
+// or until the response of a plain service, and the time that was expected.
+func (s *Shedder) Observe(now clock.Millis, service, kind string, expected, took clock.Millis) {
+	c := s.service(service).control(now, kind)
+	c.excess = c.expectedExcess(now)
+	c.excess += (float64(took-expected) - c.excess) / excessSamples
+	c.excessAt = now
 }
 
 // share decides whether a request belongs to the admitted share of its workspace and
 // rank, or to that of a class that would starve. A request that returns is counted once,
 // as what its workspace has asked for, and goes before new ones.
-func (v *service) share(now clock.Millis, w *workspace, r Request, returns bool) bool {
+func (v *service) share(now clock.Millis, c *control, w *workspace, r Request, returns bool) bool {
 	least := returningCredit
 	if !returns {
 		least = 1
-		share := v.plan.refusedShare(matcher.Hash("workspace", r.Workspace), w.demand.value(now))
+		share := c.plan.refusedShare(matcher.Hash("workspace", r.Workspace), w.demand.value(now))
 		w.credit = min(1, w.credit+1-w.refusedShare(now, r.Rank, share))
 	}
 	if w.credit < least && !v.starves(now, r, returns) {
@@ -293,14 +260,16 @@
 }
 
 // noteRefusal counts a refusal, with which a shortage begins.
-func (s *Shedder) noteRefusal(v *service, r Request) {
+func (s *Shedder) noteRefusal(v *service, c *control, r Request) {
 	begins := v.shortage == nil
 	if begins {
 		v.shortage = &Shortage{Service: r.Service}
 	}
 	v.shortage.Expected = max(v.shortage.Expected, r.Expected)
 	v.shortage.Refused++
-	v.shortage.Workspaces = v.plan.above
+	if c != nil {
+		v.shortage.Workspaces = c.plan.above
+	}
 	if begins && s.options.Changed != nil {
 		first := *v.shortage
 		first.Begins = true
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -144,7 +144,7 @@
 				r.Idle = i%10 != 0
 				if !r.Idle {
 					tt.change(&r)
-					s.services["s"].workspaces["w"].credit, s.services["s"].refused = -1, maxRefused
+					s.services["s"].workspaces["w"].credit, s.services["s"].controls["k"].refused = -1, maxRefused
 					if w := s.services["s"].workspaces["x"]; w != nil {
 						w.credit = -1
 					}
@@ -193,17 +193,18 @@
 }
 
 // short returns a Shedder of which service "s" refuses the given share of its work. The
-// workspaces have sent equal work, and the expected time stays at the planned one.
+// workspaces have sent equal work, and the expected time stays just over the target.
 func short(refused float64, workspaces ...string) (*Shedder, Request) {
 	s := New(Options{})
 	r := Request{
-		Service: "s", Kind: "k", Work: 100, Target: 1000, Remaining: 3000, Expected: planningShare*1000 + 1,
+		Service: "s", Kind: "k", Work: 100, Target: 1000, Remaining: 3000, Expected: 1001,
 	}
 	for i := range 90 {
 		r.ID, r.Workspace, r.Rank = uint64(i), workspaces[i%len(workspaces)], i%3
 		s.Decide(clock.Millis(1000+i), r)
 	}
-	s.services["s"].refused, s.services["s"].shortUntil = refused, clock.Hour
+	c := s.services["s"].controls["k"]
+	c.refused, c.shortUntil = refused, clock.Hour
 	return s, r
 }
 
@@ -238,7 +239,7 @@
 			s.waiting[r.attempt()] = now - 1
 			returned++
 		}
-		s.services["s"].refused = maxRefused / 2
+		s.services["s"].controls["k"].refused = maxRefused / 2
 		if s.Decide(now, r).Admitted {
 			if i%10 == 9 {
 				returning++
@@ -271,9 +272,10 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			v.plan, v.refused = plan{}, 0.2
-			v.update(1100, "s", func(clock.Millis, string) Demand { return tt.others })
-			got := v.plan.refusedShare(matcher.Hash("workspace", "a"), 1)
+			c := v.controls["k"]
+			c.plan, c.refused = plan{}, 0.2
+			v.update(1100, c, "s", func(clock.Millis, string) Demand { return tt.others })
+			got := c.plan.refusedShare(matcher.Hash("workspace", "a"), 1)
 			if math.Abs(got-tt.want) > 0.03 {
 				t.Errorf("refused share: got %.3f, want %.3f", got, tt.want)
 			}
@@ -387,20 +389,50 @@
 		s, _ := short(0.4, "a", "b")
 		v := s.services["s"]
 		own := v.workspaces["a"].demand.value(1100)
-		v.plan = plan{}
-		v.update(1100, "s", func(clock.Millis, string) Demand { return others })
-		for hash, rate := range v.plan.rates {
+		c := v.controls["k"]
+		c.plan = plan{}
+		v.update(1100, c, "s", func(clock.Millis, string) Demand { return others })
+		for hash, rate := range c.plan.rates {
 			if !(rate >= 0) || math.IsInf(rate, 1) {
 				t.Errorf("%+v: rate of %d: got %v", others, hash, rate)
 			}
 		}
 		for _, x := range append(bad, 0, own) {
-			if got := v.plan.refusedShare(a, x); !(got >= 0 && got <= maxRefused) {
+			if got := c.plan.refusedShare(a, x); !(got >= 0 && got <= maxRefused) {
 				t.Errorf("%+v: refused share: got %v, want 0 to %v", others, got, maxRefused)
 			}
 		}
-		if !(v.plan.excess >= 0 && v.plan.excess <= 1) || !(v.plan.level >= 0) || math.IsInf(v.plan.level, 1) {
-			t.Errorf("%+v: got %+v", others, v.plan)
+		if !(c.plan.excess >= 0 && c.plan.excess <= 1) || !(c.plan.level >= 0) || math.IsInf(c.plan.level, 1) {
+			t.Errorf("%+v: got %+v", others, c.plan)
 		}
 	}
 }
+
+// Guards against a route without a target, or with a shorter one, whose expected times
+// make a route refuse that has had no shortage.
+func TestOtherTarget(t *testing.T) {
+	tests := map[string]struct {
+		kind   string
+		target clock.Millis
+	}{
+		"no target, same route": {"k", 0}, "no target, another route": {"l", 0}, "shorter target": {"l", 100},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(Options{})
+			r := Request{Service: "s", Workspace: "w", Work: 100, Remaining: 3000}
+			r.Kind, r.Target, r.Expected = tt.kind, tt.target, 2900
+			for i := range 100 {
+				r.ID = uint64(i)
+				s.Decide(clock.Millis(1000+50*i), r)
+			}
+			r.Kind, r.Target, r.Expected = "k", 1000, 1100
+			for i := range 20 {
+				r.ID = uint64(1000 + i)
+				if !s.Decide(6000, r).Admitted {
+					t.Fatalf("request %d after the others: refused, want admitted", i)
+				}
+			}
+		})
+	}
+}
