--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -158,14 +158,13 @@
 	returns = returns && now >= due
 	w := v.record(now, r, returns)
 	hopeless := r.Expected > r.Remaining
-	over := false
+	over := r.Target > 0 && r.Expected > r.Target
 	var c *control
 	if r.Target > 0 {
 		c = v.control(now, r.Kind)
 		r.Expected += clock.Millis(min(c.expectedExcess(now), maxExcess*float64(r.Target)))
 		planned := c.planned(now, r, v.meanWork)
-		over = float64(r.Expected) > planned
-		if over && !r.Idle {
+		if float64(r.Expected) > planned && !r.Idle {
 			v.update(now, c, r.Service, s.options.Others)
 		}
 		c.target = r.Target
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -408,6 +408,23 @@
 	}
 }
 
+// Guards against the refusal of requests that are expected in time while a shortage lasts,
+// whatever has been measured before.
+func TestBelowTarget(t *testing.T) {
+	s, r := short(maxRefused, "w")
+	for i := range 100 {
+		s.Observe(clock.Millis(1000+i), "s", "k", 100, 5000)
+	}
+	for i, expected := range []clock.Millis{0, 599, 600, 601, 900, 1000} {
+		for j := range 50 {
+			r.ID, r.Session, r.Expected = uint64(1000+100*i+j), fmt.Sprint(j), expected
+			if !s.Decide(clock.Millis(1200+50*i+j), r).Admitted {
+				t.Fatalf("refused at an expected time of %d ms, target 1000 ms", expected)
+			}
+		}
+	}
+}
+
 // Guards against a route without a target, or with a shorter one, whose expected times
 // make a route refuse that has had no shortage.
 func TestOtherTarget(t *testing.T) {
