--- a/shedder/demand.go
+++ b/shedder/demand.go
@@ -153,8 +153,21 @@
 	}
 }
 
-// class is a group of requests none of which may starve.
-type class struct{ by, name string }
+// maxClasses is the number of classes of a service that are counted, maxSessions that up
+// to which sessions are: callers choose their sessions' names, and a class takes about
+// 100 bytes. The other classes are bounded by the configuration.
+const (
+	maxClasses  = 4096
+	maxSessions = maxClasses / 2
+)
+
+// class is the hash of a group of requests none of which may starve.
+type class uint64
+
+// sessionClass is the index of the session in the result of classesOf.
+const sessionClass = 4
+
+func classOf(by, name string) class { return class(matcher.Hash(by, name)) }
 
 // count holds decaying counts of requests.
 type count struct{ asked, admitted rate }
@@ -168,15 +181,15 @@
 	return c.admitted.value(now) / asked
 }
 
-// classesOf returns the classes of a request. Those of its kind come first and of its
-// size second.
+// classesOf returns the classes of a request: of its kind, its size, its workspace, its
+// rank and, if it has one, its session.
 func (v *service) classesOf(r Request) []class {
 	list := []class{
-		{"kind", r.Kind}, {"size", r.Kind + "/" + v.sizes[r.Kind].decile(r.Size)},
-		{"workspace", r.Workspace}, {"rank", string(rune('0' + r.Rank))},
+		classOf("kind", r.Kind), classOf("size", r.Kind+"/"+v.sizes[r.Kind].decile(r.Size)),
+		classOf("workspace", r.Workspace), classOf("rank", string(rune('0'+r.Rank))),
 	}
 	if r.Session != "" {
-		list = append(list, class{"session", r.Session})
+		list = append(list, classOf("session", r.Session))
 	}
 	return list
 }
@@ -210,11 +223,21 @@
 	return false
 }
 
-// count counts a request in its classes.
-func (v *service) count(now clock.Millis, r Request, isNew, admitted bool) {
-	for _, k := range v.classesOf(r) {
+// count counts a request in its classes. Its session is counted in a shortage only.
+func (v *service) count(now clock.Millis, r Request, isNew, admitted, short bool) {
+	limit := maxClasses
+	for i, k := range v.classesOf(r) {
+		if i == sessionClass {
+			if !short {
+				break
+			}
+			limit = maxSessions
+		}
 		c := v.classes[k]
 		if c == nil {
+			if len(v.classes) >= limit {
+				continue
+			}
 			c = &count{asked: rate{span: rankSpan}, admitted: rate{span: rankSpan}}
 			v.classes[k] = c
 		}
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -176,7 +176,7 @@
 	}
 	if r.Idle || !hopeless && (!over || c.refused <= 0) {
 		delete(s.waiting, r.attempt())
-		v.count(now, r, !returns, true)
+		v.count(now, r, !returns, true, v.shortage != nil)
 		return Verdict{Admitted: true}
 	}
 	v.overAt = now
@@ -184,7 +184,7 @@
 	if !hopeless {
 		admitted = v.share(now, c, w, r, returns)
 	}
-	v.count(now, r, !returns, admitted)
+	v.count(now, r, !returns, admitted, true)
 	if admitted {
 		delete(s.waiting, r.attempt())
 		return Verdict{Admitted: true}
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -85,10 +85,13 @@
 	}
 }
 
+// group is a class of requests by name.
+type group struct{ by, name string }
+
 func checkStarvation(t *testing.T, seed uint64) {
 	t.Helper()
 	list := run(seed, load{until: 35 * clock.Second, demand: times(1.8, 6)})
-	asked, served := make(map[class]int), make(map[class]int)
+	asked, served := make(map[group]int), make(map[group]int)
 	z := &sizes{}
 	for _, o := range list {
 		if o.kind == 0 {
@@ -96,11 +99,11 @@
 		}
 	}
 	for _, o := range list {
-		keys := []class{
+		keys := []group{
 			{"kind and rank", fmt.Sprint(o.kind)}, {"workspace", fmt.Sprint(o.workspace)}, {"session", o.session},
 		}
 		if o.kind == 0 {
-			keys = append(keys, class{"size", z.decile(o.size)})
+			keys = append(keys, group{"size", z.decile(o.size)})
 		}
 		for _, k := range keys {
 			asked[k]++
@@ -114,7 +117,7 @@
 			t.Errorf("%v: %d of %d served, want at least a fifth", k, served[k], n)
 		}
 	}
-	largest, kind := class{"size", "9"}, class{"kind and rank", "0"}
+	largest, kind := group{"size", "9"}, group{"kind and rank", "0"}
 	got := float64(served[largest]) / float64(asked[largest])
 	if want := float64(served[kind]) / float64(asked[kind]) / 2; got < want {
 		t.Errorf("largest tenth: got %.3f served, want at least %.3f", got, want)
@@ -453,3 +456,30 @@
 		})
 	}
 }
+
+// Guards against memory that grows with the text and the number of the sessions that
+// callers invent, and against their cost without a shortage.
+func TestManySessions(t *testing.T) {
+	s := New(Options{})
+	r := Request{Service: "s", Kind: "k", Workspace: "w", Work: 100, Expected: 500, Target: 1000, Remaining: 3000}
+	for i := range 100 {
+		r.ID, r.Session = uint64(i), fmt.Sprint("quiet", i)
+		s.Decide(clock.Millis(1000+i), r)
+	}
+	if got := len(s.services["s"].classes); got > 20 {
+		t.Errorf("classes without a shortage: got %d, want at most 20", got)
+	}
+	r.Expected = 2000
+	for i := range 4 * maxClasses {
+		r.ID, r.Session, r.Workspace = uint64(i), fmt.Sprint("short", i), fmt.Sprint("w", i%50)
+		s.Decide(clock.Millis(2000+i/8), r)
+	}
+	if got := len(s.services["s"].classes); got > maxClasses || got < maxClasses/2 {
+		t.Errorf("classes in a shortage: got %d, want %d to %d", got, maxClasses/2, maxClasses)
+	}
+	for i := range 50 {
+		if _, ok := s.services["s"].classes[classOf("workspace", fmt.Sprint("w", i))]; !ok {
+			t.Errorf("the class of workspace w%d is missing", i)
+		}
+	}
+}
