--- a/dispatcher/room.go
+++ b/dispatcher/room.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"rosemaryarch.example/rosemaryarch/balancer"
 	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/logger"
@@ -22,6 +23,7 @@
 	at       clock.Millis // instant of the estimate
 	work     float64      // of the request, in ms
 	expected clock.Millis // time until the first event, or the response of a plain service
+	known    clock.Millis // expected, without assumed load
 	idle     bool         // an endpoint has a free slot and no queued work
 }
 
@@ -39,11 +41,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	x.room = d.expectRoom(now, q, append(first, rest...))
+	remaining := x.remaining()
+	if x.room.known <= remaining { // assumed load alone makes no request hopeless
+		x.room.expected = min(x.room.expected, remaining)
+	}
 	session := x.request.Header.Get(d.options.Names.Session)
 	verdict := d.shedder.Decide(now, shedder.Request{
 		ID: x.content ^ matcher.Hash("session", session), Service: q.service, Kind: x.route.Name,
 		Workspace: x.workspace.Name, Session: session, Rank: x.priority(), Size: x.prompt.tokens, Work: x.room.work,
-		Expected: x.room.expected, Target: x.route.Target, Remaining: x.remaining(), Idle: x.room.idle,
+		Expected: x.room.expected, Target: x.route.Target, Remaining: remaining, Idle: x.room.idle,
 	})
 	if verdict.Admitted {
 		return nil
@@ -73,22 +79,20 @@
 // with the least queued work. The lock must be held.
 func (d *Dispatcher) expectRoom(now clock.Millis, q *criteria, list []*cataloger.State) *room {
 	r := &room{service: q.service, at: now, work: d.ownWork(q)}
+	assumed, assumes := d.assumedWait(q, r.work)
 	least := -1.0
 	for _, e := range list {
 		c := d.candidate(now, q, e)
 		if c.Penalty >= openPenalty {
 			continue
 		}
-		wait, free := c.Work, c.Slots == 0 || c.Running < c.Slots
-		if !q.isEngine() {
-			wait = slotWait(c.Running, c.Slots, r.work)
-		} else if c.Work >= idleWork {
-			free = false
-		}
+		wait, free := endpointWait(c, e, q.isEngine(), r.work)
 		if least < 0 || wait < least {
 			least = wait
 		}
-		if free { // no other endpoint has less work, so the others need not be looked at
+		// No other endpoint has less work, so the others need not be looked at. Load is
+		// assumed only in this data centre.
+		if free && (!assumes || e.DataCentre != d.options.DataCentre) {
 			r.idle = true
 			break
 		}
@@ -96,16 +100,29 @@
 	if least < 0 { // all circuits are open
 		r.idle = true
 	}
-	if wait, more := d.assumedWait(q, r.work); more {
-		least, r.idle = max(least, wait), false
-	}
-	r.expected = clock.Millis(max(0, least) + r.work)
+	own := clock.Millis(0)
 	if q.isEngine() {
-		r.expected += firstEventOverhead
+		own = firstEventOverhead
+	}
+	r.known = clock.Millis(max(0, least)+r.work) + own
+	r.expected = r.known
+	if assumes && !r.idle {
+		r.expected = max(r.known, clock.Millis(assumed+r.work)+own)
 	}
 	return r
 }
 
+// endpointWait returns the time in ms until an endpoint begins with a request, and whether
+// it is free. The slots are those of the endpoint, not the soft limit of the candidate: that
+// is a preference among endpoints, and full use of it is no shortage.
+func endpointWait(c balancer.Candidate, e *cataloger.State, engine bool, duration float64) (float64, bool) {
+	free := e.Slots == 0 || c.Running < e.Slots
+	if engine {
+		return c.Work, free && c.Work < idleWork
+	}
+	return slotWait(c.Running, e.Slots, duration), free
+}
+
 // ownWork returns the work in ms of a request without that of others.
 func (d *Dispatcher) ownWork(q *criteria) float64 {
 	if !q.isEngine() {
--- a/dispatcher/room_test.go
+++ b/dispatcher/room_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"rosemaryarch.example/rosemaryarch/balancer"
+	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/matcher"
 )
 
@@ -94,3 +96,67 @@
 		})
 	}
 }
+
+// Guards against refusals after a restart that rest on the assumed load of this data centre
+// only, while an endpoint elsewhere is free or the request could still be in time.
+func TestAssumedLoad(t *testing.T) {
+	f := newFleet(t, route(matcher.Unsafe, nil), succeed, succeed)
+	d := f.dispatcher
+	var list []cataloger.Endpoint
+	for _, e := range f.catalog.Snapshot().Service("s") {
+		list = append(list, e.Endpoint)
+	}
+	list[1].DataCentre = "other"
+	f.catalog.Replace(d.options.Clock.Now(), list)
+	d.options.Neighbours = func() (int, bool) { return 4, false }
+	tests := map[string]struct {
+		here, there int // requests in progress
+		idle        bool
+	}{
+		"free here, within the share": {1, 8, true},
+		"free here by own load only":  {7, 8, false},
+		"free elsewhere":              {2000, 7, true},
+		"nothing free":                {2000, 9, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d.mu.Lock()
+			d.loadOf("e0").running, d.loadOf("e1").running = tt.here, tt.there
+			q := &criteria{service: "s"}
+			got := d.expectRoom(d.options.Clock.Now(), q, f.catalog.Snapshot().Service("s"))
+			d.mu.Unlock()
+			if got.idle != tt.idle {
+				t.Errorf("idle: got %v, want %v", got.idle, tt.idle)
+			}
+			if got := f.do("POST", "/a/x", "body"); got.status != 200 {
+				t.Errorf("status: got %d %s, want 200", got.status, got.body)
+			}
+		})
+	}
+}
+
+// Guards against a shortage that is seen because the preferred number of requests at an
+// endpoint has been reached, though it has free slots.
+func TestEndpointWait(t *testing.T) {
+	e := &cataloger.State{Endpoint: cataloger.Endpoint{Slots: 8}}
+	tests := map[string]struct {
+		candidate balancer.Candidate
+		engine    bool
+		wait      float64
+		free      bool
+	}{
+		"plain, over the soft limit":  {balancer.Candidate{Slots: 4, Running: 6}, false, 0, true},
+		"plain, full":                 {balancer.Candidate{Slots: 4, Running: 9}, false, 2 * 40.0 / 8, false},
+		"engine, over the soft limit": {balancer.Candidate{Slots: 4, Running: 6}, true, 0, true},
+		"engine, full":                {balancer.Candidate{Slots: 4, Running: 8}, true, 0, false},
+		"engine, queue":               {balancer.Candidate{Slots: 8, Running: 1, Work: 50}, true, 50, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			wait, free := endpointWait(tt.candidate, e, tt.engine, 40)
+			if wait != tt.wait || free != tt.free {
+				t.Errorf("got %v %v, want %v %v", wait, free, tt.wait, tt.free)
+			}
+		})
+	}
+}
--- a/shedder/control.go
+++ b/shedder/control.go
@@ -54,7 +54,9 @@
 // exceeds the planned time. The request's own work is replaced by the mean, so that a
 // single large request is no shortage.
 func (c *control) adjust(now clock.Millis, r Request, planned, meanWork float64) {
-	step := min(maxStep, max(0, now-c.at))
+	elapsed := max(0, now-c.at)
+	step := min(maxStep, elapsed)
+	c.refused *= math.Exp2(-float64(elapsed-step) / float64(refusedHalfLife))
 	c.at = now
 	excess := min(1, max(-1, (float64(r.Expected)-r.Work+min(r.Work, meanWork))/max(1, planned)-1))
 	if r.Idle {
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -39,6 +39,9 @@
 	generalExcess = 0.35
 	// maxStep bounds the time that one request accounts for in the controller.
 	maxStep = 250 * clock.Millis(1)
+	// refusedHalfLife is the time without requests, beyond maxStep, in which the refused
+	// share halves: the endpoints work off their queues meanwhile.
+	refusedHalfLife = clock.Second
 	// rateSpan is the averaging time of the demand of a workspace: an instance
 	// receives one request of a workspace in several seconds. rankSpan is the same for
 	// its ranks and the counts of classes.
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -483,3 +483,17 @@
 		}
 	}
 }
+
+// Guards against refusals by a share that was found before a pause in the requests, in
+// which the queue has shrunk.
+func TestRefusedDecays(t *testing.T) {
+	s, r := short(maxRefused, "w")
+	at := s.services["s"].controls["k"].at
+	r.Expected = 1001
+	s.Decide(at+10*clock.Second, r)
+	// The request itself may raise the share by what one request accounts for.
+	want := 0.01 + float64(maxStep)/float64(controlTime)
+	if got := s.services["s"].controls["k"].refused; got > want {
+		t.Errorf("refused share after 10 s without requests: got %.3f, want at most %.3f", got, want)
+	}
+}
