--- a/shedder/demand.go
+++ b/shedder/demand.go
@@ -85,7 +85,7 @@
 func (p *plan) refusedShare(workspace uint64, own float64) float64 {
 	demand, ok := p.rates[workspace]
 	if !ok {
-		demand = own * p.scale
+		demand = finite(own * p.scale)
 	}
 	if demand <= 0 {
 		return 0
@@ -97,8 +97,8 @@
 // controlled share of all work is. Parts of a share that a workspace does not use are thus
 // available to the others. The demand of instances that do not report it counts as the
 // mean of those that do, this one included.
-func (v *service) update(now clock.Millis, name string, source func(clock.Millis, string) Demand) {
-	if v.plan.rates != nil && now-v.plan.at < planAge {
+func (v *service) update(now clock.Millis, c *control, name string, source func(clock.Millis, string) Demand) {
+	if c.plan.rates != nil && now-c.plan.at < planAge {
 		return
 	}
 	var others Demand
@@ -107,20 +107,21 @@
 	}
 	rates := make(map[uint64]float64, len(others.Rates)+len(v.workspaces))
 	for hash, r := range others.Rates {
-		rates[hash] = r
+		rates[hash] = finite(r)
 	}
 	for name, w := range v.workspaces {
 		rates[matcher.Hash("workspace", name)] += w.demand.value(now)
 	}
-	scale := 1 + float64(others.Unknown)/float64(1+others.Reporting)
+	reporting := float64(1 + max(0, others.Reporting))
+	scale := 1 + float64(max(0, others.Unknown))/reporting
 	for hash, r := range rates {
 		rates[hash] = r * scale
 	}
 	for _, s := range others.Sums {
 		// The stated sum replaces what the scale has added for these instances.
-		counted := float64(s.Instances) / (scale * float64(1+others.Reporting))
+		counted := min(1, max(0, float64(s.Instances)/(scale*reporting)))
 		for hash, r := range s.Rates {
-			rates[hash] = max(0, rates[hash]*(1-counted)) + r
+			rates[hash] = rates[hash]*(1-counted) + finite(r)
 		}
 	}
 	// The order of a map would round the sums differently in each run.
@@ -136,24 +137,37 @@
 		for _, r := range sorted {
 			sum += min(maxRefused*r, max(0, r-level))
 		}
-		if sum > v.refused*total {
+		if sum > c.refused*total {
 			low = level
 		} else {
 			high = level
 		}
 	}
-	v.plan = plan{at: now, level: high, scale: scale * float64(1+others.Reporting), rates: rates}
+	c.plan = plan{at: now, level: high, scale: scale * reporting, rates: rates}
 	mean := total / float64(max(1, len(rates)))
 	for _, r := range sorted {
 		if r > high {
-			v.plan.above++
+			c.plan.above++
 		}
-		v.plan.excess += min(maxRefused*r, max(0, r-mean)) / max(total, 1e-9)
+		c.plan.excess += min(maxRefused*r, max(0, r-mean)) / max(total, 1e-9)
 	}
 }
 
-// class is a group of requests none of which may starve.
-type class struct{ by, name string }
+// maxClasses is the number of classes of a service that are counted, maxSessions that up
+// to which sessions are: callers choose their sessions' names, and a class takes about
+// 100 bytes. The other classes are bounded by the configuration.
+const (
+	maxClasses  = 4096
+	maxSessions = maxClasses / 2
+)
+
+// class is the hash of a group of requests none of which may starve.
+type class uint64
+
+// sessionClass is the index of the session in the result of classesOf.
+const sessionClass = 4
+
+func classOf(by, name string) class { return class(matcher.Hash(by, name)) }
 
 // count holds decaying counts of requests.
 type count struct{ asked, admitted rate }
@@ -167,15 +181,15 @@
 	return c.admitted.value(now) / asked
 }
 
-// classesOf returns the classes of a request. Those of its kind come first and of its
-// size second.
+// classesOf returns the classes of a request: of its kind, its size, its workspace, its
+// rank and, if it has one, its session.
 func (v *service) classesOf(r Request) []class {
 	list := []class{
-		{"kind", r.Kind}, {"size", r.Kind + "/" + v.sizes[r.Kind].decile(r.Size)},
-		{"workspace", r.Workspace}, {"rank", string(rune('0' + r.Rank))},
+		classOf("kind", r.Kind), classOf("size", r.Kind+"/"+v.sizes[r.Kind].decile(r.Size)),
+		classOf("workspace", r.Workspace), classOf("rank", string(rune('0'+r.Rank))),
 	}
 	if r.Session != "" {
-		list = append(list, class{"session", r.Session})
+		list = append(list, classOf("session", r.Session))
 	}
 	return list
 }
@@ -209,11 +223,21 @@
 	return false
 }
 
-// count counts a request in its classes.
-func (v *service) count(now clock.Millis, r Request, isNew, admitted bool) {
-	for _, k := range v.classesOf(r) {
+// count counts a request in its classes. Its session is counted in a shortage only.
+func (v *service) count(now clock.Millis, r Request, isNew, admitted, short bool) {
+	limit := maxClasses
+	for i, k := range v.classesOf(r) {
+		if i == sessionClass {
+			if !short {
+				break
+			}
+			limit = maxSessions
+		}
 		c := v.classes[k]
 		if c == nil {
+			if len(v.classes) >= limit {
+				continue
+			}
 			c = &count{asked: rate{span: rankSpan}, admitted: rate{span: rankSpan}}
 			v.classes[k] = c
 		}
@@ -244,8 +268,12 @@
 	z.next = (z.next + 1) % recentSizes
 }
 
-// decile returns the decile of a size among the recent ones, "0" to "9".
+// decile returns the decile of a size among the recent ones, "0" to "9". It is "0" if
+// there are none.
 func (z *sizes) decile(size float64) string {
+	if z == nil {
+		return "0"
+	}
 	smaller := 0
 	for _, s := range z.recent {
 		if s < size {
@@ -266,14 +294,14 @@
 		w.credit = float64(matcher.Hash("credit", r.Workspace)^r.ID) / math.MaxUint64
 		v.workspaces[r.Workspace] = w
 	}
+	if v.sizes[r.Kind] == nil {
+		v.sizes[r.Kind] = &sizes{}
+	}
 	if returns {
 		return w
 	}
 	w.demand.add(now, r.Work)
 	w.addRank(now, r.Rank, r.Work)
-	if v.sizes[r.Kind] == nil {
-		v.sizes[r.Kind] = &sizes{}
-	}
 	v.sizes[r.Kind].add(r.Size)
 	if v.meanWork == 0 {
 		v.meanWork = r.Work
@@ -312,4 +340,9 @@
 			delete(v.classes, k)
 		}
 	}
+	for kind, c := range v.controls {
+		if now-max(c.at, c.excessAt) > 2*rankSpan {
+			delete(v.controls, kind)
+		}
+	}
 }
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -85,10 +85,13 @@
 	}
 }
 
+// group is a class of requests by name.
+type group struct{ by, name string }
+
 func checkStarvation(t *testing.T, seed uint64) {
 	t.Helper()
 	list := run(seed, load{until: 35 * clock.Second, demand: times(1.8, 6)})
-	asked, served := make(map[class]int), make(map[class]int)
+	asked, served := make(map[group]int), make(map[group]int)
 	z := &sizes{}
 	for _, o := range list {
 		if o.kind == 0 {
@@ -96,11 +99,11 @@
 		}
 	}
 	for _, o := range list {
-		keys := []class{
+		keys := []group{
 			{"kind and rank", fmt.Sprint(o.kind)}, {"workspace", fmt.Sprint(o.workspace)}, {"session", o.session},
 		}
 		if o.kind == 0 {
-			keys = append(keys, class{"size", z.decile(o.size)})
+			keys = append(keys, group{"size", z.decile(o.size)})
 		}
 		for _, k := range keys {
 			asked[k]++
@@ -114,7 +117,7 @@
 			t.Errorf("%v: %d of %d served, want at least a fifth", k, served[k], n)
 		}
 	}
-	largest, kind := class{"size", "9"}, class{"kind and rank", "0"}
+	largest, kind := group{"size", "9"}, group{"kind and rank", "0"}
 	got := float64(served[largest]) / float64(asked[largest])
 	if want := float64(served[kind]) / float64(asked[kind]) / 2; got < want {
 		t.Errorf("largest tenth: got %.3f served, want at least %.3f", got, want)
@@ -144,7 +147,7 @@
 				r.Idle = i%10 != 0
 				if !r.Idle {
 					tt.change(&r)
-					s.services["s"].workspaces["w"].credit, s.services["s"].refused = -1, maxRefused
+					s.services["s"].workspaces["w"].credit, s.services["s"].controls["k"].refused = -1, maxRefused
 					if w := s.services["s"].workspaces["x"]; w != nil {
 						w.credit = -1
 					}
@@ -193,17 +196,18 @@
 }
 
 // short returns a Shedder of which service "s" refuses the given share of its work. The
-// workspaces have sent equal work, and the expected time stays at the planned one.
+// workspaces have sent equal work, and the expected time stays just over the target.
 func short(refused float64, workspaces ...string) (*Shedder, Request) {
 	s := New(Options{})
 	r := Request{
-		Service: "s", Kind: "k", Work: 100, Target: 1000, Remaining: 3000, Expected: planningShare*1000 + 1,
+		Service: "s", Kind: "k", Work: 100, Target: 1000, Remaining: 3000, Expected: 1001,
 	}
 	for i := range 90 {
 		r.ID, r.Workspace, r.Rank = uint64(i), workspaces[i%len(workspaces)], i%3
 		s.Decide(clock.Millis(1000+i), r)
 	}
-	s.services["s"].refused, s.services["s"].shortUntil = refused, clock.Hour
+	c := s.services["s"].controls["k"]
+	c.refused, c.shortUntil = refused, clock.Hour
 	return s, r
 }
 
@@ -235,10 +239,10 @@
 		now := clock.Millis(1100 + i)
 		r.ID, r.Rank = uint64(1000+i), 1
 		if i%10 == 9 { // one that was refused some time before
-			s.waiting[r.ID] = now - 1
+			s.waiting[r.attempt()] = now - 1
 			returned++
 		}
-		s.services["s"].refused = maxRefused / 2
+		s.services["s"].controls["k"].refused = maxRefused / 2
 		if s.Decide(now, r).Admitted {
 			if i%10 == 9 {
 				returning++
@@ -271,9 +275,10 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			v.plan, v.refused = plan{}, 0.2
-			v.update(1100, "s", func(clock.Millis, string) Demand { return tt.others })
-			got := v.plan.refusedShare(matcher.Hash("workspace", "a"), 1)
+			c := v.controls["k"]
+			c.plan, c.refused = plan{}, 0.2
+			v.update(1100, c, "s", func(clock.Millis, string) Demand { return tt.others })
+			got := c.plan.refusedShare(matcher.Hash("workspace", "a"), 1)
 			if math.Abs(got-tt.want) > 0.03 {
 				t.Errorf("refused share: got %.3f, want %.3f", got, tt.want)
 			}
@@ -311,3 +316,63 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// Guards against the refusal of requests that are expected in time while a shortage lasts,
+// whatever has been measured before.
+func TestBelowTarget(t *testing.T) {
+	s, r := short(maxRefused, "w")
+	for i := range 100 {
+		s.Observe(clock.Millis(1000+i), "s", "k", 100, 5000)
+	}
+	for i, expected := range []clock.Millis{0, 599, 600, 601, 900, 1000} {
+		for j := range 50 {
+			r.ID, r.Session, r.Expected = uint64(1000+100*i+j), fmt.Sprint(j), expected
+			if !s.Decide(clock.Millis(1200+50*i+j), r).Admitted {
+				t.Fatalf("refused at an expected time of %d ms, target 1000 ms", expected)
+			}
+		}
+	}
+}
+
+// Guards against a route without a target, or with a shorter one, whose expected times
+// make a route refuse that has had no shortage.
+func TestOtherTarget(t *testing.T) {
+	tests := map[string]struct {
+		kind   string
+		target clock.Millis
+	}{
+		"no target, same route": {"k", 0}, "no target, another route": {"l", 0}, "shorter target": {"l", 100},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New(Options{})
+			r := Request{Service: "s", Workspace: "w", Work: 100, Remaining: 3000}
+			r.Kind, r.Target, r.Expected = tt.kind, tt.target, 2900
+			for i := range 100 {
+				r.ID = uint64(i)
+				s.Decide(clock.Millis(1000+50*i), r)
+			}
+			r.Kind, r.Target, r.Expected = "k", 1000, 1100
+			for i := range 20 {
+				r.ID = uint64(1000 + i)
+				if !s.Decide(6000, r).Admitted {
+					t.Fatalf("request %d after the others: refused, want admitted", i)
+				}
+			}
+		})
+	}
+}
+
+// Guards against refusals by a share that was found before a pause in the requests, in
+// which the queue has shrunk.
+func TestRefusedDecays(t *testing.T) {
+	s, r := short(maxRefused, "w")
+	at := s.services["s"].controls["k"].at
+	r.Expected = 1001
+	s.Decide(at+10*clock.Second, r)
+	// The request itself may raise the share by what one request accounts for.
+	want := 0.01 + float64(maxStep)/float64(controlTime)
+	if got := s.services["s"].controls["k"].refused; got > want {
+		t.Errorf("refused share after 10 s without requests: got %.3f, want at most %.3f", got, want)
+	}
+}
