partitioner, balancer: small data centres and services without reserved endpoints as before

Change: no endpoint is reserved in a data centre of fewer than eight, and the smaller weight counts only where endpoints are reserved. Test: TestSmallDataCentre.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -38,6 +38,9 @@
 // Balancer holds the weights of the cost function.
 type Balancer struct {
 	OwnWork float64 // weight of the request's own work relative to queued work: it delays all later requests
+	// GroupedOwnWork replaces OwnWork where endpoints are reserved for long prompts. With
+	// OwnWork, prompts stay at busy endpoints of their group that hold a part of them.
+	GroupedOwnWork float64
 	// SpeedWork is the weight of the time by which the request's own work takes longer
 	// there than at the median endpoint. With OwnWork's weight, long prompts wait behind
 	// each other at the fastest endpoints while slower ones are idle.
@@ -57,7 +60,7 @@
 // simulation of package dispatcher did not differ, with 0.3 more were late in overload.
 func Default() Balancer {
 	return Balancer{
-		OwnWork: 4, SpeedWork: 1, RunningWork: 1.5, OverflowWork: 60, HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95,
+		OwnWork: 6, GroupedOwnWork: 4, SpeedWork: 1, RunningWork: 1.5, OverflowWork: 60, HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95,
 		LateWork: 0.03,
 	}
 }
@@ -140,7 +143,11 @@
 		}
 	}
 	own := q.Prompt - hit*q.Shared
-	cost := c.Work + b.OwnWork*own + float64(c.Running)*b.RunningWork + c.Penalty
+	weight := b.OwnWork
+	if q.Gap > 0 {
+		weight = b.GroupedOwnWork
+	}
+	cost := c.Work + weight*own + float64(c.Running)*b.RunningWork + c.Penalty
 	if q.Gap > 0 {
 		cost += b.gapCost(&q, c, own)
 	}
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -57,6 +57,9 @@
 	if p.updatedAt == 0 || now-p.updatedAt >= partitionInterval {
 		d.updatePartition(now, q.service, p)
 	}
+	if p.Count() == 0 {
+		return
+	}
 	query.Gap, query.Long = float64(p.gap), q.long
 	query.GroupCost = groupCost(query.Gap, list)
 	local := false
@@ -66,7 +69,7 @@
 	}
 	// A data centre with too few endpoints to reserve any keeps its long prompts: bytes
 	// between data centres are billed.
-	if p.Count() == 0 || local && p.CountIn(d.options.DataCentre) == 0 {
+	if local && p.CountIn(d.options.DataCentre) == 0 {
 		query.Long = false
 	}
 }
--- a/partitioner/partitioner.go
+++ b/partitioner/partitioner.go
@@ -15,6 +15,8 @@
 	Utilisation float64
 	// MaxShare is the largest share of a data centre's endpoints that is reserved.
 	MaxShare float64
+	// MinEndpoints is the number of a data centre's endpoints below which none is reserved.
+	MinEndpoints int
 	// ShrinkAfter is the time in ms after which the number decreases by one while the
 	// demand calls for fewer endpoints.
 	ShrinkAfter clock.Millis
@@ -24,8 +26,11 @@
 // long prompts often waited for each other or interrupted each other's streams. Five
 // seconds are longer than the gaps between clustered arrivals, so that the number
 // does not follow each of them.
+//
+// With three to five endpoints in a data centre, one is a large part of them: on the
+// deployments of that size, requests waited for each other in both groups.
 func Default() Options {
-	return Options{Utilisation: 0.22, MaxShare: 1.0 / 3, ShrinkAfter: 5 * clock.Second}
+	return Options{Utilisation: 0.22, MaxShare: 1.0 / 3, MinEndpoints: 8, ShrinkAfter: 5 * clock.Second}
 }
 
 // Endpoint is a usable endpoint of the service.
@@ -97,6 +102,9 @@
 			p.counts[dc] = c
 		}
 		most := int(p.options.MaxShare*float64(len(ids)) + 1e-9)
+		if len(ids) < p.options.MinEndpoints {
+			most = 0
+		}
 		needed := demand * float64(len(ids)) / float64(len(endpoints)) / p.options.Utilisation
 		c.update(now, int(min(float64(most), math.Ceil(needed))), most, p.options.ShrinkAfter)
 		if c.current > 0 {
--- a/partitioner/partitioner_test.go
+++ b/partitioner/partitioner_test.go
@@ -19,7 +19,7 @@
 }
 
 // testOptions are independent of the settings of the platform deployment.
-var testOptions = Options{Utilisation: 0.35, MaxShare: 1.0 / 3, ShrinkAfter: 5 * clock.Second}
+var testOptions = Options{Utilisation: 0.35, MaxShare: 1.0 / 3, MinEndpoints: 2, ShrinkAfter: 5 * clock.Second}
 
 // Guards against too few endpoints for the long prompts and against reserving more
 // than a third of them, or any without long prompts.
@@ -98,3 +98,15 @@
 		}
 	}
 }
+
+// Guards against a large part of a small data centre's endpoints that is left to long
+// prompts. Seen on thekkedath-tabs, with three in each.
+func TestSmallDataCentre(t *testing.T) {
+	for n, want := range map[int]int{Default().MinEndpoints - 1: 0, Default().MinEndpoints: 2} {
+		p := New("s", Default())
+		p.Update(1, 100, endpoints(n, "a"))
+		if got := p.CountIn("a"); got != want || p.Count() != want {
+			t.Errorf("%d endpoints: got %d reserved, want %d", n, got, want)
+		}
+	}
+}
