--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -60,7 +60,8 @@
 // simulation of package dispatcher did not differ, with 0.3 more were late in overload.
 func Default() Balancer {
 	return Balancer{
-		OwnWork: 6, GroupedOwnWork: 4, SpeedWork: 1, RunningWork: 1.5, OverflowWork: 60, HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95,
+		OwnWork: 6, GroupedOwnWork: 4, SpeedWork: 1, RunningWork: 1.5, OverflowWork: 60,
+		HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95,
 		LateWork: 0.03,
 	}
 }
