--- a/calibrator/calibrator.go
+++ b/calibrator/calibrator.go
@@ -184,17 +184,10 @@
 // record records a value of an endpoint, which is compared with the baseline at a
 // point. The lock is held.
 func (c *Calibrator) record(now clock.Millis, p *endpoint, key baselineKey, point float64, running int, value float64) {
-	if p == nil || !(value > 0 && value <= math.MaxInt32) { // the latter is true for NaN
+	b := c.baseline(key)
+	if p == nil || b == nil || !(value > 0 && value <= math.MaxInt32) { // the last is true for NaN
 		return
 	}
-	b := c.baselines[key]
-	if b == nil {
-		if len(c.baselines) >= maxBaselines {
-			return
-		}
-		b = &baseline{}
-		c.baselines[key] = b
-	}
 	expected := b.at(point)
 	failing := p.failed && now-p.failedAt < failureSpan
 	if value < minRatio*expected || failing && value < expected || failing && expected == 0 {
@@ -222,6 +215,16 @@
 	}
 }
 
+// baseline returns a baseline, or nil if there are too many. The lock is held.
+func (c *Calibrator) baseline(key baselineKey) *baseline {
+	b := c.baselines[key]
+	if b == nil && len(c.baselines) < maxBaselines {
+		b = &baseline{}
+		c.baselines[key] = b
+	}
+	return b
+}
+
 // add adds samples with a sum.
 func (p *endpoint) add(now clock.Millis, sum float64, count int) {
 	p.short.add(now, shortHalfLife, sum, count)
