--- a/calibrator/calibrator.go
+++ b/calibrator/calibrator.go
@@ -189,8 +189,7 @@
 		return
 	}
 	expected := b.at(point)
-	failing := p.failed && now-p.failedAt < failureSpan
-	if value < minRatio*expected || failing && value < expected || failing && expected == 0 {
+	if value < minRatio*expected || p.failing(now) && (value < expected || expected == 0) {
 		return
 	}
 	if ratio := value / expected; expected > 0 {
@@ -215,6 +214,10 @@
 	}
 }
 
+// failing reports whether a request has failed recently, so that fast responses say
+// nothing.
+func (p *endpoint) failing(now clock.Millis) bool { return p.failed && now-p.failedAt < failureSpan }
+
 // baseline returns a baseline, or nil if there are too many. The lock is held.
 func (c *Calibrator) baseline(key baselineKey) *baseline {
 	b := c.baselines[key]
