--- a/stager/failures.go
+++ b/stager/failures.go
@@ -263,8 +263,9 @@
 // leastFalseAlarm returns the probability of a false alarm if all failures of the route
 // that can fall to the target do so. It is 1 for a route that never fails or always does.
 func (c RouteCounts) leastFalseAlarm() float64 {
-	probabilities := hypergeometric(c.NewServed, c.OldServed, c.NewFailed+c.OldFailed)
-	return probabilities[len(probabilities)-1]
+	n, m, failures := c.NewServed, c.OldServed, c.NewFailed+c.OldFailed
+	k := min(n, failures)
+	return math.Exp(logBinomial(n, k) + logBinomial(m, failures-k) - logBinomial(n+m, failures))
 }
 
 // convolve returns the distribution of the sum of two independent numbers.
--- a/stager/schedule.go
+++ b/stager/schedule.go
@@ -114,7 +114,7 @@
 // assess updates what the stage depends on.
 func (r *rolloutState) assess(now clock.Millis, t sums) {
 	r.doubtful = t.isWorse(doubt)
-	r.undecided = t.failsMore(undecided)
+	r.undecided = r.plain && r.elapsed(now) >= r.completeFrom() && t.failsMore(undecided)
 	r.loaded, _ = t.routes.loaded()
 	elapsed := r.elapsed(now)
 	if r.doubtful || r.peersDoubt(now) {
