stager: one name for the time from which a plain service completes

lastJudgement and completeFrom were equal for plain services, and undecided implies a plain service.

--- a/stager/evidence.go
+++ b/stager/evidence.go
@@ -99,10 +99,9 @@
 }
 
 // The evidence is evaluated about a hundred times in a roll-out, so an immediate
-// verdict requires more of it than the decisions before completion. The last one, for a
-// plain service about whose target there is still doubt, requires the least, and a little
-// less evidence keeps the roll-out undecided. A bad version
-// fails a third of its requests of one kind at least, or takes several times as
+// verdict requires more of it than the decisions before completion. The last one, of a
+// plain service, requires the least, and a little less keeps its roll-out undecided. A bad
+// version fails a third of its requests of one kind at least, or takes several times as
 // long. Ends of endpoints need more evidence: one request that crashes endpoints may end
 // several of the same version before it is held.
 var (
--- a/stager/schedule.go
+++ b/stager/schedule.go
@@ -36,10 +36,10 @@
 	// settleTime is the time from the final judgement to completion, in which the
 	// verdicts of all instances arrive.
 	settleTime = 1200 * clock.Millis(1)
-	// lateMargin is the time left at which the roll-out no longer waits for late
-	// reports, and at which a plain service completes, whose full share answers a few more
-	// requests in the time between both. The deadline counts from the order, which is seen
-	// 0.1 s later, and decisions are 0.2 s apart.
+	// lateMargin is the time left at which the roll-out no longer waits for late reports.
+	// It is also the time left at which a plain service completes, so that its full share
+	// answers more requests than until deadlineMargin. The deadline counts from the order,
+	// which is seen 0.1 s later, and decisions are 0.2 s apart.
 	lateMargin = 500 * clock.Millis(1)
 	// undecidedTime is the time after the deadline for which failures that nearly suffice
 	// for a verdict delay the completion of a plain service. By then, the full share has
@@ -169,19 +169,11 @@
 // target is enough.
 func (r *rolloutState) finalJudgement() clock.Millis { return r.completeFrom() - settleTime }
 
-// lastJudgement returns the elapsed time from which the least evidence against the
-// target of a plain service is enough.
-func (r *rolloutState) lastJudgement() clock.Millis { return r.rollout.Duration - lateMargin }
-
-// isUndecided reports whether the completion of a plain service waits past the deadline.
-func (r *rolloutState) isUndecided(elapsed clock.Millis) bool {
-	return r.plain && r.undecided && elapsed < r.rollout.Duration+undecidedTime
-}
-
-// requiredEvidence returns the evidence that is required against the target now.
+// requiredEvidence returns the evidence that is required against the target now. From
+// completeFrom on, that of a plain service is the least.
 func (r *rolloutState) requiredEvidence(elapsed clock.Millis) strictness {
 	switch {
-	case r.plain && elapsed >= r.lastJudgement():
+	case r.plain && elapsed >= r.completeFrom():
 		return last
 	case elapsed >= r.finalJudgement():
 		return final
@@ -192,14 +184,14 @@
 // mayComplete reports whether the roll-out may complete: all reports are recent, and
 // either the full share has been served long enough, with enough responses of a plain
 // service, without doubt and without requests on the old version, or the end of the
-// roll-out is near.
+// roll-out is near and, for a plain service, failures do not nearly suffice for a verdict.
 func (r *rolloutState) mayComplete(now clock.Millis, oldInFlight int) bool {
 	elapsed := r.elapsed(now)
 	if r.reportsAreLate(now) && elapsed < r.rollout.Duration-lateMargin {
 		return false
 	}
 	if elapsed >= r.completeFrom() {
-		return !r.isUndecided(elapsed)
+		return !r.undecided || elapsed >= r.rollout.Duration+undecidedTime
 	}
 	if oldInFlight > 0 || r.plain && r.loaded < completeLoaded || r.doubtful || r.peersDoubt(now) {
 		return false
