--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -66,7 +66,7 @@
 	defer x.releaseEscalation()
 	var sendErr error
 	for {
-		if err := x.checkRetry(ctx); err != nil {
+		if err := x.checkSend(ctx); err != nil {
 			x.refuse(finalError(x, err, sendErr))
 			return
 		}
@@ -143,7 +143,15 @@
 	return minRetryReserve + (maxRetryReserve-minRetryReserve)*certainty
 }
 
-// checkRetry returns the reason why no endpoint, or no further one, may be tried, or nil.
+// checkSend returns the reason why the request must not be sent, or not again, or nil.
+func (x *exchange) checkSend(ctx context.Context) error {
+	if err := x.checkRetry(ctx); err != nil {
+		return err
+	}
+	return x.admitRoom()
+}
+
+// checkRetry returns the reason why no further endpoint may be tried, or nil.
 func (x *exchange) checkRetry(ctx context.Context) error {
 	switch {
 	case ctx.Err() != nil || x.now() >= x.deadline:
@@ -155,7 +163,7 @@
 	case x.mayCrashEndpoints():
 		return refuser.ErrBackEndFailed.WithMessage("%d connections ended before the first event", x.breaks)
 	}
-	return x.admitRoom()
+	return nil
 }
 
 // consumeRetry reports whether the next send is within the retry budget, which
