--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -56,13 +56,12 @@
 // Default returns the weights of the platform deployment. A decode step of a
 // full engine takes about 4 ms, of which each request adds about a hundredth. A
 // request beyond the slots waits until a running one ends, which takes a few
-// hundred ms. LateWork is a trial value: with 0 to 0.1, late streams in the
-// simulation of package dispatcher did not differ, with 0.3 more were late in overload.
+// hundred ms. With a LateWork of 0.3, more streams were late in the simulated overload
+// of package dispatcher.
 func Default() Balancer {
 	return Balancer{
 		OwnWork: 6, GroupedOwnWork: 4, SpeedWork: 1, RunningWork: 1.5, OverflowWork: 60,
-		HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95,
-		LateWork: 0.03,
+		HitFirst: 0.7, HitSecond: 0.2, HitCached: 0.95, LateWork: 0.03,
 	}
 }
 
@@ -111,7 +110,8 @@
 	}
 	overload := float64(overloadCost)
 	if best >= 0 && list[best].Factor > 0 && list[best].Factor != 1 {
-		// Instances that agree on the speeds would all choose the fastest endpoint.
+		// Instances that agree on the speeds would all choose the fastest endpoint. With
+		// GroupedOwnWork as the weight, more streams were late.
 		overload += b.OwnWork * q.Prompt
 	}
 	if bestCost < overload {
@@ -144,11 +144,7 @@
 		}
 	}
 	own := q.Prompt - hit*q.Shared
-	weight := b.OwnWork
-	if q.Gap > 0 {
-		weight = b.GroupedOwnWork
-	}
-	cost := c.Work + weight*own + float64(c.Running)*b.RunningWork + c.Penalty
+	cost := c.Work + b.ownWeight(&q)*own + float64(c.Running)*b.RunningWork + c.Penalty
 	if q.Gap > 0 {
 		cost += b.gapCost(&q, c, own)
 	}
@@ -164,6 +160,14 @@
 	return cost
 }
 
+// ownWeight returns the weight of the request's own work.
+func (b Balancer) ownWeight(q *Query) float64 {
+	if q.Gap > 0 {
+		return b.GroupedOwnWork
+	}
+	return b.OwnWork
+}
+
 // gapCost returns the cost of an endpoint of the other group, and of running streams
 // that become late by the request's own work.
 func (b Balancer) gapCost(q *Query, c *Candidate, own float64) float64 {
