--- a/shedder/demand.go
+++ b/shedder/demand.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
@@ -186,7 +187,7 @@
 func (v *service) classesOf(r Request) []class {
 	list := []class{
 		classOf("kind", r.Kind), classOf("size", r.Kind+"/"+v.sizes[r.Kind].decile(r.Size)),
-		classOf("workspace", r.Workspace), classOf("rank", string(rune('0'+r.Rank))),
+		classOf("workspace", r.Workspace), classOf("rank", strconv.Itoa(r.Rank)),
 	}
 	if r.Session != "" {
 		list = append(list, classOf("session", r.Session))
