--- a/shedder/demand.go
+++ b/shedder/demand.go
@@ -6,29 +6,14 @@
 	"slices"
 	"strconv"
 
+	"rosemaryarch.example/rosemaryarch/averager"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
 )
 
-// rate is an exponentially weighted average in ms of work per ms.
-type rate struct {
-	sum  float64 // decayed to the time at
-	at   clock.Millis
-	span clock.Millis
-}
-
-func (r *rate) add(now clock.Millis, work float64) {
-	r.sum = r.sum*math.Exp(-float64(now-r.at)/float64(r.span)) + work
-	r.at = now
-}
-
-func (r *rate) value(now clock.Millis) float64 {
-	return r.sum * math.Exp(-float64(now-r.at)/float64(r.span)) / float64(r.span)
-}
-
 // workspace is the demand of one workspace for a service.
 type workspace struct {
-	demand rate
+	demand averager.Rate
 	ranks  []rankDemand
 	credit float64 // requests that are due to be admitted
 }
@@ -36,18 +21,20 @@
 // rankDemand is the demand of one rank of a workspace.
 type rankDemand struct {
 	rank   int
-	demand rate
+	demand averager.Rate
 }
 
 // addRank counts work as demand of a rank.
 func (w *workspace) addRank(now clock.Millis, rank int, work float64) {
 	for i := range w.ranks {
 		if w.ranks[i].rank == rank {
-			w.ranks[i].demand.add(now, work)
+			w.ranks[i].demand.Add(now, work)
 			return
 		}
 	}
-	w.ranks = append(w.ranks, rankDemand{rank: rank, demand: rate{sum: work, at: now, span: rankSpan}})
+	added := rankDemand{rank: rank, demand: averager.Rate{Span: rankSpan}}
+	added.demand.Add(now, work)
+	w.ranks = append(w.ranks, added)
 }
 
 // refusedShare returns the share of a rank that is refused if the given share of the
@@ -55,7 +42,7 @@
 func (w *workspace) refusedShare(now clock.Millis, rank int, share float64) float64 {
 	var total, later, own float64
 	for i := range w.ranks {
-		v := w.ranks[i].demand.value(now)
+		v := w.ranks[i].demand.Value(now)
 		total += v
 		switch k := w.ranks[i].rank; {
 		case k > rank:
@@ -111,7 +98,7 @@
 		rates[hash] = finite(r)
 	}
 	for name, w := range v.workspaces {
-		rates[matcher.Hash("workspace", name)] += w.demand.value(now)
+		rates[matcher.Hash("workspace", name)] += w.demand.Value(now)
 	}
 	reporting := float64(1 + max(0, others.Reporting))
 	scale := 1 + float64(max(0, others.Unknown))/reporting
@@ -171,15 +158,15 @@
 func classOf(by, name string) class { return class(matcher.Hash(by, name)) }
 
 // count holds decaying counts of requests.
-type count struct{ asked, admitted rate }
+type count struct{ asked, admitted averager.Rate }
 
 // share returns the admitted share of the requests.
 func (c *count) share(now clock.Millis) float64 {
-	asked := c.asked.value(now)
+	asked := c.asked.Value(now)
 	if asked <= 0 {
 		return 1
 	}
-	return c.admitted.value(now) / asked
+	return c.admitted.Value(now) / asked
 }
 
 // classesOf returns the classes of a request: of its kind, its size, its workspace, its
@@ -213,7 +200,7 @@
 			least = max(least, sizeShare*kind)
 		}
 		// The next request must be due: its class has asked often enough for one more.
-		asked, admitted := c.asked.value(now)*float64(rankSpan), c.admitted.value(now)*float64(rankSpan)
+		asked, admitted := c.asked.Value(now)*float64(rankSpan), c.admitted.Value(now)*float64(rankSpan)
 		if !counted {
 			asked++
 		}
@@ -239,14 +226,14 @@
 			if len(v.classes) >= limit {
 				continue
 			}
-			c = &count{asked: rate{span: rankSpan}, admitted: rate{span: rankSpan}}
+			c = &count{asked: averager.Rate{Span: rankSpan}, admitted: averager.Rate{Span: rankSpan}}
 			v.classes[k] = c
 		}
 		if isNew {
-			c.asked.add(now, 1)
+			c.asked.Add(now, 1)
 		}
 		if admitted {
-			c.admitted.add(now, 1)
+			c.admitted.Add(now, 1)
 		}
 	}
 }
@@ -289,7 +276,7 @@
 func (v *service) record(now clock.Millis, r Request, returns bool) *workspace {
 	w := v.workspaces[r.Workspace]
 	if w == nil {
-		w = &workspace{demand: rate{span: rateSpan}}
+		w = &workspace{demand: averager.Rate{Span: rateSpan}}
 		// Without a random start, the first requests of all workspaces would be
 		// refused on every instance at the same time.
 		w.credit = float64(matcher.Hash("credit", r.Workspace)^r.ID) / math.MaxUint64
@@ -301,7 +288,7 @@
 	if returns {
 		return w
 	}
-	w.demand.add(now, r.Work)
+	w.demand.Add(now, r.Work)
 	w.addRank(now, r.Rank, r.Work)
 	v.sizes[r.Kind].add(r.Size)
 	if v.meanWork == 0 {
@@ -332,12 +319,12 @@
 // sweep removes what has not been asked for recently.
 func (v *service) sweep(now clock.Millis) {
 	for name, w := range v.workspaces {
-		if now-w.demand.at > 2*rankSpan {
+		if now-w.demand.At() > 2*rankSpan {
 			delete(v.workspaces, name)
 		}
 	}
 	for k, c := range v.classes {
-		if now-c.asked.at > 2*rankSpan {
+		if now-c.asked.At() > 2*rankSpan {
 			delete(v.classes, k)
 		}
 	}
--- a/shedder/limits_test.go
+++ b/shedder/limits_test.go
@@ -34,7 +34,7 @@
 			tt.change(&r)
 			now := 1000 + v.RetryAfter
 			s.Decide(now, r)
-			asked := s.services[r.Service].workspaces["w"].demand.value(now)
+			asked := s.services[r.Service].workspaces["w"].demand.Value(now)
 			if r.Service == "s" {
 				asked -= 100 * math.Exp(-float64(v.RetryAfter)/float64(rateSpan)) / float64(rateSpan)
 			}
@@ -56,7 +56,7 @@
 		s.Decide(1100, r)
 		v := s.services["s"]
 		for name, got := range map[string]float64{
-			"mean work": v.meanWork, "size": v.sizes["k"].recent[0], "demand": v.workspaces["w"].demand.value(1100),
+			"mean work": v.meanWork, "size": v.sizes["k"].recent[0], "demand": v.workspaces["w"].demand.Value(1100),
 		} {
 			if math.IsNaN(got) || got < 0 || got > 200 {
 				t.Errorf("%s after %v: got %v, want 0 to 200", name, x, got)
@@ -83,7 +83,7 @@
 	for _, others := range list {
 		s, _ := short(0.4, "a", "b")
 		v := s.services["s"]
-		own := v.workspaces["a"].demand.value(1100)
+		own := v.workspaces["a"].demand.Value(1100)
 		c := v.controls["k"]
 		c.plan = plan{}
 		v.update(1100, c, "s", func(clock.Millis, string) Demand { return others })
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -236,7 +236,7 @@
 	least := returningCredit
 	if !returns {
 		least = 1
-		share := c.plan.refusedShare(matcher.Hash("workspace", r.Workspace), w.demand.value(now))
+		share := c.plan.refusedShare(matcher.Hash("workspace", r.Workspace), w.demand.Value(now))
 		w.credit = min(1, w.credit+1-w.refusedShare(now, r.Rank, share))
 	}
 	if w.credit < least && !v.starves(now, r, returns) {
@@ -283,7 +283,7 @@
 func (s *Shedder) Rates(now clock.Millis, each func(service, workspace string, rate float64)) {
 	for name, v := range s.services {
 		for workspace, w := range v.workspaces {
-			if rate := w.demand.value(now); rate > 0 {
+			if rate := w.demand.Value(now); rate > 0 {
 				each(name, workspace, rate)
 			}
 		}
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"rosemaryarch.example/rosemaryarch/averager"
 	"rosemaryarch.example/rosemaryarch/clock"
 )
 
@@ -18,13 +19,13 @@
 // concurrent use.
 type Throttler struct {
 	options Options
-	base    rate         // work of first models
-	demand  rate         // work that larger models would have if no escalation were held back
-	long    rate         // work of long prompts
-	started clock.Millis // time of the first request; 0: none yet
+	base    averager.Rate // work of first models
+	demand  averager.Rate // work that larger models would have if no escalation were held back
+	long    averager.Rate // work of long prompts
+	started clock.Millis  // time of the first request; 0: none yet
 	// demandByRank is the demand by priority rank, averaged over rankSpanFactor
 	// times Span: one instance sees too few requests for a shorter time.
-	demandByRank map[int]*rate
+	demandByRank map[int]*averager.Rate
 }
 
 // rankSpanFactor is the averaging time of the demand by rank in units of Span.
@@ -35,37 +36,19 @@
 // sometimes.
 const priorityWeight = 0.6
 
-// rate is an exponentially weighted average in ms of work per ms.
-type rate struct {
-	sum float64 // ms of work, decayed to the time at
-	at  clock.Millis
-}
-
-func (r *rate) add(now clock.Millis, work float64, span clock.Millis) {
-	// A single value that is no number would stay in the sum for good.
-	if !(work > 0 && work <= math.MaxInt32) {
-		return
-	}
-	r.sum = r.value(now, span)*float64(span) + work
-	r.at = now
-}
-
-func (r *rate) value(now clock.Millis, span clock.Millis) float64 {
-	return r.sum / float64(span) * math.Exp(-float64(now-r.at)/float64(span))
-}
-
 // New returns a Throttler without data. It panics if an option is not positive.
 func New(o Options) *Throttler {
 	if o.Span <= 0 || o.Share <= 0 {
 		panic("throttler: Options.Span and Options.Share must be positive")
 	}
-	return &Throttler{options: o, demandByRank: make(map[int]*rate)}
+	of := averager.Rate{Span: o.Span}
+	return &Throttler{options: o, base: of, demand: of, long: of, demandByRank: make(map[int]*averager.Rate)}
 }
 
 // RecordBase adds work in ms of a first model.
 func (t *Throttler) RecordBase(now clock.Millis, work float64) {
 	t.start(now)
-	t.base.add(now, work, t.options.Span)
+	t.base.Add(now, work)
 }
 
 // start sets the time of the first request.
@@ -78,17 +61,17 @@
 // RecordDemand adds the work in ms that a larger model would have for a request
 // of the given rank; rank 0 is the highest.
 func (t *Throttler) RecordDemand(now clock.Millis, rank int, work float64) {
-	t.demand.add(now, work, t.options.Span)
+	t.demand.Add(now, work)
 	if t.demandByRank[rank] == nil {
-		t.demandByRank[rank] = &rate{at: now}
+		t.demandByRank[rank] = &averager.Rate{Span: rankSpanFactor * t.options.Span}
 	}
-	t.demandByRank[rank].add(now, work, rankSpanFactor*t.options.Span)
+	t.demandByRank[rank].Add(now, work)
 }
 
 // RecordLong adds work in ms of a long prompt, which may be that of a first model.
 func (t *Throttler) RecordLong(now clock.Millis, work float64) {
 	t.start(now)
-	t.long.add(now, work, t.options.Span)
+	t.long.Add(now, work)
 }
 
 // minLongTime is the least time in ms for which an average counts as known.
@@ -100,17 +83,17 @@
 
 // Long returns the average rate of the work of long prompts, in ms per ms.
 func (t *Throttler) Long(now clock.Millis) float64 {
-	if now-t.long.at >= longExpiry {
+	if now-t.long.At() >= longExpiry {
 		return 0
 	}
 	// Without the correction, the average would rise over several spans after a start.
 	known := 1 - math.Exp(-float64(max(minLongTime, now-t.started))/float64(t.options.Span))
-	return t.long.value(now, t.options.Span) / known
+	return t.long.Value(now) / known
 }
 
 // Rates returns the average rates in ms of work per ms.
 func (t *Throttler) Rates(now clock.Millis) (base, demand float64) {
-	return t.base.value(now, t.options.Span), t.demand.value(now, t.options.Span)
+	return t.base.Value(now), t.demand.Value(now)
 }
 
 // PeerRates holds the rates reported by other instances. A single instance sees
@@ -146,7 +129,7 @@
 func (t *Throttler) priorityShare(now clock.Millis, rank int, overall float64) float64 {
 	var higher, own, total float64
 	for r, demand := range t.demandByRank {
-		v := demand.value(now, rankSpanFactor*t.options.Span)
+		v := demand.Value(now)
 		total += v
 		switch {
 		case r < rank:
