review/8: a revoked key is accepted after the store came back from a copy

Processes that start just after the return of the store know no earlier state, read the copy as confirmed and serve a key that had been taken away (CONFIG).

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -78,6 +78,13 @@
 
 // send makes one attempt.
 func send(t http.RoundTripper, address, method, path, id string, body []byte, deadline time.Duration) result {
+	return sendWithKey(t, clientKey, address, method, path, id, body, deadline)
+}
+
+// sendWithKey makes one attempt with a key.
+func sendWithKey(
+	t http.RoundTripper, key, address, method, path, id string, body []byte, deadline time.Duration,
+) result {
 	res := result{id: id, address: address, begin: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -91,7 +98,7 @@
 	req.ContentLength = int64(len(body))
 	req.Host = host
 	req.Header.Set("Rosemaryarch-Attempt-Id", id)
-	req.Header.Set("Rosemaryarch-Credential", clientKey)
+	req.Header.Set("Rosemaryarch-Credential", key)
 	req.Header.Set("Rosemaryarch-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	resp, err := t.RoundTrip(req)
 	if err == nil {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -114,7 +114,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE RECORD")
 		os.Exit(couldNot)
 	}
-	cases := map[string]func(*scene) (int, error){"long-bodies": longBodies, "stop-and-reload": stopAndReload, "unframed-extra": unframedExtra}
+	cases := map[string]func(*scene) (int, error){"long-bodies": longBodies, "stop-and-reload": stopAndReload, "unframed-extra": unframedExtra, "restored-key": restoredKey}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "review-2: no such case")
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -17,6 +18,8 @@
 	address string
 
 	mu       sync.Mutex
+	era      int64 // rises by one when the store comes back from a copy
+	down     bool  // every call is answered with 503
 	revision int64
 	objects  map[string]map[string]*object // by kind and name
 	events   []event
@@ -42,7 +45,7 @@
 }
 
 func newStore(host string) (*store, error) {
-	s := &store{revision: 10, objects: make(map[string]map[string]*object), changed: make(chan struct{})}
+	s := &store{era: 1, revision: 10, objects: make(map[string]map[string]*object), changed: make(chan struct{})}
 	l, err := net.Listen("tcp4", host+":0")
 	if err != nil {
 		return nil, err
@@ -101,6 +104,14 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	era, down := s.era, s.down
+	s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
+	if down {
+		answer(w, http.StatusServiceUnavailable, nil)
+		return
+	}
 	parts := strings.Split(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
 	switch {
 	case r.Method == http.MethodGet && len(parts) == 1 && r.URL.Query().Has("watch"):
@@ -142,8 +153,13 @@
 				events = append(events, map[string]any{"object": e.object, "deleted": e.deleted})
 			}
 		}
-		at, changed := s.revision, s.changed
+		at, changed, lost := s.revision, s.changed, s.down || from > s.revision
+		w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 		s.mu.Unlock()
+		if lost {
+			answer(w, http.StatusGone, nil)
+			return
+		}
 		if len(events) > 0 {
 			answer(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
@@ -186,3 +202,40 @@
 		answer(w, http.StatusOK, s.set(parts[0], object{Metadata: old.Metadata, Spec: body.Spec, Status: old.Status}))
 	}
 }
+
+// copyOf is a copy of the store.
+type copyOf struct {
+	revision int64
+	objects  map[string]map[string]*object
+	events   int
+}
+
+// copy returns a copy of the store.
+func (s *store) copy() copyOf {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := copyOf{revision: s.revision, objects: make(map[string]map[string]*object), events: len(s.events)}
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// setDown takes the store away. Calls that wait end.
+func (s *store) setDown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back from a copy, with the next era.
+func (s *store) restore(c copyOf) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.revision, s.objects, s.events = false, c.revision, c.objects, s.events[:c.events]
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
