--- a/review/standin-2/longbodies.go
+++ b/review/standin-2/longbodies.go
@@ -15,7 +15,7 @@
 	bodyRate     = 6 // streams a second for each machine
 	bodyMachines = 2
 	bodyEvents   = 55
-	bodyGap      = 30 * time.Millisecond
+	bodyGap      = 80 * time.Millisecond   // the large model, with 7 tokens in an event
 	bodyFirst    = 2500 * time.Millisecond // within the target latency of 3 s
 	warmFor      = 8 * time.Second         // of requests with usual bodies, after which connections are kept
 	bodyDeadline = 20 * time.Second
