--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net"
@@ -198,6 +199,8 @@
 		answer(w, http.StatusCreated, s.set(parts[0], object{Metadata: metadata{Name: name}, Spec: body.Spec}))
 	case len(parts) == 3:
 		answer(w, http.StatusOK, s.set(parts[0], object{Metadata: old.Metadata, Spec: old.Spec, Status: body.Status}))
+	case bytes.Equal(body.Spec, old.Spec): // changes nothing
+		answer(w, http.StatusOK, old)
 	default:
 		answer(w, http.StatusOK, s.set(parts[0], object{Metadata: old.Metadata, Spec: body.Spec, Status: old.Status}))
 	}
