--- a/dispatcher/deadline.go
+++ b/dispatcher/deadline.go
@@ -36,14 +36,25 @@
 	if t := x.route.Timeout; t > 0 {
 		x.deadline = min(x.deadline, x.start+t)
 	}
-	if at := clock.Millis(x.dispatcher.stopAt.Load()); at > 0 && x.route.Kind != matcher.Stream {
-		x.deadline = min(x.deadline, at)
+	if s := x.dispatcher.stop.Load(); s != nil && x.route.Kind != matcher.Stream {
+		x.deadline = min(x.deadline, s.responsesBy)
 	}
 }
 
-// endsTooSoon reports whether the process stops before the request is likely to have its
-// response.
-func (x *exchange) endsTooSoon() bool {
-	at := clock.Millis(x.dispatcher.stopAt.Load())
-	return at > 0 && x.route.Kind != matcher.Stream && at-x.now() < minTargetsLeft*x.route.Target
+// stopSchedule holds the times of a planned stop of the process.
+type stopSchedule struct {
+	streamsUntil clock.Millis // time from which streams are refused
+	responsesBy  clock.Millis // time by which other responses must be complete
+}
+
+// refuses reports whether a request that is admitted now is to be refused, because the
+// process may end before its response is complete. A nil schedule refuses none.
+func (s *stopSchedule) refuses(now clock.Millis, r *matcher.Route) bool {
+	switch {
+	case s == nil:
+		return false
+	case r.Kind == matcher.Stream:
+		return now >= s.streamsUntil
+	}
+	return s.responsesBy-now < minTargetsLeft*r.Target
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -121,12 +121,10 @@
 
 // Dispatcher is an http.Handler that is safe for concurrent use.
 type Dispatcher struct {
-	options         Options
-	handler         http.Handler // calls serve
-	draining        atomic.Bool  // responses close their connections
-	refusingStreams atomic.Bool  // new streams are refused, since the process is about to stop
-	stopAt          atomic.Int64 // time by which responses must be complete, since the process stops; 0: none
-	active          atomic.Int64 // requests in progress
+	options Options
+	handler http.Handler                 // calls serve
+	stop    atomic.Pointer[stopSchedule] // nil: the process does not stop
+	active  atomic.Int64                 // requests in progress
 
 	mu         sync.Mutex
 	loads      map[string]*load           // by endpoint
@@ -204,16 +202,13 @@
 // Active returns the number of requests in progress.
 func (d *Dispatcher) Active() int { return int(d.active.Load()) }
 
-// Drain makes responses close their connections. The process stops at the given time:
-// requests that are taken from now on get their final response before, or are refused.
-func (d *Dispatcher) Drain(stopAt clock.Millis) {
-	d.stopAt.Store(int64(stopAt))
-	d.draining.Store(true)
+// Drain makes responses close their connections, since the process stops. Streams that are
+// admitted from streamsUntil on are refused. Other requests get their final response by
+// responsesBy, or are refused.
+func (d *Dispatcher) Drain(streamsUntil, responsesBy clock.Millis) {
+	d.stop.Store(&stopSchedule{streamsUntil: streamsUntil, responsesBy: responsesBy})
 }
 
-// RefuseStreams refuses new streams, which would outlive the process.
-func (d *Dispatcher) RefuseStreams() { d.refusingStreams.Store(true) }
-
 // ServeHTTP serves one request. It panics with http.ErrAbortHandler if the
 // response is not complete, so that the client does not take it for complete.
 func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -224,7 +219,7 @@
 
 func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{dispatcher: d, writer: w, request: r, start: d.options.Clock.Now()}
-	if d.draining.Load() {
+	if d.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x.serve()
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -130,7 +130,7 @@
 	if x.route.Kind == matcher.Stream {
 		x.surging = d.observeSurge(x.now(), x.workspace.Name, x.prompt.tokens)
 	}
-	if d.refusingStreams.Load() && x.route.Kind == matcher.Stream || x.endsTooSoon() {
+	if d.stop.Load().refuses(x.now(), x.route) {
 		return refuser.ErrShuttingDown.WithRetryAfter(shortRetry)
 	}
 	return nil
--- a/dispatcher/rules_test.go
+++ b/dispatcher/rules_test.go
@@ -391,14 +391,16 @@
 	f := newFleet(t, route(matcher.Stream, resumable), func(c net.Conn, r *http.Request, _ string) bool {
 		return writeEvents(c, r, 1, 4, true)
 	})
-	f.dispatcher.Drain(f.confirmed() + clock.Minute)
+	now := f.confirmed()
+	f.dispatcher.Drain(now+clock.Minute, now+clock.Minute)
 	got := f.do("POST", "/a/x", "b")
 	if got.status != 200 || got.body != completeStream {
 		t.Errorf("draining: got %d %q, want 200 and the complete stream", got.status, got.body)
 	}
-	f.dispatcher.RefuseStreams()
-	if got := f.do("POST", "/a/x", "b"); got.status != 503 {
-		t.Errorf("refusing streams: got %d, want 503", got.status)
+	sent := f.sent()
+	f.dispatcher.Drain(f.confirmed(), now+clock.Minute)
+	if got := f.do("POST", "/a/x", "b"); got.status != 503 || f.sent() != sent {
+		t.Errorf("after the last time for streams: got %d and %d sends, want 503 and none", got.status, f.sent()-sent)
 	}
 }
 
--- a/dispatcher/spool_test.go
+++ b/dispatcher/spool_test.go
@@ -183,7 +183,8 @@
 			stopped := make(chan error, 1)
 			if tt.stop {
 				time.Sleep(300 * time.Millisecond)
-				f.dispatcher.Drain(f.dispatcher.options.Clock.Now() + 8*clock.Second)
+				now := f.dispatcher.options.Clock.Now()
+				f.dispatcher.Drain(now+3*clock.Second, now+8*clock.Second)
 				go func() { stopped <- f.frontend.Config.Shutdown(context.Background()) }()
 			} else {
 				stopped <- nil
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -89,9 +89,11 @@
 	// plainDuration is the assumed mean duration in ms of a plain request until some
 	// have been observed.
 	plainDuration = 30
-	// acceptStreamsFor is the time after SIGTERM during which new streams are
-	// accepted.
-	acceptStreamsFor = 3 * clock.Second
+	// acceptStreamsFor is the time after SIGTERM during which new streams are accepted.
+	// A stream that a client sends later than 3 s after SIGTERM must not be cut.
+	acceptStreamsFor = 3*clock.Second - signalMargin
+	// signalMargin is the time that a signal may take to be handled by a busy process.
+	signalMargin = 250 * clock.Millis(1)
 	// exitMargin is the time between the shutdown deadline and the end of the
 	// grace period.
 	exitMargin = 300 * clock.Millis(1)
@@ -349,17 +351,14 @@
 	l.logger.LogUnlimited("stopping", logger.Number("active", l.dispatcher.Active()), logger.Number("grace_ms", grace))
 	l.stopping.Store(true)
 	l.heartbeater.SetReady(false, true)
-	l.dispatcher.Drain(begin + grace - exitMargin - answerMargin)
+	l.dispatcher.Drain(begin+acceptStreamsFor, begin+grace-exitMargin-answerMargin)
 	l.heartbeater.Announce()
 	linger := clock.Millis(float64(grace) * lingerShare)
 	for left := linger; left > 0; left = linger - (l.clock.Now() - begin) {
-		if l.clock.Now()-begin >= acceptStreamsFor {
-			l.dispatcher.RefuseStreams()
-		}
 		select {
 		case s := <-signals:
 			l.logger.LogUnlimited("signal_ignored", logger.Text("signal", s.String()))
-		case <-time.After(min(left, taskInterval).Duration()):
+		case <-time.After(left.Duration()):
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), (grace - exitMargin - (l.clock.Now() - begin)).Duration())
