dispatcher: refuse streams that would outlive a planned stop

Callers whose stream was taken up to 2.75 s after a SIGTERM got most of it, and then a broken connection, if it lasted longer than the process.

Cause: the limit was one time for all streams, whatever they last.

Change: durationestimator keeps the mean and the mean deviation of the durations of complete streams by route. While the process stops, a stream that is likely to last until after its end is refused at once, so that its client asks another instance; without a ready one it is taken as before, since the beginning of a stream can be resumed.

--- a/dispatcher/deadline.go
+++ b/dispatcher/deadline.go
@@ -48,13 +48,29 @@
 }
 
 // refuses reports whether a request that is admitted now is to be refused, because the
-// process may end before its response is complete. A nil schedule refuses none.
-func (s *stopSchedule) refuses(now clock.Millis, r *matcher.Route) bool {
-	switch {
-	case s == nil:
-		return false
-	case r.Kind == matcher.Stream:
-		return now >= s.streamsUntil
+// process may end before its response is complete. A stream is expected to last for the
+// given time; 0 if that is unknown.
+func (s *stopSchedule) refuses(now clock.Millis, r *matcher.Route, expected clock.Millis) bool {
+	if r.Kind == matcher.Stream {
+		return now >= s.streamsUntil || now+expected > s.responsesBy
 	}
 	return s.responsesBy-now < minTargetsLeft*r.Target
 }
+
+// streamDuration returns a time that few streams of the route exceed, or 0 if it is unknown or
+// if no other instance can serve the stream: the beginning of a stream is better than none.
+func (x *exchange) streamDuration() clock.Millis {
+	d := x.dispatcher
+	if x.route.Kind != matcher.Stream || !d.options.PeerReady() {
+		return 0
+	}
+	return d.durations.Upper(x.now(), x.route.Name)
+}
+
+// recordStreamDuration records the duration of a complete stream. That of one which the client
+// has resumed is no sample.
+func (x *exchange) recordStreamDuration() {
+	if x.request.Header.Get(x.dispatcher.options.Names.LastEvent) == "" {
+		x.dispatcher.durations.Record(x.now(), x.route.Name, x.now()-x.start)
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 	"rosemaryarch.example/rosemaryarch/cataloger"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/completer"
+	"rosemaryarch.example/rosemaryarch/durationestimator"
 	"rosemaryarch.example/rosemaryarch/forecaster"
 	"rosemaryarch.example/rosemaryarch/forwarder"
 	"rosemaryarch.example/rosemaryarch/logger"
@@ -126,6 +127,8 @@
 	stop    atomic.Pointer[stopSchedule] // nil: the process does not stop
 	active  atomic.Int64                 // requests in progress
 
+	durations *durationestimator.Estimator // of complete streams, by route
+
 	mu         sync.Mutex
 	loads      map[string]*load           // by endpoint
 	prefixSent map[prefixKey]clock.Millis // last send of a prompt prefix to an endpoint
@@ -176,8 +179,9 @@
 // New returns a Dispatcher without state.
 func New(o Options) *Dispatcher {
 	d := &Dispatcher{
-		options: o,
-		loads:   make(map[string]*load), prefixSent: make(map[prefixKey]clock.Millis),
+		options:   o,
+		durations: durationestimator.New(),
+		loads:     make(map[string]*load), prefixSent: make(map[prefixKey]clock.Millis),
 		forecaster: forecaster.New(forecaster.Default()), partitions: make(map[string]*partition),
 		throttlers: make(map[string]*throttler.Throttler),
 		surges:     surgedetector.New(surgedetector.Default()),
@@ -269,6 +273,7 @@
 		}
 	}
 	d.surges.Sweep(now)
+	d.durations.Sweep(now)
 	for service, p := range d.partitions {
 		d.updatePartition(now, service, p)
 	}
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -130,7 +130,7 @@
 	if x.route.Kind == matcher.Stream {
 		x.surging = d.observeSurge(x.now(), x.workspace.Name, x.prompt.tokens)
 	}
-	if d.stop.Load().refuses(x.now(), x.route) {
+	if s := d.stop.Load(); s != nil && s.refuses(x.now(), x.route, x.streamDuration()) {
 		return refuser.ErrShuttingDown.WithRetryAfter(shortRetry)
 	}
 	return nil
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -223,6 +223,7 @@
 	if empty && !x.headerSent {
 		x.writeStreamHeader(s.response)
 	}
+	x.recordStreamDuration()
 	completer.Complete(x.writer)
 	return resultDone, nil
 }
