cataloger: end the grace of missing entries by the clock

An endpoint whose entry is missing after an outage of the store is used for 2.2 s more, and then for as long as the periodic tasks take to come round: 0.2 s, and more on a busy machine.

Entries keep it while the store is away once more.

Test: the case "missing, grace just over" of TestMayReceiveRequests, which has no periodic call: without the change the endpoint may still receive requests.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -79,6 +79,7 @@
 	leaving         map[string]departure               // endpoints that have said that they leave, by id
 	storeDown       bool                               // the store does not respond
 	storeRegainedAt clock.Millis                       // time at which the store last became available again
+	hasMissing      bool                               // an entry may have ExpiresAt set
 	snapshot        *Snapshot                          // nil if an entry has changed since it was built
 }
 
@@ -96,10 +97,11 @@
 	}
 }
 
-// Snapshot returns the current view.
-func (c *Cataloger) Snapshot() *Snapshot {
+// Snapshot returns the view at the given time, without the entries whose grace time is over.
+func (c *Cataloger) Snapshot(now clock.Millis) *Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.expireMissing(now)
 	if c.snapshot == nil {
 		c.snapshot = c.buildSnapshot()
 	}
@@ -235,11 +237,12 @@
 	expiring := *s
 	expiring.ExpiresAt = c.storeRegainedAt + expiryGrace
 	c.entries[s.ID] = &expiring
+	c.hasMissing = true
 }
 
-// Expire deletes the entries whose grace time is over and reports whether there
-// were any.
-func (c *Cataloger) Expire(now clock.Millis) bool {
+// Expire deletes the entries whose grace time is over, and old statements of endpoints that
+// have left.
+func (c *Cataloger) Expire(now clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, d := range c.leaving {
@@ -247,20 +250,21 @@
 			delete(c.leaving, id)
 		}
 	}
-	if c.storeDown {
-		return false
+	c.expireMissing(now)
+}
+
+// expireMissing deletes the entries whose grace time is over. The lock must be held.
+func (c *Cataloger) expireMissing(now clock.Millis) {
+	if !c.hasMissing || c.storeDown || now < c.storeRegainedAt+expiryGrace {
+		return
 	}
-	changed := false
+	c.hasMissing = false
 	for id, s := range c.entries {
-		if s.ExpiresAt != 0 && now >= c.storeRegainedAt+expiryGrace {
+		if s.ExpiresAt != 0 {
 			c.deleteEntry(id)
-			changed = true
+			c.snapshot = nil
 		}
 	}
-	if changed {
-		c.snapshot = nil
-	}
-	return changed
 }
 
 // MarkCold marks the endpoints that match as cold until the given time, unless
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -30,6 +30,7 @@
 	regained := func(at clock.Millis) step { return func(c *Cataloger) { c.StoreRegained(at) } }
 	expire := func(at clock.Millis) step { return func(c *Cataloger) { c.Expire(at) } }
 	draining := func(e *Endpoint) { e.Draining = true }
+	expired := func(c *Cataloger) { c.Snapshot(11300) } // the time alone ends the grace, no periodic call
 	tests := map[string]struct {
 		steps []step
 		want  bool // the endpoint may receive requests
@@ -41,6 +42,8 @@
 		"missing during outage":     {[]step{put(1000, nil), lost, list(9000), regained(9000), expire(10900)}, true},
 		"missing after outage":      {[]step{put(1000, nil), lost, regained(9000), list(9100), expire(10900)}, true},
 		"missing, not listed again": {[]step{put(1000, nil), lost, regained(9000), list(9100), expire(11300)}, false},
+		"missing, grace just over":  {[]step{put(1000, nil), lost, regained(9000), list(9100), expired}, false},
+		"missing, lost once more":   {[]step{put(1000, nil), lost, regained(9000), list(9100), lost, expired}, true},
 		"missing, listed again": {
 			[]step{put(1000, nil), lost, regained(9000), list(9100), put(10000, nil), expire(20000)},
 			true,
@@ -54,7 +57,7 @@
 			for _, s := range tt.steps {
 				s(c)
 			}
-			if got := c.Snapshot().Endpoint("a") != nil; got != tt.want {
+			if got := c.Snapshot(0).Endpoint("a") != nil; got != tt.want {
 				t.Errorf("may receive requests: got %v, want %v", got, tt.want)
 			}
 		})
@@ -93,7 +96,7 @@
 				t.Error("leaving is reported as new not once")
 			}
 			tt.then(c)
-			if got := c.Snapshot().Endpoint("a") != nil; got != tt.want {
+			if got := c.Snapshot(0).Endpoint("a") != nil; got != tt.want {
 				t.Errorf("may receive requests: got %v, want %v", got, tt.want)
 			}
 		})
@@ -119,10 +122,10 @@
 			c := New()
 			c.Replace(1000, []Endpoint{entry("a", nil)})
 			c.Put(8000, entry("a", tt.change))
-			if got := c.Snapshot().Endpoint("a").ColdUntil > 8000; got != tt.cold {
+			if got := c.Snapshot(0).Endpoint("a").ColdUntil > 8000; got != tt.cold {
 				t.Errorf("cold: got %v, want %v", got, tt.cold)
 			}
-			if got := c.Snapshot().Endpoint("a").ColdUntil > 12000; got {
+			if got := c.Snapshot(0).Endpoint("a").ColdUntil > 12000; got {
 				t.Error("cold long after the warm-up")
 			}
 		})
@@ -132,7 +135,7 @@
 	if got := c.MarkCold(5000, func(s *State) bool { return s.ID == "b" }); got != 1 {
 		t.Errorf("marked cold: got %d, want 1", got)
 	}
-	if a, b := c.Snapshot().Endpoint("a").ColdUntil, c.Snapshot().Endpoint("b").ColdUntil; a != 0 || b != 5000 {
+	if a, b := c.Snapshot(0).Endpoint("a").ColdUntil, c.Snapshot(0).Endpoint("b").ColdUntil; a != 0 || b != 5000 {
 		t.Errorf("cold until: got %d and %d, want 0 and 5000", a, b)
 	}
 }
@@ -170,8 +173,8 @@
 			t.Fatal("snapshot built without demand")
 		}
 	}
-	snapshot := c.Snapshot()
-	if snapshot != c.Snapshot() {
+	snapshot := c.Snapshot(0)
+	if snapshot != c.Snapshot(0) {
 		t.Error("second snapshot built without a change")
 	}
 	for i, e := range snapshot.Service("s") {
@@ -180,8 +183,8 @@
 		}
 	}
 	c.Remove(10000, "e07")
-	if c.Snapshot().Endpoint("e07") != nil || c.Snapshot().Len() != 49 {
-		t.Errorf("after a removal: got %d endpoints, want 49 without e07", c.Snapshot().Len())
+	if c.Snapshot(0).Endpoint("e07") != nil || c.Snapshot(0).Len() != 49 {
+		t.Errorf("after a removal: got %d endpoints, want 49 without e07", c.Snapshot(0).Len())
 	}
 	if snapshot.Endpoint("e07") == nil {
 		t.Error("older snapshot has changed")
--- a/dispatcher/calibrate_test.go
+++ b/dispatcher/calibrate_test.go
@@ -46,7 +46,7 @@
 func TestSlowEndpointCostsMore(t *testing.T) {
 	idle := func(net.Conn, *http.Request, string) bool { return false }
 	f := newFleet(t, route(matcher.Stream, nil), idle, idle, idle)
-	d, list := f.dispatcher, f.catalog.Snapshot().Service("s")
+	d, list := f.dispatcher, f.catalog.Snapshot(0).Service("s")
 	now := clock.Millis(1000)
 	for ; now < 30000; now += 250 {
 		for i, e := range list {
--- a/dispatcher/choose.go
+++ b/dispatcher/choose.go
@@ -150,7 +150,7 @@
 // Without a roll-out, only versions that have been listed long enough are eligible. Those
 // in rest may serve the request only if no other one may.
 func (d *Dispatcher) eligible(now clock.Millis, q *criteria) (first, rest []*cataloger.State) {
-	all := d.options.Catalog.Snapshot().Service(q.service)
+	all := d.options.Catalog.Snapshot(now).Service(q.service)
 	version := d.options.Stager.Choose(now, q.service, q.session)
 	var preferred, fallback availability
 	for _, e := range all {
@@ -371,7 +371,7 @@
 // pressure returns the least and the mean work in ms queued at the endpoints of
 // the service. The least includes penalties and the cost of another data centre.
 func (d *Dispatcher) pressure(now clock.Millis, q *criteria) (least, mean float64) {
-	list := d.options.Catalog.Snapshot().Service(q.service)
+	list := d.options.Catalog.Snapshot(now).Service(q.service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	count := 0
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -254,8 +254,8 @@
 // Sweep removes expired records and the state of endpoints that are no longer
 // listed.
 func (d *Dispatcher) Sweep() {
-	s := d.options.Catalog.Snapshot()
 	now := d.options.Clock.Now()
+	s := d.options.Catalog.Snapshot(now)
 	d.mu.Lock()
 	for id, l := range d.loads {
 		if s.Endpoint(id) == nil && l.running == 0 {
--- a/dispatcher/partition.go
+++ b/dispatcher/partition.go
@@ -105,7 +105,7 @@
 		demand += t.Long(now)
 	}
 	var usable []partitioner.Endpoint
-	for _, e := range d.options.Catalog.Snapshot().Service(service) {
+	for _, e := range d.options.Catalog.Snapshot(now).Service(service) {
 		if e.ColdUntil <= now && !d.options.Evacuated(e.DataCentre) {
 			usable = append(usable, partitioner.Endpoint{ID: e.ID, DataCentre: e.DataCentre})
 		}
--- a/dispatcher/room.go
+++ b/dispatcher/room.go
@@ -152,7 +152,7 @@
 		return 0, false
 	}
 	slots, endpoints, own, work := 0, 0, 0, 0.0
-	for _, e := range d.options.Catalog.Snapshot().Service(q.service) {
+	for _, e := range d.options.Catalog.Snapshot(d.options.Clock.Now()).Service(q.service) {
 		if e.DataCentre != d.options.DataCentre {
 			continue
 		}
--- a/dispatcher/room_test.go
+++ b/dispatcher/room_test.go
@@ -103,7 +103,7 @@
 	f := newFleet(t, route(matcher.Unsafe, nil), succeed, succeed)
 	d := f.dispatcher
 	var list []cataloger.Endpoint
-	for _, e := range f.catalog.Snapshot().Service("s") {
+	for _, e := range f.catalog.Snapshot(0).Service("s") {
 		list = append(list, e.Endpoint)
 	}
 	list[1].DataCentre = "other"
@@ -123,7 +123,7 @@
 			d.mu.Lock()
 			d.loadOf("e0").running, d.loadOf("e1").running = tt.here, tt.there
 			q := &criteria{service: "s"}
-			got := d.expectRoom(d.options.Clock.Now(), q, f.catalog.Snapshot().Service("s"))
+			got := d.expectRoom(d.options.Clock.Now(), q, f.catalog.Snapshot(0).Service("s"))
 			d.mu.Unlock()
 			if got.idle != tt.idle {
 				t.Errorf("idle: got %v, want %v", got.idle, tt.idle)
--- a/dispatcher/rules_test.go
+++ b/dispatcher/rules_test.go
@@ -346,7 +346,7 @@
 			}()
 		}
 	}()
-	e := f.catalog.Snapshot().Endpoint("e0").Endpoint
+	e := f.catalog.Snapshot(0).Endpoint("e0").Endpoint
 	e.Address = listener.Addr().String()
 	f.catalog.Put(clock.Boot().Now(), e)
 	if got := f.do("POST", "/a/x", body); got.status != 413 {
--- a/dispatcher/throttle.go
+++ b/dispatcher/throttle.go
@@ -42,7 +42,7 @@
 // median is 1.
 func (d *Dispatcher) meanSpeed(now clock.Millis, service string) float64 {
 	sum, count := 0.0, 0
-	for _, e := range d.options.Catalog.Snapshot().Service(service) {
+	for _, e := range d.options.Catalog.Snapshot(now).Service(service) {
 		if !d.options.Evacuated(e.DataCentre) {
 			sum += 1 / d.speed(now, e).Factor
 			count++
--- a/launcher/directory.go
+++ b/launcher/directory.go
@@ -118,7 +118,7 @@
 		now := l.clock.Now()
 		l.meter.SetGauge("configuration_age_seconds", (now - l.watcher.Confirmed()).Duration().Seconds())
 		l.meter.SetGauge("endpoints_changed_seconds_ago", (now - clock.Millis(l.endpointsAt.Load())).Duration().Seconds())
-		l.meter.SetGauge("endpoints", float64(l.catalog.Snapshot().Len()))
+		l.meter.SetGauge("endpoints", float64(l.catalog.Snapshot(now).Len()))
 		l.meter.SetGauge("endpoints_limited", float64(l.capper.Limited()))
 		l.meter.SetGauge("members_alive", float64(len(l.heartbeater.Members())))
 		l.meter.SetGauge("requests_active", float64(l.dispatcher.Active()))
