forwarder: a reset during the upload is no end of a body without a length

Cause: the kernel reports a reset to one call only. The concurrent write of the upload took the error, and the read saw the regular end that completes such a body. The outcome of the write was asked only when a connection was to be kept.

Change: at the end of a body without a length Response.Read stops the write and asks for its outcome; if it failed, the body is incomplete (ErrReset). A write that was still waiting means that the endpoint closed its side in order. All paths read through it: short bodies, those over 128 KiB, streams.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -178,9 +178,7 @@
 		go func() {
 			defer close(response.writing)
 			buffers := net.Buffers{head, call.Request.Body}
-			if _, err := buffers.WriteTo(c.Conn); err != nil {
-				response.writeFailed.Store(true)
-			}
+			_, response.writeErr = buffers.WriteTo(c.Conn)
 		}()
 	}
 	if err := response.readHeader(&call.Request, f.options.IDHeader); err != nil {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -29,7 +30,7 @@
 	address     string
 	stop        func() bool   // detaches the connection from the context, see context.AfterFunc
 	writing     chan struct{} // closed when the request is written; nil if it was written before the response was read
-	writeFailed atomic.Bool   // the request was not written completely
+	writeErr    error         // of writing the request; valid once writing is closed
 	readTimeout clock.Millis  // 0: none
 	alive       func() bool   // see Call.Alive
 	cancelled   atomic.Bool   // the context has ended
@@ -61,6 +62,10 @@
 // headCopies is the number of times that the HTTP parser holds a header while it reads it.
 const headCopies = 2
 
+// ErrReset means that the connection that delimits a body was reset, or broke in another
+// way, while the request was still being written.
+var ErrReset = errors.New("forwarder: connection broke while the request was being written")
+
 // ErrNoID means that a response carries no id on a connection that is reused or has
 // brought a response with another id. It may be a late copy of the response to an
 // earlier request.
@@ -105,10 +110,26 @@
 // of a response that is not Delimited ends with its connection.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.inner.Body.Read(b)
+	if err == io.EOF && !r.ended && !r.Delimited() && !r.endedInOrder() {
+		return n, ErrReset
+	}
 	r.ended = r.ended || err == io.EOF
 	return n, err
 }
 
+// endedInOrder reports whether the connection, of which a read has met the end, was not
+// reset. The kernel reports a reset to one call only, so that a concurrent write of the
+// request may take the error and leave a regular end to the read. The write is ended, since
+// nothing follows the response.
+func (r *Response) endedInOrder() bool {
+	if r.writing == nil {
+		return true
+	}
+	_ = r.conn.SetWriteDeadline(pastDeadline) // fails only if the connection has ended
+	<-r.writing
+	return r.writeErr == nil || errors.Is(r.writeErr, os.ErrDeadlineExceeded)
+}
+
 // Read reads from the connection and extends the read timeout while the endpoint
 // is alive. This is done here, below the readers of header and body, because
 // they cannot continue after an error.
@@ -231,7 +252,7 @@
 	if !written {
 		select {
 		case <-r.writing:
-			written = !r.writeFailed.Load()
+			written = r.writeErr == nil
 		default:
 		}
 	}
