exchanger: a reset during the upload is no end of a body without a length

The project's own entrance had the same fault through net/http: a caller of a plain service got the part of an answer that came before a reset.

Cause: as in the forwarder; the transport's writer takes the error of the reset, its reader sees a regular end.

Change: when a body without a length ends, Send's body asks the transport's trace whether the request was written completely, and returns an error if not. The outcome of the call is then unknown.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -77,15 +78,28 @@
 // the caller must close. The transport never retries a request that it may have
 // written: net/http would retry requests with an Idempotency-Key header if it can
 // rewind their body, so Send clears req.GetBody.
+//
+// The end of a body without a length is an error unless the whole request was written, see
+// uploadedBody.
 func Send(client *http.Client, req *http.Request) (*http.Response, error) {
 	var gotConn atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
+	var sent atomic.Pointer[upload]
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			gotConn.Store(true)
+			sent.Store(&upload{ended: make(chan struct{})})
+		},
+		WroteRequest: func(i httptrace.WroteRequestInfo) { sent.Load().end(i.Err) },
+	}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	req.GetBody = nil
 	resp, err := client.Do(req)
 	if err != nil {
 		return nil, classify(err, gotConn.Load())
 	}
+	if u := sent.Load(); u != nil && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		resp.Body = &uploadedBody{resp.Body, u}
+	}
 	if resp.StatusCode < http.StatusBadRequest {
 		return resp, nil
 	}
@@ -93,6 +107,42 @@
 	return nil, statusError(resp)
 }
 
+// upload is the writing of a request to one connection.
+type upload struct {
+	once  sync.Once
+	ended chan struct{} // closed when it has ended
+	err   error         // valid then
+}
+
+func (u *upload) end(err error) {
+	u.once.Do(func() {
+		u.err = err
+		close(u.ended)
+	})
+}
+
+// uploadedBody is the body of a response that the end of its connection delimits. The kernel
+// reports a reset to one call only, so that a concurrent write of the request may take the
+// error and leave a regular end to the read.
+type uploadedBody struct {
+	io.ReadCloser
+	upload *upload
+}
+
+// Read returns an error instead of io.EOF if the request was not written completely. The
+// transport closes the connection at the end of the body, which ends the write.
+func (b *uploadedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	<-b.upload.ended
+	if b.upload.err != nil {
+		return n, errors.Wrap(b.upload.err, "exchanger: connection ended while the request was being written")
+	}
+	return n, io.EOF
+}
+
 // classify marks err as ErrNotSent or ErrOutcomeUnknown. If the last step was a
 // failed dial, a connection that was obtained before it carried no bytes.
 func classify(err error, gotConn bool) error {
