statuschecker: a status that HTTP does not define is no answer

Callers of plain services through serve got 000 as a success, and the store's client took a write with such a status for done.

Cause: net/http reads any three digits; each place compared them with a limit of its own. The forwarder skipped all below 200 as informational.

The dispatcher drops such a response (bad_status), counts it against the endpoint and tries another one if the request may be repeated, else it answers 502 at once.

--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -64,6 +64,9 @@
 	case errors.Is(err, forwarder.ErrNoID):
 		x.mayHaveExecuted = true
 		return s.invalidResponse(refuser.DropWithoutID, "the response does not carry the id of the request")
+	case errors.Is(err, forwarder.ErrBadStatus):
+		x.mayHaveExecuted = true
+		return s.invalidResponse(refuser.DropBadStatus, err.Error())
 	case err != nil:
 		return s.responseLost(ctx, err)
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -17,6 +17,7 @@
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/refuser"
+	"rosemaryarch.example/rosemaryarch/statuschecker"
 )
 
 // Errors of a failed request. Exactly one of them matches each error of Send and
@@ -97,6 +98,10 @@
 	if err != nil {
 		return nil, classify(err, gotConn.Load())
 	}
+	if statuschecker.Classify(resp.StatusCode) != statuschecker.Final {
+		_ = resp.Body.Close()
+		return nil, errors.Mark(errors.Newf("exchanger: undefined status %03d", resp.StatusCode), ErrOutcomeUnknown)
+	}
 	if u := sent.Load(); u != nil && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		resp.Body = &uploadedBody{resp.Body, u}
 	}
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/statuschecker"
 )
 
 // pastDeadline is a deadline in the past, which ends reads and writes at once.
@@ -66,6 +67,9 @@
 // way, while the request was still being written.
 var ErrReset = errors.New("forwarder: connection broke while the request was being written")
 
+// ErrBadStatus means that a response has a status code that HTTP does not define.
+var ErrBadStatus = errors.New("forwarder: response has an undefined status")
+
 // ErrNoID means that a response carries no id on a connection that is reused or has
 // brought a response with another id. It may be a late copy of the response to an
 // earlier request.
@@ -86,7 +90,10 @@
 		if err != nil {
 			return errors.Wrap(err, "read response")
 		}
-		if resp.StatusCode < http.StatusOK {
+		switch statuschecker.Classify(resp.StatusCode) {
+		case statuschecker.Undefined:
+			return errors.Wrapf(ErrBadStatus, "status %03d", resp.StatusCode)
+		case statuschecker.Informational:
 			continue
 		}
 		got := resp.Header.Get(idHeader)
--- a/refuser/drop.go
+++ b/refuser/drop.go
@@ -8,6 +8,7 @@
 const (
 	DropOtherID        DropReason = "other_id"
 	DropWithoutID      DropReason = "without_id"
+	DropBadStatus      DropReason = "bad_status"
 	DropUnsigned       DropReason = "unsigned"
 	DropEncoded        DropReason = "encoded"
 	DropIncomplete     DropReason = "incomplete"
@@ -23,7 +24,7 @@
 // DropReasons returns every drop reason.
 func DropReasons() []DropReason {
 	return []DropReason{
-		DropOtherID, DropWithoutID, DropUnsigned, DropEncoded, DropIncomplete, DropNotResumed, DropFalseRefusal,
+		DropOtherID, DropWithoutID, DropBadStatus, DropUnsigned, DropEncoded, DropIncomplete, DropNotResumed, DropFalseRefusal,
 		DropStrayBytes, DropSecondResponse, DropOutOfOrder, DropNoMemory, DropClientTooSlow,
 	}
 }
