dispatcher: an error after a send does not say "not executed"

A caller whose deadline passed while an endpoint had the request got a 504 with "run":"no", which invites a repetition of an order that may have been executed.

Cause: a passed deadline takes precedence over the error of the last send, and ErrDeadline is that of a request that was never sent. Only the status was corrected after a send, not the execution state.

Change: refuse corrects both.

--- a/dispatcher/deadline_test.go
+++ b/dispatcher/deadline_test.go
@@ -8,6 +8,7 @@
 
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/matcher"
+	"rosemaryarch.example/rosemaryarch/refuser"
 )
 
 // Guards against a limit on requests before a stop that does not hold from its very instant
@@ -82,3 +83,19 @@
 		})
 	}
 }
+
+// Guards against an error body that calls a request not executed although it was sent: the
+// deadline passed while the endpoint had it.
+func TestDeadlineAfterTheSend(t *testing.T) {
+	for name, kind := range map[string]matcher.Kind{"unsafe": matcher.Unsafe, "safe": matcher.Safe, "stream": matcher.Stream} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, route(kind, func(r *matcher.Route) { r.Timeout, r.Attempts = 300, 1 }), stall(0))
+			got := f.do("POST", "/a/x", "b")
+			refusal, ok := refuser.Decode(got.status, []byte(got.body))
+			if !ok || refusal.Status != http.StatusGatewayTimeout || refusal.Execution != refuser.ExecutionUnknown {
+				t.Errorf("got %d %s, want 504 and an unknown execution", got.status, got.body)
+			}
+		})
+	}
+}
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -263,9 +263,6 @@
 	if left {
 		x.reason = reasonClientLeft
 		refusal = refuser.ErrClientLeft
-		if x.mayHaveExecuted {
-			refusal = refusal.WithExecution(refuser.ExecutionUnknown)
-		}
 	}
 	x.dispatcher.options.Meter.CountRefusal(refusal.Reason)
 	if x.headerSent {
@@ -273,8 +270,13 @@
 		return
 	}
 	status := refusal.Status
-	if x.mayHaveExecuted && impliesNotExecuted(status) {
-		status = http.StatusBadGateway
+	if x.mayHaveExecuted {
+		if impliesNotExecuted(status) {
+			status = http.StatusBadGateway
+		}
+		if refusal.Execution == refuser.NotExecuted {
+			refusal = refusal.WithExecution(refuser.ExecutionUnknown)
+		}
 	}
 	x.status = status
 	if left {
--- a/dispatcher/run.go
+++ b/dispatcher/run.go
@@ -117,6 +117,9 @@
 // that only says why there are no further sends. A missed deadline takes
 // precedence.
 func finalError(x *exchange, stopErr, sendErr error) error {
+	if x.mayHaveExecuted && errors.Is(stopErr, refuser.ErrDeadline) {
+		return refuser.ErrDeadline.WithMessage("the deadline passed after the request was sent")
+	}
 	if x.sends > 0 && sendErr != nil && !errors.Is(stopErr, refuser.ErrDeadline) {
 		return sendErr
 	}
