--- a/dispatcher/attribution_test.go
+++ b/dispatcher/attribution_test.go
@@ -175,7 +175,7 @@
 
 // Guards against a second response that begins inside a line of a body that only the
 // end of its connection delimits: its header and body reached the client as a part of
-// the success.
+// the success, also behind a body that is passed on as it arrives (MIXED, review/7).
 func TestSecondResponseInsideALine(t *testing.T) {
 	const second = "HTTP/1.1 200 OK\r\nX-Id: id-0\r\nX-Signature: s\r\n\r\nid: 9\ndata: other\n\n"
 	plain := func(body string) handler {
@@ -185,6 +185,7 @@
 		}
 	}
 	chunked := "{\"log\": \"" + second + "\"}"
+	long := strings.Repeat("p", 2*maxBufferedBody)
 	tests := map[string]struct {
 		kind  matcher.Kind
 		first handler
@@ -194,6 +195,10 @@
 		"stream, in the next event":  {matcher.Stream, untilClose(2, "id: 3\ndata: par"+second), ""},
 		"plain":                      {matcher.Unsafe, plain("fine" + second), ""},
 		"plain, retryable":           {matcher.Safe, plain("fine" + second), "fine"},
+		"long":                       {matcher.Unsafe, plain(long + second), ""},
+		"long, retryable":            {matcher.Safe, plain(long + second), ""},
+		"long, second at its begin":  {matcher.Unsafe, plain("fine" + second + long), ""},
+		"long that quotes a status":  {matcher.Unsafe, plain(long + "HTTP/1.1 200 OK\r\n\r\n"), long + "HTTP/1.1 200 OK\r\n\r\n"},
 		"plain that quotes a status": {matcher.Unsafe, plain("HTTP/1.1 200 OK\r\n\r\n"), "HTTP/1.1 200 OK\r\n\r\n"},
 		"declared length": {matcher.Unsafe, func(c net.Conn, r *http.Request, _ string) bool {
 			return writeResponse(c, r, 200, chunked)
--- a/dispatcher/send.go
+++ b/dispatcher/send.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -17,6 +16,7 @@
 	"rosemaryarch.example/rosemaryarch/matcher"
 	"rosemaryarch.example/rosemaryarch/pauser"
 	"rosemaryarch.example/rosemaryarch/refuser"
+	"rosemaryarch.example/rosemaryarch/responsescanner"
 	"rosemaryarch.example/rosemaryarch/stager"
 )
 
@@ -355,15 +355,14 @@
 	x.headerSent, x.status = true, response.Status
 	x.writer.WriteHeader(response.Status)
 	response.SetReadTimeout(0) // it cannot be replaced any more
-	body := io.LimitReader(io.MultiReader(bytes.NewReader(begin), response), limit+1)
-	n, err := io.Copy(x.writer, body)
+	n, err := io.Copy(x.writer, io.LimitReader(response.ReaderAfter(begin), limit+1))
 	if err != nil || n > limit {
 		x.status = 0
 		s.outcome, s.failed, s.result = "body_broke", true, stager.Broken
 		if clientLeft(x.request.Context()) {
 			s.outcome, s.failed, s.result = reasonClientLeft, false, stager.Ignored
 		} else {
-			s.drop(refuser.DropIncomplete)
+			s.drop(dropReason(err))
 		}
 		return resultDone, nil // the response stays incomplete
 	}
@@ -376,6 +375,14 @@
 	return resultDone, nil
 }
 
+// dropReason returns the reason why the rest of a body is not forwarded.
+func dropReason(err error) refuser.DropReason {
+	if errors.Is(err, responsescanner.ErrSecondResponse) {
+		return refuser.DropSecondResponse
+	}
+	return refuser.DropIncomplete
+}
+
 // retryElsewhere tries another endpoint after a failed response, which is
 // forwarded if there is no other endpoint or the retry budget is exhausted.
 func (s *send) retryElsewhere(body []byte) (sendResult, error) {
--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rosemaryarch.example/rosemaryarch/clock"
+	"rosemaryarch.example/rosemaryarch/responsescanner"
 	"rosemaryarch.example/rosemaryarch/statuschecker"
 )
 
@@ -201,11 +202,18 @@
 // line and, below it, the header with the id. A Delimited body ends before a second
 // response; without a length, the second one is read as a part of the body.
 func (r *Response) HoldsResponse(body []byte) bool {
+	return !r.Delimited() && responsescanner.Holds(body, r.forwarder.options.IDHeader)
+}
+
+// ReaderAfter returns a reader of the whole body, of which begin has been read. If a second
+// response follows in it, the reader returns responsescanner.ErrSecondResponse; see
+// HoldsResponse.
+func (r *Response) ReaderAfter(begin []byte) io.Reader {
+	body := io.MultiReader(bytes.NewReader(begin), r)
 	if r.Delimited() {
-		return false
+		return body
 	}
-	_, header, found := bytes.Cut(body, []byte("HTTP/1."))
-	return found && bytes.Contains(bytes.ToLower(header), []byte("\n"+strings.ToLower(r.forwarder.options.IDHeader)+":"))
+	return responsescanner.New(body, r.forwarder.options.IDHeader)
 }
 
 // SetReadTimeout sets the timeout for the next read, from now; 0 removes it.
