--- a/launcher/feed.go
+++ b/launcher/feed.go
@@ -102,7 +102,9 @@
 			continue
 		}
 		if m.Name == l.settings.Instance {
-			if l.hub.IsReading() && l.watcher.StoreUp() {
+			// A neighbour that feeds knows the present state, which this instance may not
+			// know until the era has settled.
+			if l.hub.IsReading() && l.watcher.StoreUp() && l.settler.Settled(now) {
 				return watcher.Role{Direct: true}
 			}
 			continue
--- a/launcher/feed_test.go
+++ b/launcher/feed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -76,6 +77,44 @@
 	}
 }
 
+// Guards against an instance that has started in an era that has not settled and reads the
+// store, though a neighbour later by name feeds: nobody else can tell it the present state.
+func TestRoleInUnsettledEra(t *testing.T) {
+	s := newSite(t)
+	l, err := New(s.settings("edge-5", "127.0.0.1", freePorts(t, 4)), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.emulator.Restore(s.emulator.Copy(), nil); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var reading sync.WaitGroup
+	reading.Go(func() { l.watcher.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		reading.Wait()
+	})
+	eventually(t, 5*time.Second, "store read", func() bool { return l.hub.IsReading() && l.watcher.StoreUp() })
+	now := l.clock.Now()
+	members := []heartbeater.Member{
+		{Name: "edge-5", DataCentre: "a", PeerAddress: "own"},
+		{Name: "edge-7", DataCentre: "a", PeerAddress: "beat-7", Feeds: true},
+	}
+	for _, tt := range []struct {
+		step func()
+		want watcher.Role
+	}{
+		{func() {}, watcher.Role{Feed: "beat-7"}},
+		{func() { l.settler.Adopt(2) }, watcher.Role{Direct: true}},
+	} {
+		tt.step()
+		if got := l.chooseRole(now, members); got != tt.want {
+			t.Errorf("got %+v, want %+v", got, tt.want)
+		}
+	}
+}
+
 // Guards against delays after which it is too late for a configuration to apply
 // in time, and against all instances of a large data centre reading the store at
 // once.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -37,6 +37,7 @@
 	"rosemaryarch.example/rosemaryarch/relayer"
 	"rosemaryarch.example/rosemaryarch/reserver"
 	"rosemaryarch.example/rosemaryarch/retainer"
+	"rosemaryarch.example/rosemaryarch/settler"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/spooler"
 	"rosemaryarch.example/rosemaryarch/stager"
@@ -131,6 +132,8 @@
 	calibrator      *calibrator.Calibrator
 	storedHolds     atomic.Pointer[string] // held parts that the store is known to hold
 	storingHolds    atomic.Bool            // they are being written
+	settler         settler.Settler        // of the eras of the store
+	recordingEra    atomic.Bool            // the era is being written
 	heartbeater     *heartbeater.Heartbeater
 	watcher         *watcher.Watcher
 	kinds           []watcher.Kind                // the followed kinds
@@ -202,7 +205,7 @@
 		StoreLost: l.storeLost, StoreRegained: l.storeRegained,
 		Role: l.role, Follow: l.follow, DirectChanged: l.setReadingStore, Confirmed: l.hub.Confirm, FeedEnded: l.feedEnded,
 		Backoff: l.backoff, EraChanged: l.eraChanged,
-		Current: func() bool { return !l.retainers[platform.ConfigKind].Behind() },
+		Current: l.current,
 	})
 	l.spooler = spooler.New(l.spoolMemory())
 	l.dispatcher = dispatcher.New(l.dispatcherOptions())
--- a/launcher/quarantine.go
+++ b/launcher/quarantine.go
@@ -8,12 +8,9 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/heartbeater"
 	"rosemaryarch.example/rosemaryarch/logger"
-	"rosemaryarch.example/rosemaryarch/platform"
 	"rosemaryarch.example/rosemaryarch/quarantiner"
 	"rosemaryarch.example/rosemaryarch/watcher"
 )
@@ -105,7 +102,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout.Duration())
 	defer cancel()
-	if err := l.writeHeldParts(ctx, spec); err != nil {
+	if err := l.writeInstanceObject(ctx, heldPartsName, spec); err != nil {
 		l.logger.LogUnlimited("held_parts_not_stored", logger.Text("error", err.Error()))
 		return
 	}
@@ -124,14 +121,6 @@
 	return b.String()
 }
 
-func (l *Launcher) writeHeldParts(ctx context.Context, spec heldPartsSpec) error {
-	err := l.store.Create(ctx, platform.InstanceKind, heldPartsName, spec)
-	if errors.Is(err, watcher.ErrConflict) {
-		err = l.store.Replace(ctx, platform.InstanceKind, heldPartsName, spec)
-	}
-	return err
-}
-
 // adoptStoredHolds holds the parts that the store lists, if this instance has just
 // started.
 func (l *Launcher) adoptStoredHolds(o watcher.Object) {
--- a/launcher/restore_test.go
+++ b/launcher/restore_test.go
@@ -223,3 +223,60 @@
 func finished(status []byte) bool {
 	return strings.Contains(string(status), "completed") || strings.Contains(string(status), "rolled_back")
 }
+
+// Guards against a process that starts while the store shows an older copy, and that takes a
+// revoked key of it for a valid one (CONFIG, review/8). Once the era is recorded as settled, a
+// process serves without delay.
+func TestStartAfterRestore(t *testing.T) {
+	s := newSite(t)
+	old := s.emulator.Copy() // with key-1
+	s.put(platform.ConfigKind, platform.ConfigName, configSpec(2, "key-2", "/p/"))
+	if err := s.emulator.Restore(old, nil); err != nil {
+		t.Fatal(err)
+	}
+	start := func(ip string) (url string, out *output) {
+		p := freePorts(t, 4)
+		out = new(output)
+		l, err := New(s.settings("edge-"+ip, ip, p), out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		signals := make(chan os.Signal, 1)
+		var ended sync.WaitGroup
+		ended.Go(func() {
+			if err := l.serve(signals); err != nil {
+				t.Error(err)
+			}
+		})
+		t.Cleanup(func() {
+			signals <- syscall.SIGTERM
+			ended.Wait()
+		})
+		return fmt.Sprintf("http://%s:%d/p/x", ip, p[1]), out
+	}
+	url, out := start("127.0.0.111")
+	eventually(t, 2*time.Second, "copy read", func() bool { return strings.Contains(out.String(), `"event":"endpoints_listed"`) })
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if got, body := post(url, "key-1"); got != 503 && got != 0 {
+			t.Fatalf("revoked key before the operator has written again: got %d %q, want 503", got, body)
+		}
+	}
+	s.put(platform.ConfigKind, platform.ConfigName, configSpec(2, "key-2", "/p/"))
+	eventually(t, 5*time.Second, "service after the era has settled", func() bool {
+		got, _ := post(url, "key-2")
+		return got == 200
+	})
+	if got, _ := post(url, "key-1"); got != 401 {
+		t.Errorf("revoked key: got %d, want 401", got)
+	}
+	eventually(t, 3*time.Second, "record of the era", func() bool { return strings.Contains(out.String(), `"event":"era_recorded"`) })
+	begin := time.Now()
+	next, _ := start("127.0.0.112")
+	eventually(t, 5*time.Second, "service of a process that starts later", func() bool {
+		got, _ := post(next, "key-2")
+		return got == 200
+	})
+	if took := time.Since(begin); took >= 3*time.Second {
+		t.Errorf("a process that starts in a settled era serves after %v, want less than an era takes to settle", took)
+	}
+}
--- a/launcher/state.go
+++ b/launcher/state.go
@@ -212,6 +212,7 @@
 // written may be gone.
 func (l *Launcher) eraChanged(before, era int64) {
 	l.hub.SetEra(era)
+	l.settler.Begin(l.clock.Now(), era)
 	if before == 0 {
 		return
 	}
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -7,8 +7,6 @@
 	"os"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"rosemaryarch.example/rosemaryarch/budgeter"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/heartbeater"
@@ -17,7 +15,6 @@
 	"rosemaryarch.example/rosemaryarch/platform"
 	"rosemaryarch.example/rosemaryarch/stager"
 	"rosemaryarch.example/rosemaryarch/throttler"
-	"rosemaryarch.example/rosemaryarch/watcher"
 )
 
 const (
@@ -74,6 +71,7 @@
 		}
 		l.updateQuarantine(ctx, now)
 		l.decideRollouts(ctx, now)
+		l.recordEra(ctx, now)
 		if now-sweptAt >= sweepInterval {
 			sweptAt = now
 			l.dispatcher.Sweep()
@@ -198,10 +196,7 @@
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout.Duration())
 	defer cancel()
 	spec := l.spec()
-	err := l.store.Create(ctx, platform.InstanceKind, spec.Name, spec)
-	if errors.Is(err, watcher.ErrConflict) {
-		err = l.store.Replace(ctx, platform.InstanceKind, spec.Name, spec)
-	}
+	err := l.writeInstanceObject(ctx, spec.Name, spec)
 	if err != nil {
 		l.logger.LogUnlimited("instance_not_published", logger.Text("error", err.Error()))
 	}
@@ -220,9 +215,13 @@
 	}
 	self := l.spec()
 	for _, o := range list {
-		if o.Name == heldPartsName {
+		switch o.Name {
+		case heldPartsName:
 			l.adoptStoredHolds(o)
 			continue
+		case eraRecordName:
+			l.adoptEraRecord(o)
+			continue
 		}
 		var m instanceSpec
 		if err := json.Unmarshal(o.Spec, &m); err != nil || m.Name != o.Name || o.Deleted {
