--- a/dispatcher/attribution_test.go
+++ b/dispatcher/attribution_test.go
@@ -186,6 +186,7 @@
 	}
 	chunked := "{\"log\": \"" + second + "\"}"
 	long := strings.Repeat("p", 2*maxBufferedBody)
+	const quoted = "HTTP/1.1 200 OK\r\n\r\n"
 	tests := map[string]struct {
 		kind  matcher.Kind
 		first handler
@@ -198,7 +199,7 @@
 		"long":                       {matcher.Unsafe, plain(long + second), ""},
 		"long, retryable":            {matcher.Safe, plain(long + second), ""},
 		"long, second at its begin":  {matcher.Unsafe, plain("fine" + second + long), ""},
-		"long that quotes a status":  {matcher.Unsafe, plain(long + "HTTP/1.1 200 OK\r\n\r\n"), long + "HTTP/1.1 200 OK\r\n\r\n"},
+		"long that quotes a status":  {matcher.Unsafe, plain(long + quoted), long + quoted},
 		"plain that quotes a status": {matcher.Unsafe, plain("HTTP/1.1 200 OK\r\n\r\n"), "HTTP/1.1 200 OK\r\n\r\n"},
 		"declared length": {matcher.Unsafe, func(c net.Conn, r *http.Request, _ string) bool {
 			return writeResponse(c, r, 200, chunked)
--- a/dispatcher/deadline_test.go
+++ b/dispatcher/deadline_test.go
@@ -87,7 +87,8 @@
 // Guards against an error body that calls a request not executed although it was sent: the
 // deadline passed while the endpoint had it.
 func TestDeadlineAfterTheSend(t *testing.T) {
-	for name, kind := range map[string]matcher.Kind{"unsafe": matcher.Unsafe, "safe": matcher.Safe, "stream": matcher.Stream} {
+	kinds := map[string]matcher.Kind{"unsafe": matcher.Unsafe, "safe": matcher.Safe, "stream": matcher.Stream}
+	for name, kind := range kinds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFleet(t, route(kind, func(r *matcher.Route) { r.Timeout, r.Attempts = 300, 1 }), stall(0))
--- a/launcher/restore_test.go
+++ b/launcher/restore_test.go
@@ -255,7 +255,10 @@
 		return fmt.Sprintf("http://%s:%d/p/x", ip, p[1]), out
 	}
 	url, out := start("127.0.0.111")
-	eventually(t, 2*time.Second, "copy read", func() bool { return strings.Contains(out.String(), `"event":"endpoints_listed"`) })
+	logged := func(event string) func() bool {
+		return func() bool { return strings.Contains(out.String(), `"event":"`+event+`"`) }
+	}
+	eventually(t, 2*time.Second, "copy read", logged("endpoints_listed"))
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if got, body := post(url, "key-1"); got != 503 && got != 0 {
 			t.Fatalf("revoked key before the operator has written again: got %d %q, want 503", got, body)
@@ -269,7 +272,7 @@
 	if got, _ := post(url, "key-1"); got != 401 {
 		t.Errorf("revoked key: got %d, want 401", got)
 	}
-	eventually(t, 3*time.Second, "record of the era", func() bool { return strings.Contains(out.String(), `"event":"era_recorded"`) })
+	eventually(t, 3*time.Second, "record of the era", logged("era_recorded"))
 	begin := time.Now()
 	next, _ := start("127.0.0.112")
 	eventually(t, 5*time.Second, "service of a process that starts later", func() bool {
--- a/refuser/drop.go
+++ b/refuser/drop.go
@@ -24,7 +24,7 @@
 // DropReasons returns every drop reason.
 func DropReasons() []DropReason {
 	return []DropReason{
-		DropOtherID, DropWithoutID, DropBadStatus, DropUnsigned, DropEncoded, DropIncomplete, DropNotResumed, DropFalseRefusal,
-		DropStrayBytes, DropSecondResponse, DropOutOfOrder, DropNoMemory, DropClientTooSlow,
+		DropOtherID, DropWithoutID, DropBadStatus, DropUnsigned, DropEncoded, DropIncomplete, DropNotResumed,
+		DropFalseRefusal, DropStrayBytes, DropSecondResponse, DropOutOfOrder, DropNoMemory, DropClientTooSlow,
 	}
 }
--- a/responsescanner/responsescanner_test.go
+++ b/responsescanner/responsescanner_test.go
@@ -17,6 +17,7 @@
 // is refused, delayed for good or changed.
 func TestScanner(t *testing.T) {
 	long := strings.Repeat("a line of the body\n", 20000)
+	const status, other = "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 is old\n\n"
 	tests := map[string]struct {
 		body string
 		want string // what is passed on
@@ -31,10 +32,10 @@
 		"header in capitals":             {"x" + strings.Replace(second, "X-Id", "X-ID", 1), "x", ErrSecondResponse},
 		"cut off in its head":            {"x" + second[:30], "x", ErrSecondResponse},
 		"cut off before the header":      {"x" + second[:12], "x" + second[:12], nil},
-		"quotes a status":                {long + "HTTP/1.1 200 OK\r\n\r\n" + long, long + "HTTP/1.1 200 OK\r\n\r\n" + long, nil},
+		"quotes a status":                {long + status + long, long + status + long, nil},
 		"quotes a status, ends in it":    {long + "HTTP/1.", long + "HTTP/1.", nil},
 		"ends in a part of the protocol": {long + "HTT", long + "HTT", nil},
-		"quoted status before another":   {"HTTP/1.1 is old\n\n" + long + second, "HTTP/1.1 is old\n\n" + long, ErrSecondResponse},
+		"quoted status before another":   {other + long + second, other + long, ErrSecondResponse},
 		"header alone":                   {long + "\nX-Id: 7\n", long + "\nX-Id: 7\n", nil},
 	}
 	readers := map[string]func(io.Reader) io.Reader{
