--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -1,6 +1,7 @@
 package cataloger
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +14,13 @@
 // listed again within about two seconds.
 const expiryGrace = 2200 * clock.Millis(1)
 
+// maxReportAge is the time before the return of the store from which a report that it has
+// answered another instance counts. Instances of other data centres report about once a second.
+const maxReportAge = 1500 * clock.Millis(1)
+
+// noLoss is the time of the last loss of the store if this instance has had none.
+const noLoss = clock.Millis(math.MinInt64)
+
 // newVersionDelay is the time for which a new version waits for the roll-out
 // that it belongs to, since entries and roll-outs arrive on separate watches.
 const newVersionDelay = 1500 * clock.Millis(1)
@@ -78,7 +86,9 @@
 	loaded          bool                               // a full list has been received
 	leaving         map[string]departure               // endpoints that have said that they leave, by id
 	storeDown       bool                               // the store does not respond
+	storeLostAt     clock.Millis                       // time at which it was last lost; noLoss: not known
 	storeRegainedAt clock.Millis                       // time at which the store last became available again
+	seenUpAt        clock.Millis                       // see StoreSeenUp; 0: no report counts
 	hasMissing      bool                               // an entry may have ExpiresAt set
 	snapshot        *Snapshot                          // nil if an entry has changed since it was built
 }
@@ -92,7 +102,8 @@
 // New returns an empty Cataloger.
 func New() *Cataloger {
 	return &Cataloger{
-		entries: make(map[string]*State), firstSeen: make(map[string]map[string]clock.Millis),
+		storeLostAt: noLoss,
+		entries:     make(map[string]*State), firstSeen: make(map[string]map[string]clock.Millis),
 		leaving: make(map[string]departure),
 	}
 }
@@ -109,10 +120,23 @@
 }
 
 // StoreLost records that the store does not respond.
-func (c *Cataloger) StoreLost() {
+func (c *Cataloger) StoreLost(now clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.storeDown = true
+	if !c.storeDown {
+		c.storeDown, c.storeLostAt, c.seenUpAt = true, now, 0
+	}
+}
+
+// StoreSeenUp records the report of another instance that the store has answered it since
+// the given time. If that is since before the loss, only this instance was cut off, and what
+// is missing in the store has left: it gets no grace.
+func (c *Cataloger) StoreSeenUp(now, since clock.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if since <= c.storeLostAt {
+		c.seenUpAt = now
+	}
 }
 
 // StoreRegained records that the store responds again.
@@ -129,9 +153,18 @@
 func (c *Cataloger) StoreRegainedAt(at clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if at > c.storeRegainedAt && !c.storeDown {
+		c.storeLostAt, c.seenUpAt = noLoss, 0 // the loss was not this instance's
+	}
 	c.storeRegainedAt = max(c.storeRegainedAt, at)
 }
 
+// inGrace reports whether missing entries may still come back. The lock must be held.
+func (c *Cataloger) inGrace(now clock.Millis) bool {
+	seenUp := c.seenUpAt != 0 && c.seenUpAt >= c.storeRegainedAt-maxReportAge
+	return c.storeDown || !seenUp && now < c.storeRegainedAt+expiryGrace
+}
+
 // Replace replaces all entries by a full list from the store.
 func (c *Cataloger) Replace(now clock.Millis, list []Endpoint) {
 	c.mu.Lock()
@@ -227,7 +260,7 @@
 // disappeared because of an outage of the store. A draining endpoint has
 // announced its end itself. The lock must be held.
 func (c *Cataloger) remove(now clock.Millis, s *State) {
-	if s.Draining || !c.storeDown && now >= c.storeRegainedAt+expiryGrace {
+	if s.Draining || !c.inGrace(now) {
 		c.deleteEntry(s.ID)
 		return
 	}
@@ -255,7 +288,7 @@
 
 // expireMissing deletes the entries whose grace time is over. The lock must be held.
 func (c *Cataloger) expireMissing(now clock.Millis) {
-	if !c.hasMissing || c.storeDown || now < c.storeRegainedAt+expiryGrace {
+	if !c.hasMissing || c.inGrace(now) {
 		return
 	}
 	c.hasMissing = false
--- a/cataloger/cataloger_test.go
+++ b/cataloger/cataloger_test.go
@@ -26,8 +26,10 @@
 	}
 	remove := func(at clock.Millis) step { return func(c *Cataloger) { c.Remove(at, "a") } }
 	list := func(at clock.Millis, e ...Endpoint) step { return func(c *Cataloger) { c.Replace(at, e) } }
-	lost := func(c *Cataloger) { c.StoreLost() }
+	lost := func(c *Cataloger) { c.StoreLost(5000) }
+	seenUp := func(at, since clock.Millis) step { return func(c *Cataloger) { c.StoreSeenUp(at, since) } }
 	regained := func(at clock.Millis) step { return func(c *Cataloger) { c.StoreRegained(at) } }
+	back := func(at clock.Millis) step { return func(c *Cataloger) { c.StoreRegainedAt(at) } }
 	expire := func(at clock.Millis) step { return func(c *Cataloger) { c.Expire(at) } }
 	draining := func(e *Endpoint) { e.Draining = true }
 	expired := func(c *Cataloger) { c.Snapshot(11300) } // the time alone ends the grace, no periodic call
@@ -44,6 +46,22 @@
 		"missing, not listed again": {[]step{put(1000, nil), lost, regained(9000), list(9100), expire(11300)}, false},
 		"missing, grace just over":  {[]step{put(1000, nil), lost, regained(9000), list(9100), expired}, false},
 		"missing, lost once more":   {[]step{put(1000, nil), lost, regained(9000), list(9100), lost, expired}, true},
+		"cut off alone":             {[]step{put(1000, nil), lost, regained(9000), seenUp(9100, 4900), list(9200)}, false},
+		"cut off alone, told late":  {[]step{put(1000, nil), lost, regained(9000), list(9100), seenUp(9300, 4900)}, false},
+		"cut off alone, told just before": {
+			[]step{put(1000, nil), lost, seenUp(8000, 4900), regained(9000), list(9100)},
+			false,
+		},
+		"cut off, told while it lasts": {[]step{put(1000, nil), lost, list(6000), seenUp(6100, 4900)}, true},
+		"told long before the return": {
+			[]step{put(1000, nil), lost, seenUp(6000, 4900), regained(9000), list(9100)},
+			true,
+		},
+		"store away for others too": {[]step{put(1000, nil), lost, regained(9000), list(9100), seenUp(9300, 8900)}, true},
+		"store back from a copy": {
+			[]step{put(1000, nil), lost, regained(9000), seenUp(9100, 4900), back(9500), list(9600), seenUp(9700, 4900)},
+			true,
+		},
 		"missing, listed again": {
 			[]step{put(1000, nil), lost, regained(9000), list(9100), put(10000, nil), expire(20000)},
 			true,
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -315,6 +315,7 @@
 		remoteMessage = Message{
 			From: m.From, Rollouts: m.Rollouts, RolloutSums: m.RolloutSums, Quarantine: m.Quarantine,
 			KnownLimits: m.KnownLimits, Summary: h.buildSummary(now, &m), DemandSums: h.demandSums(now, m.Demands),
+			StoreUpFor: m.StoreUpFor,
 		}
 		remoteMessage.Neighbours, remoteMessage.States = h.neighbourUpdates(now)
 	}
--- a/heartbeater/heartbeater_test.go
+++ b/heartbeater/heartbeater_test.go
@@ -44,6 +44,7 @@
 			},
 			Fill: func(m *Message) {
 				m.Loads = []Load{{Endpoint: 7, Work: 100, Running: 2}}
+				m.StoreUpFor = int64(100 + i)
 			},
 			OnMessage:     func(m *Message) { onMessage(i, m) },
 			OnAliveChange: func(string, bool, clock.Millis) {},
@@ -92,6 +93,23 @@
 	t.Errorf("%s: not within %v", what, limit)
 }
 
+// Guards against an instance that does not learn from another data centre how long the store
+// has answered: when a whole data centre was cut off, nobody else can tell it (DRAIN, review/10).
+func TestStoreUpForReachesOtherDataCentres(t *testing.T) {
+	var mu sync.Mutex
+	heard := map[string]bool{}
+	startObservedGroup(t, 2, func(i int) string { return fmt.Sprint("dc", i) }, func(i int, m *Message) {
+		mu.Lock()
+		defer mu.Unlock()
+		heard[fmt.Sprint(m.From.Name, " ", m.StoreUpFor, " at ", i)] = true
+	})
+	eventually(t, 5*time.Second, "both instances hear the other's time", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return heard["i01 101 at 0"] && heard["i00 100 at 1"]
+	})
+}
+
 // Guards against instances that do not discover each other across data centres,
 // and against a stopped instance that is listed for too long: the platform allows
 // its contactMs plus three seconds, which is six seconds.
--- a/heartbeater/message.go
+++ b/heartbeater/message.go
@@ -111,6 +111,9 @@
 	// in messages to other data centres, that of the sender's data centre.
 	Demands    []Demand `cbor:"20,keyasint,omitempty"`
 	DemandSums []Demand `cbor:"21,keyasint,omitempty"`
+	// StoreUpFor is the time in ms for which the store has answered the sender, or the
+	// neighbour that it follows, without a break; 0 if it does not.
+	StoreUpFor int64 `cbor:"22,keyasint,omitempty"`
 }
 
 // maxValue bounds the loads in ms and the rates that a message may state.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -120,6 +120,7 @@
 	evacuated       atomic.Pointer[map[string]bool]  // evacuated data centres
 	endpointsListed atomic.Bool                      // the endpoints have been listed once
 	endpointsAt     atomic.Int64                     // instant of the last change of an endpoint, in ms
+	storeUpSince    atomic.Int64                     // instant in ms since which the store answers; 0: it does not
 	stopping        atomic.Bool
 	logger          *logger.Logger
 	meter           *meter.Meter
--- a/launcher/state.go
+++ b/launcher/state.go
@@ -202,9 +202,11 @@
 }
 
 func (l *Launcher) storeLost(err error) {
-	l.catalog.StoreLost()
+	now := l.clock.Now()
+	l.storeUpSince.Store(0)
+	l.catalog.StoreLost(now)
 	l.logger.LogUnlimited("store_lost", logger.Text("error", err.Error()),
-		logger.Number("confirmed_ms_ago", l.clock.Now()-l.watcher.Confirmed()))
+		logger.Number("confirmed_ms_ago", now-l.watcher.Confirmed()))
 }
 
 // eraChanged prepares for the objects of an era of the store: the known ones count
@@ -220,6 +222,7 @@
 	for _, r := range l.retainers {
 		r.BeginEra(era)
 	}
+	l.storeUpSince.Store(int64(now))
 	l.catalog.StoreRegainedAt(now)
 	l.hub.StoreRegained(now)
 	l.storedHolds.Store(nil)
@@ -233,6 +236,7 @@
 
 func (l *Launcher) storeRegained(outage clock.Millis) {
 	now := l.clock.Now()
+	l.storeUpSince.Store(int64(now))
 	l.catalog.StoreRegained(now)
 	if outage > 0 && l.table.Load() != nil {
 		l.hub.StoreRegained(now)
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -251,6 +251,9 @@
 		})
 	})
 	l.addSpeeds(now, m)
+	if since := clock.Millis(l.storeUpSince.Load()); since > 0 {
+		m.StoreUpFor = int64(now - since)
+	}
 }
 
 // serviceRates returns the rates of each service that this instance reports to
@@ -291,6 +294,10 @@
 }
 
 func (l *Launcher) receiveMessage(m *heartbeater.Message) {
+	if m.StoreUpFor > 0 {
+		now := l.clock.Now()
+		l.catalog.StoreSeenUp(now, now-clock.Millis(m.StoreUpFor))
+	}
 	if len(m.SessionUses) > 0 {
 		l.stager.MergeSessionUses(l.clock.Now(), m.SessionUses)
 	}
