--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 	"rosemaryarch.example/rosemaryarch/meter"
 	"rosemaryarch.example/rosemaryarch/pauser"
 	"rosemaryarch.example/rosemaryarch/quarantiner"
+	"rosemaryarch.example/rosemaryarch/reserver"
 	"rosemaryarch.example/rosemaryarch/shedder"
 	"rosemaryarch.example/rosemaryarch/slowstarter"
 	"rosemaryarch.example/rosemaryarch/spooler"
@@ -81,6 +82,8 @@
 	// the quarantine lets through to learn whether a part still crashes endpoints.
 	TakesTrials func() bool
 	Breaker     breaker.Options
+	// Bodies bounds what is held for the bodies of requests; nil: no bound.
+	Bodies *reserver.Reserver
 	// Spooler counts what is held for callers that read slowly.
 	Spooler *spooler.Spooler
 	Meter   *meter.Meter
--- a/dispatcher/exchange.go
+++ b/dispatcher/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -38,6 +37,7 @@
 	id             string // of the client's attempt
 	session        string // the client's session, or id if it states none
 	body           []byte
+	bodyHeld       int          // bytes reserved for it
 	clientDeadline clock.Millis // time at which the client gives up
 	deadline       clock.Millis // time by which the final response must be complete
 	prompt         prompt
@@ -78,6 +78,7 @@
 // serve responds to the request and logs the outcome.
 func (x *exchange) serve() {
 	defer x.logOutcome()
+	defer x.holdBody(0)
 	if err := x.admit(); err != nil {
 		x.refuse(err)
 		return
@@ -115,6 +116,9 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.writer.Header().Set("Connection", "close") // the rest of the body is not read
 		return refuser.ErrBodyTimeout
+	case errors.Is(err, refuser.ErrNoBodyMemory):
+		x.writer.Header().Set("Connection", "close") // the rest of the body is not read
+		return refuser.ErrNoBodyMemory.WithRetryAfter(busyRetry)
 	case errors.As(err, &tooLarge):
 		x.writer.Header().Set("Connection", "close") // the rest of the body is not read
 		return refuser.ErrBodyTooLarge
@@ -139,21 +143,7 @@
 // contentHash returns the hash of the caller's key and of all that it asks for.
 func (x *exchange) contentHash() uint64 {
 	r := x.request
-	return matcher.Hash(strings.Join([]string{r.Method, r.Host, r.RequestURI, x.key}, "\x00"), string(x.body))
-}
-
-// readBody reads the request body of at most limit bytes until the deadline. A
-// client may send one byte now and then without end.
-func (x *exchange) readBody(limit int64) ([]byte, error) {
-	if x.request.Body == http.NoBody {
-		return nil, nil
-	}
-	connection := http.NewResponseController(x.writer)
-	// Not every writer has a deadline; that of the server of net/http has.
-	if err := connection.SetReadDeadline(time.Now().Add(x.remaining().Duration())); err == nil {
-		defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
-	}
-	return io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	return matcher.HashBytes(strings.Join([]string{r.Method, r.Host, r.RequestURI, x.key}, "\x00"), x.body)
 }
 
 // awaitConfig delays a request that arrives before the process has read its
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -48,6 +48,8 @@
 	// response is read. Larger ones are written concurrently, because an endpoint
 	// may respond before it has read them.
 	maxInlineBody = 8 << 10
+	// headBytes is the first size of the buffer for a head.
+	headBytes = 1024
 	// userTimeout is the TCP_USER_TIMEOUT in ms: a connection ends when sent bytes
 	// stay unacknowledged for so long, as in a network partition.
 	userTimeout = 1500 * clock.Millis(1)
@@ -349,7 +351,7 @@
 // encodeHead returns the request line and the headers in wire format.
 func encodeHead(r *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
+	b.Grow(headBytes + min(len(r.Body), maxInlineBody))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	_ = r.Header.Write(&b) // a write to a buffer cannot fail
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -87,6 +87,11 @@
 	// defaultSpoolMemory that number of bytes in a process without a limit.
 	spoolMemoryShare   = 0.125
 	defaultSpoolMemory = 16 << 20
+	// bodyMemoryShare is the part that may be held for the bodies of requests, and
+	// defaultBodyMemory that number of bytes in a process without a limit. A body that grows
+	// takes up to twice its size.
+	bodyMemoryShare   = 0.2
+	defaultBodyMemory = 256 << 20
 	// plainDuration is the assumed mean duration in ms of a plain request until some
 	// have been observed.
 	plainDuration = 30
@@ -233,8 +238,8 @@
 			Window: 5 * clock.Second, MinRequests: 6, ErrorRate: 0.45, ConsecutiveErrors: 3, OpenFor: 700,
 			OpenMax: 4 * clock.Second, MaxProbes: 1, ProbeSuccesses: 2, ProbeTimeout: 3 * clock.Second, MaxOpenShare: 0.5,
 		},
-		Spooler: l.spooler,
-		Meter:   l.meter, Logger: l.logger, Members: l.heartbeater.KnownCount, ColdSenders: l.coldSenders,
+		Bodies: l.bodyMemory(), Spooler: l.spooler,
+		Meter: l.meter, Logger: l.logger, Members: l.heartbeater.KnownCount, ColdSenders: l.coldSenders,
 		Sharers:  l.sharers,
 		PeerLoad: l.heartbeater.Load, PeerDemand: l.peerDemand, Neighbours: l.neighbours,
 		PeerReady: l.peerReady, Ready: l.readyCount, PeerRates: l.peerRates, PeerRetries: l.peerRetries,
@@ -296,6 +301,15 @@
 	return reserver.New(bytes, func() { l.meter.CountDrop(refuser.DropNoMemory) })
 }
 
+// bodyMemory returns the bound on what is held for the bodies of requests.
+func (l *Launcher) bodyMemory() *reserver.Reserver {
+	bytes := int64(defaultBodyMemory)
+	if mb := l.settings.Limits.MemoryMB; mb > 0 {
+		bytes = int64(float64(mb<<20) * bodyMemoryShare)
+	}
+	return reserver.New(bytes, func() { l.meter.CountEvent("body_memory_short") })
+}
+
 // spoolMemory returns the bound on what is held for callers that read slowly.
 func (l *Launcher) spoolMemory() int64 {
 	if mb := l.settings.Limits.MemoryMB; mb > 0 {
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -181,11 +181,14 @@
 
 // Hash returns the 64-bit hash of a key: FNV-1a with the finalizer of
 // splitmix64, because the high bits of FNV depend little on the last bytes.
-func Hash(salt, key string) uint64 {
+func Hash(salt, key string) uint64 { return HashBytes(salt, []byte(key)) }
+
+// HashBytes is Hash of a key in bytes, which it does not copy.
+func HashBytes(salt string, key []byte) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(salt)) // hash.Hash never returns an error
 	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(key))
+	_, _ = h.Write(key)
 	x := h.Sum64()
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
--- a/refuser/refusal.go
+++ b/refuser/refusal.go
@@ -122,6 +122,8 @@
 		"the body is too large")
 	ErrBodyTimeout = sentinel("body_timeout", NotExecuted, http.StatusRequestTimeout,
 		"the body did not arrive before the deadline")
+	ErrNoBodyMemory = sentinel("no_body_memory", NotExecuted, http.StatusServiceUnavailable,
+		"this instance holds too many long bodies")
 	ErrHeaderTooLarge = sentinel("header_too_large", NotExecuted, http.StatusRequestHeaderFieldsTooLarge,
 		"the header is too large")
 	ErrInvalidBody = sentinel("invalid_body", NotExecuted, http.StatusBadRequest,
@@ -187,6 +189,7 @@
 		ErrUnknownService,
 		ErrBodyTooLarge,
 		ErrBodyTimeout,
+		ErrNoBodyMemory,
 		ErrHeaderTooLarge,
 		ErrInvalidBody,
 		ErrMissingIdempotencyKey,
