forwarder: reset the connection of a request that is given up

Cause: the connection of a given-up exchange was closed in order, so that the kernel went on to repeat what the network had not taken.

Change: an exchange whose response was not read to its end resets its connection, which drops what the kernel still holds.

--- a/forwarder/response.go
+++ b/forwarder/response.go
@@ -241,8 +241,9 @@
 }
 
 // Close ends the exchange by closing its connection, which also tells an
-// endpoint that is still working on the request to stop. A second call does
-// nothing.
+// endpoint that is still working on the request to stop. An exchange that is given up
+// resets it, so that no byte of the request is sent any more, as after a partition of the
+// network. A second call does nothing.
 func (r *Response) Close() {
 	if r.closed {
 		return
@@ -250,6 +251,9 @@
 	r.closed = true
 	r.resize(0)
 	r.stop()
+	if c, ok := r.conn.Conn.(interface{ SetLinger(sec int) error }); ok && !r.ended {
+		_ = c.SetLinger(0) // fails only if the connection has ended
+	}
 	_ = r.conn.Close()
 	if r.writing != nil {
 		<-r.writing
