dispatcher: tests keep the ports of endpoints that have ended

Nothing on its path answers 409; the servers of serviceclient's tests, which ran at the same time, do. Traced: the test closes an endpoint's listener, and another process may get its port. With a server that takes the port 300 ms later and answers 409 the test fails in the same way.

Change: an endpoint that ends keeps its port bound without listening, so that connections are refused as before. The checks are the same. With the change that server cannot bind, and the test passes.

--- a/dispatcher/crash_test.go
+++ b/dispatcher/crash_test.go
@@ -48,7 +48,7 @@
 		if ends {
 			for _, e := range (*f).endpoints {
 				if e.id == r.Header.Get(names.Target) {
-					_ = e.listener.Close()
+					e.end()
 				}
 			}
 		}
@@ -193,7 +193,7 @@
 			for i := range handlers {
 				handlers[i] = func(c net.Conn, r *http.Request, got string) bool {
 					if r.URL.Path == "/a/x" && got == body && r.Header.Get(names.Workspace) == "w" {
-						_ = f.endpoints[i].listener.Close()
+						f.endpoints[i].end()
 						return false
 					}
 					if tt.kind == matcher.Stream {
--- a/dispatcher/fleet_test.go
+++ b/dispatcher/fleet_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"rosemaryarch.example/rosemaryarch/balancer"
 	"rosemaryarch.example/rosemaryarch/breaker"
 	"rosemaryarch.example/rosemaryarch/budgeter"
@@ -49,12 +51,14 @@
 
 // endpoint is a server whose handler controls the bytes on its connections.
 type endpoint struct {
+	t        *testing.T
 	id       string
 	listener net.Listener
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
 	handle   handler
+	ended    sync.Once
 }
 
 func (e *endpoint) count() int {
@@ -69,6 +73,33 @@
 	return e.requests[len(e.requests)-1], e.bodies[len(e.bodies)-1]
 }
 
+// end stops listening and keeps the port, so that connections are refused: a test that runs in
+// another process at the same time could get the port and answer.
+func (e *endpoint) end() { e.ended.Do(e.keepPort) }
+
+func (e *endpoint) keepPort() {
+	port := e.listener.Addr().(*net.TCPAddr).Port
+	_ = e.listener.Close()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		e.t.Error(err)
+		return
+	}
+	e.t.Cleanup(func() { _ = unix.Close(fd) })
+	// With the option the port can be bound in spite of earlier connections; without it no
+	// other socket gets it.
+	for _, step := range []func() error{
+		func() error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) },
+		func() error { return unix.Bind(fd, &unix.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}}) },
+		func() error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 0) },
+	} {
+		if err := step(); err != nil {
+			e.t.Errorf("keep port %d: %v", port, err)
+			return
+		}
+	}
+}
+
 func (e *endpoint) serve() {
 	for {
 		c, err := e.listener.Accept()
@@ -186,7 +217,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		e := &endpoint{id: fmt.Sprintf("e%d", i), listener: listener, handle: handle}
+		e := &endpoint{t: t, id: fmt.Sprintf("e%d", i), listener: listener, handle: handle}
 		go e.serve()
 		t.Cleanup(func() { _ = listener.Close() })
 		f.endpoints = append(f.endpoints, e)
--- a/dispatcher/rules_test.go
+++ b/dispatcher/rules_test.go
@@ -409,7 +409,7 @@
 func TestFailedConnectionsAddNoBudget(t *testing.T) {
 	f := newFleet(t, route(matcher.Safe, nil), succeed, succeed, succeed)
 	for _, e := range f.endpoints[:2] {
-		_ = e.listener.Close()
+		e.end()
 	}
 	f.dispatcher.options.Budget = budgeter.New(budgeter.Options{Window: 10 * clock.Second, Ratio: 1})
 	const requests = 6
