dispatcher: TestResetDuringUpload waits until the response has arrived

Traced: the endpoint of the test reset its connection 20 ms after it had written 256 KiB. If the router has not read half of that by then, the reset discards the rest, and 502 is the right answer. Reproduced beside six busy processes with the race detector, 1 time in 12 runs.

Change: the endpoint waits until all that it sent has been acknowledged.

--- a/dispatcher/early_test.go
+++ b/dispatcher/early_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"rosemaryarch.example/rosemaryarch/matcher"
 )
 
@@ -61,6 +63,21 @@
 	}
 }
 
+// awaitArrival waits until the other side has acknowledged all that was sent.
+func awaitArrival(c *net.TCPConn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		unsent := 0
+		err := raw.Control(func(fd uintptr) { unsent, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+		if err != nil || unsent == 0 {
+			return
+		}
+	}
+}
+
 // resetFirst makes the endpoint that gets the first request respond before it reads the body,
 // and reset the connection. Later requests are served by the given handler.
 func (f *fleet) resetFirst(answer string, later handler) {
@@ -82,7 +99,7 @@
 			return
 		}
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get(names.ID)+"\r\nX-Signature: s\r\n"+answer)
-		time.Sleep(20 * time.Millisecond) // the response must arrive before the reset discards it
+		awaitArrival(c.(*net.TCPConn)) // the reset discards what has not arrived
 		_ = c.(*net.TCPConn).SetLinger(0)
 	}
 	go func() {
