--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -53,7 +53,7 @@
 	Endpoint
 	ColdUntil clock.Millis // end of the warm-up
 	ListedAt  clock.Millis // time at which the entry was first seen
-	ExpiresAt clock.Millis // 0 while the entry is listed; set once it is missing and expires after expiryGrace
+	ExpiresAt clock.Millis // 0 while the entry is listed; set while it is missing and may come back, see inGrace
 }
 
 // Snapshot is an immutable view of the endpoints that may receive requests.
--- a/dispatcher/body_test.go
+++ b/dispatcher/body_test.go
@@ -61,7 +61,10 @@
 					mu.Unlock()
 				})
 			}
-			time.Sleep(300 * time.Millisecond)
+			for until := time.Now().Add(5 * time.Second); memory.Used() == 0 && time.Now().Before(until); {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(300 * time.Millisecond) // for the other bodies
 			if got := memory.Used(); got <= 0 || got > limit {
 				t.Errorf("held for bodies: got %d bytes, want at most %d", got, limit)
 			}
--- a/heartbeater/heartbeater.go
+++ b/heartbeater/heartbeater.go
@@ -67,8 +67,8 @@
 type Options struct {
 	Clock clock.Clock
 	Self  Member
-	// Fill adds the current loads, rates, roll-out reports, held parts of prompts and
-	// limits of endpoints to a message.
+	// Fill adds the current loads, rates, roll-out reports, held parts of prompts, limits
+	// of endpoints and the time for which the store has answered to a message.
 	Fill func(m *Message)
 	// OnMessage is called with each received message.
 	OnMessage func(m *Message)
--- a/launcher/era.go
+++ b/launcher/era.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"strconv"
 
-	"github.com/cockroachdb/errors"
-
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/logger"
 	"rosemaryarch.example/rosemaryarch/platform"
@@ -68,12 +66,3 @@
 	}
 	l.settler.Adopt(r.Era)
 }
-
-// writeInstanceObject creates an object of the kind of the instances, or replaces its spec.
-func (l *Launcher) writeInstanceObject(ctx context.Context, name string, spec any) error {
-	err := l.store.Create(ctx, platform.InstanceKind, name, spec)
-	if errors.Is(err, watcher.ErrConflict) {
-		err = l.store.Replace(ctx, platform.InstanceKind, name, spec)
-	}
-	return err
-}
--- a/launcher/report_test.go
+++ b/launcher/report_test.go
@@ -26,7 +26,6 @@
 	if got := reported(); got != 0 {
 		t.Errorf("before the store has answered: reports %d ms", got)
 	}
-	l.startedAt -= clock.Minute
 	l.storeRegained(0)
 	l.storeUpSince.Add(-int64(10 * clock.Second))
 	if got := clock.Millis(reported()); got < 10*clock.Second {
--- a/launcher/tasks.go
+++ b/launcher/tasks.go
@@ -7,6 +7,8 @@
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"rosemaryarch.example/rosemaryarch/budgeter"
 	"rosemaryarch.example/rosemaryarch/clock"
 	"rosemaryarch.example/rosemaryarch/heartbeater"
@@ -15,6 +17,7 @@
 	"rosemaryarch.example/rosemaryarch/platform"
 	"rosemaryarch.example/rosemaryarch/stager"
 	"rosemaryarch.example/rosemaryarch/throttler"
+	"rosemaryarch.example/rosemaryarch/watcher"
 )
 
 const (
@@ -203,6 +206,15 @@
 	return err == nil
 }
 
+// writeInstanceObject creates an object of the kind of the instances, or replaces its spec.
+func (l *Launcher) writeInstanceObject(ctx context.Context, name string, spec any) error {
+	err := l.store.Create(ctx, platform.InstanceKind, name, spec)
+	if errors.Is(err, watcher.ErrConflict) {
+		err = l.store.Replace(ctx, platform.InstanceKind, name, spec)
+	}
+	return err
+}
+
 // readMembers adds the instances in the store to the known ones. It reports
 // whether this instance is among them, as publishInstance would write it.
 func (l *Launcher) readMembers(ctx context.Context) (published bool) {
